--- /dev/null
+++ b/citron/calls/calls.go
@@ -0,0 +1,209 @@
+// Package calls takes callers' requests, queues them, runs each on a free slot of the cell and answers it whole.
+package calls
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/event"
+	"github.com/citroncross/citroncross/citron/member"
+	"github.com/citroncross/citroncross/citron/slots"
+	"github.com/citroncross/citroncross/citron/state"
+	"github.com/citroncross/citroncross/citron/stats"
+	"github.com/citroncross/citroncross/citron/tmpl"
+	"github.com/citroncross/citroncross/schema/peer"
+)
+
+// Request is one call as a caller sent it.
+type Request struct {
+	Team        citron.Team
+	Class       citron.Class
+	ID          citron.RequestID
+	Repeatable  bool
+	Deadline    citron.Instant
+	ContentType string
+	Body        []byte
+
+	class   tmpl.Class
+	service citron.Service
+}
+
+// Ownership says which shards this daemon may use.
+type Ownership interface {
+	// MayAct reports whether this daemon may use a shard now.
+	MayAct(id citron.ShardID) bool
+	// OwnerOf returns the owner that the log names last.
+	OwnerOf(id citron.ShardID) citron.Member
+	// StandbyOf returns the standby that the log names last.
+	StandbyOf(id citron.ShardID) citron.Member
+}
+
+// Peers reaches other daemons.
+type Peers interface {
+	// Peer returns the client of a daemon.
+	Peer(vm citron.VMName) (peer.PeerClient, bool)
+}
+
+// Options bound what is taken on.
+type Options struct {
+	QueuedCalls    int
+	QueuedBytes    int64
+	BufferedAnswer int64
+	// RetryPercent is the number of further attempts for each hundred requests.
+	RetryPercent int
+	// NoForward keeps every call in the daemon that took it; it is a baseline of the measurements.
+	NoForward bool
+	// Fifo serves calls in the order of their arrival; it is a baseline of the measurements.
+	Fifo bool
+}
+
+// Service runs calls.
+type Service struct {
+	Self      citron.Member
+	Layout    citron.Layout
+	Options   Options
+	Timer     citron.Timer
+	Templates *state.Templates
+	Slots     *slots.Table
+	Owner     Ownership
+	Members   *member.List
+	Peers     Peers
+	Invoker   citron.Invoker
+	Keyed     *Keyed
+	Stats     *stats.Set
+	Log       *event.Logger
+	// RoomChanged is called when the free slots of a service came or went.
+	RoomChanged func()
+
+	mu    sync.Mutex
+	rooms map[citron.Service]*room
+
+	retries  budget
+	attempts seen
+	flights  flights
+}
+
+// Serve runs a request and writes its answer. A nil refusal means that the whole answer was written.
+func (s *Service) Serve(ctx context.Context, r Request, w citron.AnswerWriter) *citron.Refusal {
+	end := s.flights.begin()
+	defer end()
+	if refusal := s.admit(&r); refusal != nil {
+		return refusal
+	}
+	s.retries.earn(s.Options.RetryPercent)
+	if r.Repeatable {
+		return s.run(ctx, &r, w, nil)
+	}
+	return s.serveKeyed(ctx, &r, w)
+}
+
+// InFlight returns the number of requests that are under way here, those of other daemons included.
+func (s *Service) InFlight() int {
+	return s.flights.count()
+}
+
+// Changed tells the queues that a slot may have come free here or elsewhere.
+func (s *Service) Changed() {
+	for _, r := range s.allRooms() {
+		r.kick()
+	}
+}
+
+// Run expires waiting calls until the context ends and reports its end on the returned channel.
+func (s *Service) Run(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		tick, stop := s.Timer.Every(expireEvery)
+		defer stop()
+		for {
+			select {
+			case now := <-tick:
+				s.Changed()
+				s.attempts.expire(now.Boot)
+			case <-ctx.Done():
+				ended <- nil
+				return
+			}
+		}
+	}()
+	return ended
+}
+
+// Queued returns the number of waiting calls by service.
+func (s *Service) Queued() map[citron.Service]int {
+	queued := map[citron.Service]int{}
+	for _, r := range s.allRooms() {
+		queued[r.service] = r.len()
+	}
+	return queued
+}
+
+// admit looks up the template and completes the request.
+func (s *Service) admit(r *Request) *citron.Refusal {
+	t, ok := s.Templates.Get(r.Team)
+	if !ok {
+		return citron.NotRun(citron.NumberUnknownTeam, 0, "team %q has no template; publish one with citronctl", r.Team)
+	}
+	class, ok := t.Compiled.Classes[r.Class]
+	if !ok {
+		return citron.NotRun(citron.NumberUnknownClass, 0, "team %q has no class %q; see citronctl template show", r.Team, r.Class)
+	}
+	r.class = class
+	r.service = t.Compiled.Service
+	r.Repeatable = r.Repeatable && class.Repeatable
+	if longest := s.Timer.Now().Add(class.Deadline); r.Deadline.Boot == 0 || longest.Boot < r.Deadline.Boot {
+		r.Deadline = longest
+	}
+	return nil
+}
+
+func (s *Service) room(service citron.Service) *room {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.rooms[service]
+	if ok {
+		return r
+	}
+	if s.rooms == nil {
+		s.rooms = map[citron.Service]*room{}
+	}
+	r = newRoom(s, service)
+	s.rooms[service] = r
+	return r
+}
+
+func (s *Service) allRooms() (rooms []*room) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.rooms {
+		rooms = append(rooms, r)
+	}
+	return rooms
+}
+
+func newAttempt() citron.AttemptID {
+	return citron.AttemptID(uuid.NewString())
+}
+
+// longestRun is the longest run bound of any template in force.
+func (s *Service) longestRun() (bound time.Duration) {
+	for _, t := range s.Templates.All() {
+		bound = max(bound, t.Compiled.Longest())
+	}
+	return bound
+}
+
+// Gained counts every slot of a shard as taken until evidence or until the longest run bound.
+func (s *Service) Gained(id citron.ShardID) {
+	s.Slots.Adopt(id, s.Timer.Now().Boot, s.longestRun())
+	s.Changed()
+}
+
+// Lost stops the use of a shard's endpoints.
+func (s *Service) Lost(id citron.ShardID) {
+	s.Slots.Drop(id)
+}
--- /dev/null
+++ b/citron/calls/keyed.go
@@ -0,0 +1,334 @@
+package calls
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/event"
+	"github.com/citroncross/citroncross/citron/ledger"
+	"github.com/citroncross/citroncross/citron/mesh"
+	"github.com/citroncross/citroncross/citron/state"
+	"github.com/citroncross/citroncross/schema/peer"
+	"github.com/citroncross/citroncross/schema/record"
+)
+
+const (
+	// intentTimeout bounds the recording of one intent.
+	intentTimeout = 2 * time.Second
+	// closeRetry is the pause before another try to record an outcome.
+	closeRetry = 500 * time.Millisecond
+	// keptAnswerBytes is the largest answer that is kept in the log for a repeat of its request.
+	keptAnswerBytes = 2 << 10
+	// logRetryAfter is when callers should come back while the log does not answer.
+	logRetryAfter = 2 * time.Second
+)
+
+// book is the non-repeatable requests of one owned shard.
+type book struct {
+	ledger *ledger.Ledger
+	calls  *state.Calls
+	// busy holds the requests that are under way or whose outcome is not yet recorded.
+	busy map[state.CallKey]bool
+}
+
+// Keyed records the intents and outcomes of non-repeatable requests. The zero value owns no shard.
+type Keyed struct {
+	// KeepFor is how long intents are remembered.
+	KeepFor time.Duration
+	// LogUp reports whether the log answered lately.
+	LogUp func() bool
+
+	mu    sync.Mutex
+	books map[citron.ShardID]*book
+}
+
+// Gained opens the book of a shard.
+func (k *Keyed) Gained(ctx context.Context, o ledger.Options, id citron.ShardID, epoch citron.Epoch) {
+	calls := &state.Calls{}
+	b := &book{calls: calls, busy: map[state.CallKey]bool{}}
+	b.ledger = ledger.Open(ctx, o, id, epoch, calls)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.books == nil {
+		k.books = map[citron.ShardID]*book{}
+	}
+	if old, ok := k.books[id]; ok {
+		old.ledger.Close()
+	}
+	k.books[id] = b
+}
+
+// Lost closes the book of a shard.
+func (k *Keyed) Lost(id citron.ShardID) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if b, ok := k.books[id]; ok {
+		b.ledger.Close()
+		delete(k.books, id)
+	}
+}
+
+// Prune forgets old intents.
+func (k *Keyed) Prune(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, b := range k.books {
+		b.calls.Prune(now.Add(-k.KeepFor))
+	}
+}
+
+// Intents returns the number of intents that are remembered.
+func (k *Keyed) Intents() (n int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, b := range k.books {
+		n += b.calls.Len()
+	}
+	return n
+}
+
+func (k *Keyed) book(id citron.ShardID) (*book, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	b, ok := k.books[id]
+	return b, ok && b.ledger.IsReady()
+}
+
+// enter marks a request as under way and reports whether it was not.
+func (k *Keyed) enter(b *book, key state.CallKey) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if b.busy[key] {
+		return false
+	}
+	b.busy[key] = true
+	return true
+}
+
+func (k *Keyed) exit(b *book, key state.CallKey) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(b.busy, key)
+}
+
+// serveKeyed runs a non-repeatable request in the daemon that owns its id.
+func (s *Service) serveKeyed(ctx context.Context, r *Request, w citron.AnswerWriter) *citron.Refusal {
+	id := s.Layout.OfRequest(r.Team, r.ID)
+	if s.Owner.MayAct(id) {
+		return s.runKeyed(ctx, id, r, w)
+	}
+	to := s.Owner.OwnerOf(id)
+	if to.IsZero() || to == s.Self {
+		return citron.NotRun(citron.NumberNoOwner, time.Second, "the owner of this request id changes at the moment")
+	}
+	client, ok := s.Peers.Peer(to.VM)
+	if !ok {
+		return citron.NotRun(citron.NumberNoOwner, time.Second, "the owner of this request id cannot be reached")
+	}
+	bounded, cancel := context.WithTimeout(ctx, r.Deadline.Boot-s.Timer.Now().Boot)
+	defer cancel()
+	noted, sent := mesh.WithSent(bounded)
+	answer := newBuffered(w, s.Options.BufferedAnswer)
+	stream, err := client.Forward(noted, s.forwardRequest(&ticket{request: r}, to, true))
+	if err == nil {
+		var end *peer.AnswerEnd
+		if end, err = readParts(stream, answer); err == nil {
+			return s.keyedEnd(end, answer)
+		}
+	}
+	if !sent.Maybe() {
+		return citron.NotRun(citron.NumberNoOwner, time.Second, "the owner of this request id cannot be reached")
+	}
+	return citron.Unknown(citron.NumberLost, "the daemon that ran this request was lost")
+}
+
+func (s *Service) keyedEnd(end *peer.AnswerEnd, answer *buffered) *citron.Refusal {
+	if end.GetNumber() != 0 {
+		return endRefusal(end)
+	}
+	if err := answer.finish(); err != nil {
+		return citron.Unknown(citron.NumberLost, "the caller has gone")
+	}
+	return nil
+}
+
+// forwardKeyed answers another daemon's non-repeatable request.
+func (s *Service) forwardKeyed(ctx context.Context, r *Request, w *sender) error {
+	id := s.Layout.OfRequest(r.Team, r.ID)
+	if !s.Owner.MayAct(id) {
+		return w.end(refusalEnd(citron.NotRun(citron.NumberNoOwner, time.Second, "the owner of this request id changes at the moment")))
+	}
+	if refusal := s.runKeyed(ctx, id, r, w); refusal != nil {
+		return w.end(refusalEnd(refusal))
+	}
+	return w.end(&peer.AnswerEnd{Outcome: record.Outcome_OUTCOME_DONE})
+}
+
+// runKeyed runs a non-repeatable request at most once.
+func (s *Service) runKeyed(ctx context.Context, id citron.ShardID, r *Request, w citron.AnswerWriter) *citron.Refusal {
+	b, ok := s.Keyed.book(id)
+	if !ok || !s.Keyed.LogUp() {
+		return citron.NotRun(citron.NumberLogDown, logRetryAfter, "the platform's log does not answer, and this request may run once only")
+	}
+	key := state.CallKey{Team: r.Team, RequestID: r.ID}
+	if !s.Keyed.enter(b, key) {
+		return citron.Unknown(citron.NumberInProgress, "this request is under way; ask again for its outcome")
+	}
+	if known, ok := b.calls.Get(key); ok {
+		s.Keyed.exit(b, key)
+		return replay(known, w)
+	}
+	// A caller that goes away does not cut the run: its repeat gets the answer.
+	ctx = context.WithoutCancel(ctx)
+	k := &keyedRun{s: s, id: id, book: b, key: key, request: r, intent: b.ledger.Entry()}
+	return k.run(ctx, w)
+}
+
+// replay answers a request that has an intent already. It is never sent again.
+func replay(known state.Intent, w citron.AnswerWriter) *citron.Refusal {
+	switch known.Outcome {
+	case record.Outcome_OUTCOME_DONE:
+		if known.Status == 0 {
+			r := citron.Unknown(citron.NumberAlreadyRan, "this request has run; its answer was too large to keep")
+			r.Outcome = record.Outcome_OUTCOME_DONE
+			return r
+		}
+		if err := w.Head(int(known.Status), known.ContentType); err != nil {
+			return citron.Unknown(citron.NumberLost, "the caller has gone")
+		}
+		if err := w.Chunk(known.Body); err != nil {
+			return citron.Unknown(citron.NumberLost, "the caller has gone")
+		}
+		return nil
+	default:
+		return citron.Unknown(citron.NumberLost, "this request was sent to an endpoint and its outcome was lost; it will not be sent again")
+	}
+}
+
+// keyedRun is one non-repeatable request under way.
+type keyedRun struct {
+	s       *Service
+	id      citron.ShardID
+	book    *book
+	key     state.CallKey
+	request *Request
+	intent  *record.Entry
+	// recorded is set once the intent was given to the log.
+	recorded bool
+	answer   *copied
+}
+
+func (k *keyedRun) run(ctx context.Context, w citron.AnswerWriter) *citron.Refusal {
+	k.answer = &copied{out: w}
+	refusal := k.s.run(ctx, k.request, k.answer, func() *citron.Refusal { return k.record(ctx) })
+	if !k.recorded {
+		k.s.Keyed.exit(k.book, k.key)
+		return refusal
+	}
+	outcome := record.Outcome_OUTCOME_DONE
+	if refusal != nil {
+		outcome = refusal.Outcome
+	}
+	k.close(outcome)
+	return refusal
+}
+
+// record puts the intent into the log before the first byte goes out.
+func (k *keyedRun) record(ctx context.Context) *citron.Refusal {
+	k.recorded = true
+	k.intent.Body = &record.Entry_Intent{Intent: &record.Intent{
+		RequestID: string(k.key.RequestID),
+		Team:      string(k.key.Team),
+		Class:     string(k.request.Class),
+	}}
+	bounded, cancel := context.WithTimeout(ctx, intentTimeout)
+	defer cancel()
+	err := k.book.ledger.Commit(bounded, k.intent)
+	known, ok := k.book.calls.Get(k.key)
+	if err != nil || !ok || known.ID != k.intent.GetID() {
+		return citron.NotRun(citron.NumberLogDown, logRetryAfter, "the platform's log did not take the request, which may run once only")
+	}
+	if !k.s.Owner.MayAct(k.id) {
+		return citron.NotRun(citron.NumberNoOwner, time.Second, "the owner of this request id changes at the moment")
+	}
+	return nil
+}
+
+// close records the outcome in the background. Until it is recorded the request stays busy, so that a repeat
+// cannot run beside a record that is still on its way.
+func (k *keyedRun) close(outcome record.Outcome) {
+	body := &record.CallOutcome{
+		IntentID:  k.intent.GetID(),
+		Team:      string(k.key.Team),
+		RequestID: string(k.key.RequestID),
+		Outcome:   outcome,
+	}
+	if outcome == record.Outcome_OUTCOME_DONE && k.answer.whole() {
+		body.Status = int32(k.answer.status)
+		body.Body = k.answer.body
+		body.ContentType = k.answer.contentType
+	}
+	go k.recordOutcome(body)
+}
+
+// recordOutcome repeats the record until it has been applied or the shard is lost.
+func (k *keyedRun) recordOutcome(body *record.CallOutcome) {
+	defer k.s.Keyed.exit(k.book, k.key)
+	for {
+		entry := k.book.ledger.Entry()
+		entry.Body = &record.Entry_CallOutcome{CallOutcome: body}
+		bounded, cancel := context.WithTimeout(context.Background(), intentTimeout)
+		err := k.book.ledger.Commit(bounded, entry)
+		cancel()
+		if err == nil {
+			return
+		}
+		due, _ := k.s.Timer.After(closeRetry)
+		<-due
+		if !k.s.Owner.MayAct(k.id) {
+			k.s.Log.Emit(event.CallUnknown, event.Fields{"Team": k.key.Team, "Class": k.request.Class, "Error": "outcome not recorded"})
+			return
+		}
+	}
+}
+
+// copied hands an answer on and keeps a copy while it is small. A caller that has gone does not end the run.
+type copied struct {
+	out    citron.AnswerWriter
+	status int
+	body   []byte
+	large  bool
+	gone   error
+
+	contentType string
+}
+
+var _ citron.AnswerWriter = (*copied)(nil)
+
+// Head hands on what comes before the body.
+func (c *copied) Head(status int, contentType string) error {
+	c.status, c.contentType = status, contentType
+	c.gone = c.out.Head(status, contentType)
+	return nil
+}
+
+// Chunk hands on a part of the body.
+func (c *copied) Chunk(p []byte) error {
+	if len(c.body)+len(p) > keptAnswerBytes {
+		c.large = true
+		c.body = nil
+	}
+	if !c.large {
+		c.body = append(c.body, p...)
+	}
+	if c.gone == nil {
+		c.gone = c.out.Chunk(p)
+	}
+	return nil
+}
+
+func (c *copied) whole() bool {
+	return c.status != 0 && !c.large
+}
--- /dev/null
+++ b/citron/conf/conf.go
@@ -0,0 +1,154 @@
+// Package conf reads TOML files into the messages of the schema and reports every problem at once.
+package conf
+
+import (
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+)
+
+// Problem is one thing that is wrong in a file.
+type Problem struct {
+	File   string
+	Key    string
+	Reason string
+}
+
+// String returns the problem as one line.
+func (p Problem) String() string {
+	return fmt.Sprintf("%s: %s: %s", p.File, p.Key, p.Reason)
+}
+
+// Problems is an error that lists all that is wrong.
+type Problems []Problem
+
+// Error returns the problems, a line each.
+func (p Problems) Error() string {
+	lines := make([]string, 0, len(p))
+	for _, one := range p {
+		lines = append(lines, one.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Add notes a problem.
+func (p *Problems) Add(file, key, format string, args ...any) {
+	*p = append(*p, Problem{File: file, Key: key, Reason: fmt.Sprintf(format, args...)})
+}
+
+// ReadFile reads a TOML file into a message.
+func ReadFile(file string, into proto.Message) Problems {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return Problems{{File: file, Key: "(file)", Reason: err.Error()}}
+	}
+	return Read(file, string(text), into)
+}
+
+// Read fills a message from TOML text whose keys are the field names.
+func Read(file, text string, into proto.Message) Problems {
+	var table map[string]any
+	if _, err := toml.Decode(text, &table); err != nil {
+		return Problems{{File: file, Key: "(syntax)", Reason: err.Error()}}
+	}
+	r := reader{file: file}
+	r.message("", table, into.ProtoReflect())
+	sort.Slice(r.problems, func(i, j int) bool { return r.problems[i].Key < r.problems[j].Key })
+	return r.problems
+}
+
+type reader struct {
+	file     string
+	problems Problems
+}
+
+func (r *reader) message(prefix string, table map[string]any, m protoreflect.Message) {
+	fields := m.Descriptor().Fields()
+	for key, value := range table {
+		path := prefix + key
+		field := fields.ByName(protoreflect.Name(key))
+		if field == nil {
+			r.problems.Add(r.file, path, "unknown key; known keys: %s", names(fields))
+			continue
+		}
+		r.field(path, value, m, field)
+	}
+}
+
+func (r *reader) field(path string, value any, m protoreflect.Message, field protoreflect.FieldDescriptor) {
+	if field.IsList() {
+		r.list(path, value, m, field)
+		return
+	}
+	if field.Message() != nil {
+		table, ok := value.(map[string]any)
+		if !ok {
+			r.problems.Add(r.file, path, "is %T, must be a table", value)
+			return
+		}
+		r.message(path+".", table, m.Mutable(field).Message())
+		return
+	}
+	if v, ok := r.scalar(path, value, field); ok {
+		m.Set(field, v)
+	}
+}
+
+func (r *reader) list(path string, value any, m protoreflect.Message, field protoreflect.FieldDescriptor) {
+	tables, ok := value.([]map[string]any)
+	if !ok {
+		r.problems.Add(r.file, path, "must be written as [[%s]]", path)
+		return
+	}
+	list := m.Mutable(field).List()
+	for n, table := range tables {
+		r.message(fmt.Sprintf("%s[%d].", path, n), table, list.AppendMutable().Message())
+	}
+}
+
+func (r *reader) scalar(path string, value any, field protoreflect.FieldDescriptor) (v protoreflect.Value, ok bool) {
+	switch field.Kind() {
+	case protoreflect.StringKind:
+		if s, is := value.(string); is {
+			return protoreflect.ValueOfString(s), true
+		}
+		r.problems.Add(r.file, path, "is %v, must be a text in quotes", value)
+	case protoreflect.BoolKind:
+		if b, is := value.(bool); is {
+			return protoreflect.ValueOfBool(b), true
+		}
+		r.problems.Add(r.file, path, "is %v, must be true or false", value)
+	default:
+		if n, is := value.(int64); is {
+			return protoreflect.ValueOfInt64(n), true
+		}
+		r.problems.Add(r.file, path, "is %v, must be a whole number%s", value, unit(path))
+	}
+	return v, false
+}
+
+func unit(path string) string {
+	units := map[string]string{
+		"Ms": "milliseconds", "Minutes": "minutes", "Percent": "percent",
+		"Mb": "megabytes", "Bytes": "bytes", "PerSecond": "events per second",
+	}
+	for suffix, name := range units {
+		if strings.HasSuffix(path, suffix) {
+			return " of " + name + " without a unit"
+		}
+	}
+	return ""
+}
+
+func names(fields protoreflect.FieldDescriptors) string {
+	all := make([]string, 0, fields.Len())
+	for n := range fields.Len() {
+		all = append(all, string(fields.Get(n).Name()))
+	}
+	return strings.Join(all, ", ")
+}
--- /dev/null
+++ b/citron/daemon/build.go
@@ -0,0 +1,292 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/calls"
+	"github.com/citroncross/citroncross/citron/event"
+	"github.com/citroncross/citroncross/citron/feed"
+	"github.com/citroncross/citroncross/citron/fleet"
+	"github.com/citroncross/citroncross/citron/group"
+	"github.com/citroncross/citroncross/citron/invoke"
+	"github.com/citroncross/citroncross/citron/jobs"
+	"github.com/citroncross/citroncross/citron/ledger"
+	"github.com/citroncross/citroncross/citron/mesh"
+	"github.com/citroncross/citroncross/citron/owner"
+	"github.com/citroncross/citroncross/citron/place"
+	"github.com/citroncross/citroncross/citron/runner"
+	"github.com/citroncross/citroncross/citron/shard"
+	"github.com/citroncross/citroncross/citron/slots"
+	"github.com/citroncross/citroncross/citron/state"
+	"github.com/citroncross/citroncross/citron/stream"
+	"github.com/citroncross/citroncross/schema/lab"
+)
+
+// logHealth remembers how the last exchange with the log went.
+type logHealth struct {
+	mu     sync.Mutex
+	failed bool
+}
+
+func (h *logHealth) note(err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failed = err != nil
+}
+
+func (h *logHealth) up() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.failed
+}
+
+func ms(n int64) time.Duration {
+	return time.Duration(n) * time.Millisecond
+}
+
+// connectPlatform builds everything that talks to the platform.
+func (d *Daemon) connectPlatform() {
+	limits := d.settings.GetLimits()
+	url := d.settings.GetPlatformURL()
+	d.platform = &watched{
+		Log:    stream.New(url, func(n int) { d.stats.ControlBytes("log", n) }),
+		health: &d.health,
+	}
+	d.vms = fleet.NewClient(url, func(n int) { d.stats.ControlBytes("vms", n) })
+	d.appender = &group.Appender{
+		Log:       d.platform,
+		Timer:     d.timer,
+		PerSecond: int(limits.GetAppendsPerSecond()),
+		Timeout:   appendTimeout,
+		Done: func(s citron.Stream, records int, took time.Duration, err error) {
+			d.stats.Append(records, err != nil)
+			if err != nil {
+				d.log.Emit(event.LogAppendFailed, event.Fields{"Stream": s, "Records": records, "Took": took, "Error": err})
+			}
+		},
+	}
+	d.feeds = map[citron.Stream]*feed.Follower{}
+	d.follow(citron.StreamTemplates, &d.templates)
+	d.follow(citron.StreamOwners, &d.owners)
+	d.options = ledger.Options{
+		VM:          d.self.VM,
+		Log:         d.platform,
+		Timer:       d.timer,
+		Appender:    d.appender,
+		SnapshotAge: time.Duration(limits.GetSnapshotMinutes()) * time.Minute,
+		Failed:      d.readFailed,
+		Snapshotted: func(s citron.Stream) { d.log.Emit(event.SnapshotWritten, event.Fields{"Stream": s}) },
+	}
+}
+
+func (d *Daemon) follow(s citron.Stream, fold citron.Fold) {
+	d.feeds[s] = &feed.Follower{Log: d.platform, Timer: d.timer, Stream: s, Fold: fold, Failed: d.readFailed}
+}
+
+func (d *Daemon) readFailed(err error) {
+	d.log.Emit(event.LogReadFailed, event.Fields{"Error": err})
+}
+
+// watched notes how each exchange with the log goes.
+type watched struct {
+	citron.Log
+	health *logHealth
+}
+
+// Read reads and notes the end.
+func (w *watched) Read(ctx context.Context, s citron.Stream, from citron.Offset, wait time.Duration) (citron.Batch, error) {
+	b, err := w.Log.Read(ctx, s, from, wait)
+	if ctx.Err() == nil || err == nil {
+		w.health.note(err)
+	}
+	return b, err
+}
+
+// connectPeers prepares the connections to the other daemons.
+func (d *Daemon) connectPeers() error {
+	if t := d.settings.GetTLS(); !t.GetOff() {
+		d.mesh.Keys = &mesh.Keys{
+			CertFile: t.GetCertFile(),
+			KeyFile:  t.GetKeyFile(),
+			CAFile:   t.GetCAFile(),
+			Loaded:   func() { d.log.Emit(event.KeysLoaded, event.Fields{"File": t.GetCertFile()}) },
+		}
+		if err := d.mesh.Keys.Load(); err != nil {
+			return err
+		}
+	}
+	d.mesh.Bytes = d.stats.ControlBytes
+	for _, p := range d.settings.GetPeers() {
+		if p.GetVM() == d.settings.GetVM() {
+			continue
+		}
+		if err := d.mesh.Connect(citron.VMName(p.GetVM()), p.GetAddress()); err != nil {
+			return err
+		}
+	}
+	d.members.Silence = silentBeats * ms(d.settings.GetOwnership().GetBeatMs())
+	d.members.Gone = d.tracker.IsGone
+	return nil
+}
+
+func (d *Daemon) layout() citron.Layout {
+	o := d.settings.GetOwnership()
+	return citron.Layout{CallShards: int(o.GetCallShards()), WorkerPools: int(o.GetWorkerPools())}
+}
+
+func (d *Daemon) buildOwnership() {
+	o := d.settings.GetOwnership()
+	lease := ms(o.GetLeaseMs())
+	d.manager = &owner.Manager{
+		Self:       d.self,
+		Layout:     d.layout(),
+		Terms:      shard.Terms{Lease: lease, Drift: lease * time.Duration(o.GetDriftPercent()) / 100},
+		RenewEvery: ms(o.GetRenewMs()),
+		Timer:      d.timer,
+		Owners:     &d.owners,
+		Members:    &d.members,
+		Mesh:       &d.mesh,
+		Appender:   d.appender,
+		LogUp:      d.probeLog,
+		Hooks:      owner.Hooks{Gained: d.gained, Lost: d.lost},
+		Stats:      d.stats,
+		Log:        d.log,
+	}
+	d.manager.Init()
+}
+
+// probeLog asks the log whether it answers now. A daemon that has not read the ownership stream must not change it.
+func (d *Daemon) probeLog(ctx context.Context) bool {
+	f := d.feeds[citron.StreamOwners]
+	if !f.Loaded() {
+		return false
+	}
+	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	batch, err := d.platform.Read(bounded, citron.StreamOwners, f.Next(), 0)
+	return err == nil && batch.End <= f.Next()
+}
+
+func (d *Daemon) buildCalls() {
+	limits := d.settings.GetLimits()
+	d.keyed = &calls.Keyed{
+		KeepFor: time.Duration(limits.GetIntentKeepMinutes()) * time.Minute,
+		LogUp:   d.health.up,
+	}
+	d.calls = &calls.Service{
+		Self:   d.self,
+		Layout: d.layout(),
+		Options: calls.Options{
+			QueuedCalls:    int(limits.GetQueuedCalls()),
+			QueuedBytes:    limits.GetQueuedBytes(),
+			BufferedAnswer: limits.GetBufferedAnswerBytes(),
+			RetryPercent:   int(limits.GetRetryPercent()),
+		},
+		Timer:       d.timer,
+		Templates:   &d.templates,
+		Slots:       &d.slots,
+		Owner:       d.manager,
+		Members:     &d.members,
+		Peers:       &d.mesh,
+		Invoker:     invoke.New(connectionsPerEndpoint),
+		Keyed:       d.keyed,
+		Stats:       d.stats,
+		Log:         d.log,
+		RoomChanged: d.roomChanged,
+	}
+}
+
+func (d *Daemon) buildJobs() {
+	j := d.settings.GetJobs()
+	d.jobs = &jobs.Service{
+		Self:   d.self,
+		Layout: d.layout(),
+		Options: jobs.Options{
+			TaskLease: ms(j.GetTaskLeaseMs()),
+			SyncEvery: ms(j.GetSyncMs()),
+			GangHold:  ms(j.GetGangHoldMs()),
+			IdleSleep: ms(j.GetIdleSleepMs()),
+			JobKeep:   time.Duration(j.GetJobKeepMinutes()) * time.Minute,
+			Rules: place.Rules{
+				QuarantineFailures: int(j.GetQuarantineFailures()),
+				QuarantineFor:      ms(j.GetQuarantineMs()),
+			},
+		},
+		Timer:     d.timer,
+		Templates: &d.templates,
+		Owner:     d.manager,
+		Peers:     &d.mesh,
+		Runner:    runner.New(func(n int) { d.stats.ControlBytes("workers", n) }),
+		VMs:       d.vms,
+		Gone:      d.tracker.IsGone,
+		Stats:     d.stats,
+		Log:       d.log,
+	}
+}
+
+// hook connects the parts that tell each other of changes.
+func (d *Daemon) hook() {
+	d.templates.Changed = func(t state.Template) {
+		d.log.Emit(event.TemplateInForce, event.Fields{"Team": t.Team, "Version": t.Version, "Offset": t.Offset})
+	}
+	d.tracker.Failed = func(err error) { d.log.Emit(event.ListFailed, event.Fields{"Error": err}) }
+	d.tracker.Gone = func(name citron.VMName) { d.log.Emit(event.VMGone, event.Fields{"Name": name}) }
+	d.tracker.Changed = d.listed
+	d.stats.Gauge("citron_owned_shards", func() float64 { return float64(d.manager.Owned()) })
+	d.stats.Gauge("citron_open_jobs", func() float64 { return float64(d.jobs.Open()) })
+	d.stats.Gauge("citron_kept_intents", func() float64 { return float64(d.keyed.Intents()) })
+	d.stats.Gauge("citron_awake_workers", d.awake)
+}
+
+func (d *Daemon) awake() (n float64) {
+	for _, w := range d.jobs.Workers() {
+		if !w.Asleep && !w.Gone {
+			n++
+		}
+	}
+	return n
+}
+
+func (d *Daemon) gained(id citron.ShardID, epoch citron.Epoch) {
+	if id.IsPool() {
+		d.jobs.Gained(d.run, d.options, id, epoch)
+		return
+	}
+	d.calls.Gained(id)
+	d.keyed.Gained(d.run, d.options, id, epoch)
+}
+
+func (d *Daemon) lost(id citron.ShardID) {
+	if id.IsPool() {
+		d.jobs.Lost(id)
+		return
+	}
+	d.calls.Lost(id)
+	d.keyed.Lost(id)
+}
+
+// listed takes in the platform's list of VMs.
+func (d *Daemon) listed(_ citron.Instant, vms []*lab.VM) {
+	var specs []slots.Spec
+	for _, vm := range vms {
+		if vm.GetKind() != fleet.KindEndpoint {
+			continue
+		}
+		specs = append(specs, slots.Spec{
+			Name:          citron.Endpoint(vm.GetName()),
+			Address:       vm.GetAddress(),
+			Service:       citron.Service(vm.GetService()),
+			FailureDomain: citron.FailureDomain(vm.GetFailureDomain()),
+			Shard:         d.layout().OfEndpoint(citron.Endpoint(vm.GetName())),
+			Slots:         int(vm.GetSlots()),
+			Connections:   int(vm.GetConnections()),
+			Leaving:       vm.GetLeaving(),
+		})
+	}
+	d.slots.Set(specs)
+	d.jobs.Listed(vms)
+	d.calls.Changed()
+}
--- /dev/null
+++ b/citron/event/catalog.go
@@ -0,0 +1,80 @@
+package event
+
+import "github.com/sirupsen/logrus"
+
+// Events of the daemon's life.
+var (
+	DaemonStarted   = add(100, logrus.InfoLevel, "daemon started")
+	DaemonReady     = add(101, logrus.InfoLevel, "daemon ready")
+	DaemonDraining  = add(102, logrus.InfoLevel, "daemon draining")
+	DaemonStopped   = add(103, logrus.InfoLevel, "daemon stopped")
+	DrainTimedOut   = add(104, logrus.WarnLevel, "drain time passed with requests in flight")
+	PartEnded       = add(105, logrus.ErrorLevel, "part of the daemon ended early")
+	StartedFromPeer = add(106, logrus.WarnLevel, "state taken from peers because the log does not answer")
+)
+
+// Events of the platform's log and VM list.
+var (
+	LogReadFailed   = add(200, logrus.WarnLevel, "log read failed")
+	LogAppendFailed = add(201, logrus.WarnLevel, "log append failed")
+	SnapshotWritten = add(202, logrus.InfoLevel, "snapshot written")
+	ListFailed      = add(203, logrus.WarnLevel, "VM list failed")
+	VMGone          = add(204, logrus.InfoLevel, "VM gone")
+	VMLeaving       = add(205, logrus.InfoLevel, "VM leaving")
+	PowerFailed     = add(206, logrus.WarnLevel, "power change failed")
+)
+
+// Events of ownership.
+var (
+	ShardGained    = add(300, logrus.InfoLevel, "shard gained")
+	ShardLost      = add(301, logrus.WarnLevel, "shard lost")
+	LeaseLapsed    = add(302, logrus.WarnLevel, "lease lapsed")
+	ClaimSent      = add(303, logrus.InfoLevel, "claim sent")
+	StandbyChanged = add(304, logrus.InfoLevel, "standby change sent")
+	ShardReleased  = add(305, logrus.InfoLevel, "shard released to its standby")
+	ShardHandedOff = add(306, logrus.InfoLevel, "shard handover sent")
+	ShardReady     = add(307, logrus.InfoLevel, "shard state loaded")
+)
+
+// Events of configuration.
+var (
+	TemplateInForce = add(400, logrus.InfoLevel, "template in force")
+)
+
+// Events of calls.
+var (
+	CallRefused   = add(500, logrus.DebugLevel, "call refused")
+	CallRetried   = add(501, logrus.DebugLevel, "call retried")
+	CallUnknown   = add(502, logrus.WarnLevel, "call outcome unknown")
+	AnswerDropped = add(503, logrus.WarnLevel, "answer dropped")
+)
+
+// Events of jobs.
+var (
+	JobTaken          = add(600, logrus.InfoLevel, "job accepted")
+	TaskPlaced        = add(601, logrus.DebugLevel, "task placed")
+	TaskEnded         = add(602, logrus.DebugLevel, "task ended")
+	WorkerQuarantined = add(603, logrus.WarnLevel, "worker quarantined")
+	WorkerSyncFailed  = add(604, logrus.WarnLevel, "worker sync failed")
+	TaskPreempted     = add(605, logrus.InfoLevel, "task preempted")
+	WorkerPowered     = add(606, logrus.InfoLevel, "worker power changed")
+)
+
+// Events of the ports.
+var (
+	PeerRefused = add(700, logrus.WarnLevel, "peer message refused")
+	KeysLoaded  = add(701, logrus.InfoLevel, "TLS keys loaded")
+)
+
+var catalog []Event
+
+// Catalog lists every event by number.
+func Catalog() []Event {
+	return append([]Event(nil), catalog...)
+}
+
+func add(number int, level logrus.Level, text string) Event {
+	e := Event{Number: number, Level: level, Text: text}
+	catalog = append(catalog, e)
+	return e
+}
--- /dev/null
+++ b/citron/fleet/fleet.go
@@ -0,0 +1,202 @@
+// Package fleet follows the platform's lagging list of VMs.
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/wire"
+	"github.com/citroncross/citroncross/schema/lab"
+)
+
+const (
+	// pollEvery is how often the list is read.
+	pollEvery = time.Second
+	// goneAfter is the number of later lists without a VM that make it gone.
+	goneAfter = 2
+	// listTimeout bounds one read of the list.
+	listTimeout = 2 * time.Second
+)
+
+// Kinds of VMs in the platform's list.
+const (
+	KindEntry    = "Entry"
+	KindEndpoint = "Endpoint"
+	KindWorker   = "Worker"
+)
+
+// Client reads the list over HTTP.
+type Client struct {
+	URL    string
+	client *wire.Client
+}
+
+var _ citron.VMList = (*Client)(nil)
+
+// NewClient returns a client of the platform.
+func NewClient(url string, bytes func(n int)) *Client {
+	client := wire.NewClient("platform-vms", 4)
+	client.Bytes = bytes
+	return &Client{URL: url, client: client}
+}
+
+// List returns one list.
+func (c *Client) List(ctx context.Context) (list *lab.VMList, err error) {
+	list = &lab.VMList{}
+	err = c.client.Do(ctx, http.MethodGet, c.URL+"/v1/vms", nil, list)
+	return list, eris.Wrap(err, "list VMs")
+}
+
+// Power switches a worker VM on or off.
+func (c *Client) Power(ctx context.Context, name citron.VMName, on bool) (err error) {
+	defer func() { err = eris.Wrapf(err, "power %s", name) }()
+	url := c.URL + "/v1/vms/" + string(name) + "/power?On=false"
+	if on {
+		url = c.URL + "/v1/vms/" + string(name) + "/power?On=true"
+	}
+	return c.client.Do(ctx, http.MethodPost, url, nil, nil)
+}
+
+// Tracker turns lagging lists into what is known of each VM. The zero value knows nothing.
+type Tracker struct {
+	// Changed is called after each list that was taken in.
+	Changed func(now citron.Instant, vms []*lab.VM)
+	// Gone is called once for each VM that became gone.
+	Gone func(name citron.VMName)
+	// Failed is called after a list that could not be read.
+	Failed func(error)
+
+	mu       sync.RWMutex
+	sequence int64
+	vms      map[citron.VMName]*lab.VM
+	missing  map[citron.VMName]int
+	gone     map[citron.VMName]bool
+}
+
+// Take takes in one list. A list older than the last one is ignored.
+func (t *Tracker) Take(now citron.Instant, list *lab.VMList) {
+	fresh, gone := t.take(list)
+	if !fresh {
+		return
+	}
+	for _, name := range gone {
+		if t.Gone != nil {
+			t.Gone(name)
+		}
+	}
+	if t.Changed != nil {
+		t.Changed(now, t.List())
+	}
+}
+
+func (t *Tracker) take(list *lab.VMList) (fresh bool, gone []citron.VMName) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.vms == nil {
+		t.vms = map[citron.VMName]*lab.VM{}
+		t.missing = map[citron.VMName]int{}
+		t.gone = map[citron.VMName]bool{}
+	}
+	if list.GetSequence() <= t.sequence {
+		return false, nil
+	}
+	t.sequence = list.GetSequence()
+	listed := map[citron.VMName]bool{}
+	for _, vm := range list.GetVMs() {
+		name := citron.VMName(vm.GetName())
+		listed[name] = true
+		t.vms[name] = vm
+		delete(t.missing, name)
+		delete(t.gone, name)
+	}
+	for name := range t.vms {
+		if listed[name] {
+			continue
+		}
+		t.missing[name]++
+		if t.missing[name] < goneAfter {
+			continue
+		}
+		t.gone[name] = true
+		delete(t.vms, name)
+		delete(t.missing, name)
+		gone = append(gone, name)
+	}
+	return true, gone
+}
+
+// List returns every VM that is not gone. A VM missing from the last list counts as leaving.
+func (t *Tracker) List() []*lab.VM {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	all := make([]*lab.VM, 0, len(t.vms))
+	for name, vm := range t.vms {
+		if t.missing[name] > 0 {
+			vm = leaving(vm)
+		}
+		all = append(all, vm)
+	}
+	return all
+}
+
+// IsGone reports whether a VM was listed and then missed in enough later lists.
+func (t *Tracker) IsGone(name citron.VMName) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.gone[name]
+}
+
+// Run reads the list until the context ends and reports its end on the returned channel.
+func (t *Tracker) Run(ctx context.Context, timer citron.Timer, list citron.VMList) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		tick, stop := timer.Every(pollEvery)
+		defer stop()
+		for {
+			t.poll(ctx, timer, list)
+			select {
+			case <-tick:
+			case <-ctx.Done():
+				ended <- nil
+				return
+			}
+		}
+	}()
+	return ended
+}
+
+func (t *Tracker) poll(ctx context.Context, timer citron.Timer, list citron.VMList) {
+	bounded, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	l, err := list.List(bounded)
+	if err == nil {
+		t.Take(timer.Now(), l)
+		return
+	}
+	if t.Failed != nil && ctx.Err() == nil {
+		t.Failed(err)
+	}
+}
+
+func leaving(vm *lab.VM) *lab.VM {
+	return &lab.VM{
+		Name:          vm.GetName(),
+		Kind:          vm.GetKind(),
+		Address:       vm.GetAddress(),
+		FailureDomain: vm.GetFailureDomain(),
+		Rack:          vm.GetRack(),
+		Leaving:       true,
+		Service:       vm.GetService(),
+		Slots:         vm.GetSlots(),
+		Connections:   vm.GetConnections(),
+		MilliCores:    vm.GetMilliCores(),
+		MemoryMb:      vm.GetMemoryMb(),
+		Accelerators:  vm.GetAccelerators(),
+		Asleep:        vm.GetAsleep(),
+	}
+}
--- /dev/null
+++ b/citron/front/front.go
@@ -0,0 +1,277 @@
+// Package front answers callers over HTTP.
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/pathvar"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/calls"
+	"github.com/citroncross/citroncross/citron/event"
+	"github.com/citroncross/citroncross/citron/jobs"
+	"github.com/citroncross/citroncross/citron/state"
+	"github.com/citroncross/citroncross/citron/stats"
+	"github.com/citroncross/citroncross/schema/admin"
+	"github.com/citroncross/citroncross/schema/record"
+)
+
+// Headers between callers and the daemon.
+const (
+	HeaderRequestID  = "Citron-Request-Id"
+	HeaderDeadline   = "Citron-Deadline-Ms"
+	HeaderRepeatable = "Citron-Repeatable"
+	HeaderOutcome    = "Citron-Outcome"
+	HeaderRetryAfter = "Citron-Retry-After-Ms"
+)
+
+// maxIDLength bounds a request id.
+const maxIDLength = 128
+
+// Caller runs calls.
+type Caller interface {
+	// Serve runs a request and writes its answer.
+	Serve(ctx context.Context, r calls.Request, w citron.AnswerWriter) *citron.Refusal
+}
+
+// Front answers callers.
+type Front struct {
+	BodyBytes int64
+	Timer     citron.Timer
+	Templates *state.Templates
+	Calls     Caller
+	Jobs      *jobs.Service
+	Stats     *stats.Set
+	Log       *event.Logger
+}
+
+// Routes returns the callers' routes.
+func (f *Front) Routes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodPost, Path: "/v1/teams/:team/calls/:class", Handler: f.call},
+		{Method: http.MethodPost, Path: "/v1/teams/:team/jobs", Handler: f.submit},
+		{Method: http.MethodGet, Path: "/v1/teams/:team/jobs/:id", Handler: f.get},
+		{Method: http.MethodDelete, Path: "/v1/teams/:team/jobs/:id", Handler: f.cancel},
+	}
+}
+
+func (f *Front) call(w http.ResponseWriter, r *http.Request) {
+	request, refusal := f.request(r)
+	w.Header().Set(HeaderRequestID, string(request.ID))
+	if refusal == nil {
+		out := &answer{w: w, size: -1}
+		refusal = f.Calls.Serve(r.Context(), request, out)
+		if refusal == nil {
+			f.Stats.Outcome(request.Team, request.Class, citron.OutcomeText(record.Outcome_OUTCOME_DONE))
+			out.finish()
+			return
+		}
+		if out.began {
+			// The answer broke off. An aborted connection cannot be taken for a whole answer.
+			f.count(request, refusal)
+			panic(http.ErrAbortHandler)
+		}
+	}
+	f.count(request, refusal)
+	f.refuse(w, refusal)
+}
+
+// request reads the headers and the body of a call.
+func (f *Front) request(r *http.Request) (request calls.Request, refusal *citron.Refusal) {
+	vars := pathvar.Vars(r)
+	request = calls.Request{
+		Team:        citron.Team(vars["team"]),
+		Class:       citron.Class(vars["class"]),
+		ContentType: r.Header.Get("Content-Type"),
+		Repeatable:  true,
+	}
+	request.ID, refusal = requestID(r)
+	if refusal != nil {
+		return request, refusal
+	}
+	template, ok := f.Templates.Get(request.Team)
+	if !ok {
+		return request, citron.NotRun(citron.NumberUnknownTeam, 0, "team %q has no template; publish one with citronctl", request.Team)
+	}
+	class, ok := template.Compiled.Classes[request.Class]
+	if !ok {
+		return request, citron.NotRun(citron.NumberUnknownClass, 0, "team %q has no class %q; see citronctl template show", request.Team, request.Class)
+	}
+	if request.Repeatable, refusal = repeatable(r, class.Repeatable); refusal != nil {
+		return request, refusal
+	}
+	if request.Deadline, refusal = f.deadline(r, class.Deadline); refusal != nil {
+		return request, refusal
+	}
+	request.Body, refusal = f.body(r)
+	return request, refusal
+}
+
+func requestID(r *http.Request) (citron.RequestID, *citron.Refusal) {
+	id := r.Header.Get(HeaderRequestID)
+	if id == "" {
+		return citron.RequestID(uuid.NewString()), nil
+	}
+	if len(id) > maxIDLength || !printable(id) {
+		return "", citron.NotRun(citron.NumberBadHeader, 0, "%s must be 1 to %d letters, digits, '-', '_', '.' or ':'", HeaderRequestID, maxIDLength)
+	}
+	return citron.RequestID(id), nil
+}
+
+func printable(id string) bool {
+	for _, c := range id {
+		switch {
+		case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
+		case c == '-', c == '_', c == '.', c == ':':
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+func repeatable(r *http.Request, class bool) (bool, *citron.Refusal) {
+	text := r.Header.Get(HeaderRepeatable)
+	switch {
+	case text == "":
+		return class, nil
+	case text == "false":
+		return false, nil
+	case text == "true" && class:
+		return true, nil
+	case text == "true":
+		return false, citron.NotRun(citron.NumberBadHeader, 0, "%s is true, but the class is not repeatable; leave the header out", HeaderRepeatable)
+	}
+	return false, citron.NotRun(citron.NumberBadHeader, 0, "%s is %q, must be true or false", HeaderRepeatable, text)
+}
+
+func (f *Front) deadline(r *http.Request, longest time.Duration) (citron.Instant, *citron.Refusal) {
+	text := r.Header.Get(HeaderDeadline)
+	d := longest
+	if text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms < 1 || ms > longest.Milliseconds() {
+			return citron.Instant{}, citron.NotRun(citron.NumberBadHeader, 0,
+				"%s is %q, must be from 1 to %d milliseconds", HeaderDeadline, text, longest.Milliseconds())
+		}
+		d = time.Duration(ms) * time.Millisecond
+	}
+	return f.Timer.Now().Add(d), nil
+}
+
+func (f *Front) body(r *http.Request) ([]byte, *citron.Refusal) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, f.BodyBytes+1))
+	if err != nil {
+		return nil, citron.NotRun(citron.NumberBadBody, 0, "the body ended early; send it again")
+	}
+	if int64(len(body)) > f.BodyBytes {
+		return nil, citron.NotRun(citron.NumberBodyTooLarge, 0, "the body has more than %d bytes; send less", f.BodyBytes)
+	}
+	return body, nil
+}
+
+func (f *Front) count(r calls.Request, refusal *citron.Refusal) {
+	f.Stats.Refusal(refusal.Number)
+	f.Log.Emit(event.CallRefused, event.Fields{"Team": r.Team, "Class": r.Class, "Number": refusal.Number, "Reason": refusal.Reason})
+	if t, ok := f.Templates.Get(r.Team); ok {
+		if _, ok := t.Compiled.Classes[r.Class]; ok {
+			f.Stats.Outcome(r.Team, r.Class, citron.OutcomeText(refusal.Outcome))
+		}
+	}
+}
+
+// refuse writes a refusal as JSON, with when to come back.
+func (f *Front) refuse(w http.ResponseWriter, refusal *citron.Refusal) {
+	h := w.Header()
+	h.Set(HeaderOutcome, citron.OutcomeText(refusal.Outcome))
+	if refusal.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
+		h.Set(HeaderRetryAfter, strconv.FormatInt(refusal.RetryAfter.Milliseconds(), 10))
+	}
+	writeJSON(w, refusal.Status(), &admin.Problem{
+		Number:       int32(refusal.Number),
+		Reason:       refusal.Reason,
+		Outcome:      citron.OutcomeText(refusal.Outcome),
+		RetryAfterMs: refusal.RetryAfter.Milliseconds(),
+	})
+}
+
+func writeJSON(w http.ResponseWriter, status int, message proto.Message) {
+	body, err := protojson.MarshalOptions{EmitUnpopulated: true}.Marshal(message)
+	if err != nil {
+		status, body = http.StatusInternalServerError, []byte(`{"Reason":"answer could not be encoded"}`)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(body, '\n'))
+}
+
+var errGone = errors.New("caller has gone")
+
+// answer writes an endpoint's answer to the caller. A first chunk that is the whole body is sent with its length;
+// longer answers are streamed and carry the outcome in a trailer.
+type answer struct {
+	w           http.ResponseWriter
+	status      int
+	contentType string
+	first       []byte
+	size        int
+	began       bool
+}
+
+// Head keeps what comes before the body.
+func (a *answer) Head(status int, contentType string) error {
+	a.status, a.contentType = status, contentType
+	return nil
+}
+
+// Chunk keeps the first part and streams the rest.
+func (a *answer) Chunk(p []byte) error {
+	if a.size < 0 {
+		a.size = len(p)
+		a.first = append([]byte(nil), p...)
+		return nil
+	}
+	if !a.began {
+		a.w.Header().Set("Trailer", HeaderOutcome)
+		a.start()
+	}
+	return a.write(p)
+}
+
+func (a *answer) finish() {
+	if a.began {
+		a.w.Header().Set(HeaderOutcome, citron.OutcomeText(record.Outcome_OUTCOME_DONE))
+		return
+	}
+	a.w.Header().Set(HeaderOutcome, citron.OutcomeText(record.Outcome_OUTCOME_DONE))
+	a.w.Header().Set("Content-Length", strconv.Itoa(len(a.first)))
+	a.start()
+}
+
+func (a *answer) start() {
+	a.began = true
+	if a.contentType != "" {
+		a.w.Header().Set("Content-Type", a.contentType)
+	}
+	a.w.WriteHeader(a.status)
+	_ = a.write(a.first)
+	a.first = nil
+}
+
+func (a *answer) write(p []byte) error {
+	if _, err := a.w.Write(p); err != nil {
+		return errGone
+	}
+	return nil
+}
--- /dev/null
+++ b/citron/jobs/jobs.go
@@ -0,0 +1,291 @@
+// Package jobs takes jobs, places their tasks on workers and runs them under leases.
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/event"
+	"github.com/citroncross/citroncross/citron/ledger"
+	"github.com/citroncross/citroncross/citron/place"
+	"github.com/citroncross/citroncross/citron/state"
+	"github.com/citroncross/citroncross/citron/stats"
+	"github.com/citroncross/citroncross/schema/lab"
+	"github.com/citroncross/citroncross/schema/peer"
+	"github.com/citroncross/citroncross/schema/record"
+)
+
+const (
+	// maxTasks bounds the tasks of one job.
+	maxTasks = 10_000
+	// maxPayload bounds the payload of one job.
+	maxPayload = 16 << 10
+	// commitTimeout bounds the recording of one request.
+	commitTimeout = 3 * time.Second
+	// retryAfter is when callers should come back while a pool changes its owner.
+	retryAfter = time.Second
+)
+
+// Ownership says which pools this daemon may use.
+type Ownership interface {
+	// MayAct reports whether this daemon may use a shard now.
+	MayAct(id citron.ShardID) bool
+	// OwnerOf returns the owner that the log names last.
+	OwnerOf(id citron.ShardID) citron.Member
+}
+
+// Peers reaches other daemons.
+type Peers interface {
+	// Peer returns the client of a daemon.
+	Peer(vm citron.VMName) (peer.PeerClient, bool)
+}
+
+// Options set the running of tasks.
+type Options struct {
+	TaskLease time.Duration
+	// SyncEvery is the longest time between two messages to a worker that has tasks.
+	SyncEvery time.Duration
+	GangHold  time.Duration
+	IdleSleep time.Duration
+	JobKeep   time.Duration
+	Rules     place.Rules
+}
+
+// Service runs the jobs of the pools that this daemon owns and relays requests for the others.
+type Service struct {
+	Self      citron.Member
+	Layout    citron.Layout
+	Options   Options
+	Timer     citron.Timer
+	Templates *state.Templates
+	Owner     Ownership
+	Peers     Peers
+	Runner    citron.Runner
+	VMs       citron.VMList
+	// Gone reports whether the platform says that a VM is gone.
+	Gone  func(citron.VMName) bool
+	Stats *stats.Set
+	Log   *event.Logger
+
+	mu      sync.Mutex
+	pools   map[citron.ShardID]*pool
+	workers []*lab.VM
+}
+
+// Gained starts the pool of a shard.
+func (s *Service) Gained(ctx context.Context, o ledger.Options, id citron.ShardID, epoch citron.Epoch) {
+	p := newPool(s, id)
+	p.ledger = ledger.Open(ctx, o, id, epoch, p.jobs)
+	s.mu.Lock()
+	if s.pools == nil {
+		s.pools = map[citron.ShardID]*pool{}
+	}
+	old := s.pools[id]
+	s.pools[id] = p
+	vms := s.workers
+	s.mu.Unlock()
+	if old != nil {
+		old.close()
+	}
+	p.list(vms)
+	p.start(ctx)
+}
+
+// Lost ends the pool of a shard.
+func (s *Service) Lost(id citron.ShardID) {
+	s.mu.Lock()
+	p := s.pools[id]
+	delete(s.pools, id)
+	s.mu.Unlock()
+	if p != nil {
+		p.close()
+	}
+}
+
+// Listed takes in the platform's list of VMs.
+func (s *Service) Listed(vms []*lab.VM) {
+	s.mu.Lock()
+	s.workers = vms
+	pools := s.all()
+	s.mu.Unlock()
+	for _, p := range pools {
+		p.list(vms)
+	}
+}
+
+// Workers lists the workers of the owned pools.
+func (s *Service) Workers() (infos []place.Info) {
+	s.mu.Lock()
+	pools := s.all()
+	s.mu.Unlock()
+	for _, p := range pools {
+		infos = append(infos, p.infos()...)
+	}
+	return infos
+}
+
+// Open returns the number of open jobs in the owned pools.
+func (s *Service) Open() (n int) {
+	s.mu.Lock()
+	pools := s.all()
+	s.mu.Unlock()
+	for _, p := range pools {
+		p.jobs.Each(func(j *state.Job) {
+			if j.Ended.IsZero() {
+				n++
+			}
+		})
+	}
+	return n
+}
+
+// Handle answers one job request, here or in the daemon that owns the job's pool.
+func (s *Service) Handle(ctx context.Context, request *peer.RelayRequest) (*peer.RelayReply, *citron.Refusal) {
+	id := s.Layout.OfJob(citron.JobID(request.GetJobID()))
+	request.Shard = string(id)
+	if s.Owner.MayAct(id) {
+		return s.handleHere(ctx, id, request)
+	}
+	to := s.Owner.OwnerOf(id)
+	client, ok := s.Peers.Peer(to.VM)
+	if !ok {
+		return nil, citron.NotRun(citron.NumberNoOwner, retryAfter, "pool %s changes its owner at the moment", id)
+	}
+	reply, err := client.Relay(ctx, request)
+	if err != nil {
+		return nil, s.unreached(id, request)
+	}
+	if reply.GetNumber() != 0 {
+		return nil, replyRefusal(reply)
+	}
+	return reply, nil
+}
+
+// Relay answers another daemon's job request. It is never relayed again.
+func (s *Service) Relay(ctx context.Context, request *peer.RelayRequest) *peer.RelayReply {
+	id := citron.ShardID(request.GetShard())
+	if !s.Owner.MayAct(id) {
+		return refusalReply(citron.NotRun(citron.NumberNoOwner, retryAfter, "pool %s changes its owner at the moment", id))
+	}
+	reply, refusal := s.handleHere(ctx, id, request)
+	if refusal != nil {
+		return refusalReply(refusal)
+	}
+	return reply
+}
+
+func (s *Service) handleHere(ctx context.Context, id citron.ShardID, request *peer.RelayRequest) (*peer.RelayReply, *citron.Refusal) {
+	p, ok := s.pool(id)
+	if !ok {
+		return nil, citron.NotRun(citron.NumberLogDown, retryAfter, "the state of pool %s is not loaded yet", id)
+	}
+	job := citron.JobID(request.GetJobID())
+	switch request.GetVerb() {
+	case peer.RelayVerb_RELAY_VERB_SUBMIT:
+		if refusal := p.submit(ctx, job, request.GetSpec()); refusal != nil {
+			return nil, refusal
+		}
+	case peer.RelayVerb_RELAY_VERB_CANCEL:
+		if refusal := p.cancel(ctx, job); refusal != nil {
+			return nil, refusal
+		}
+	case peer.RelayVerb_RELAY_VERB_EXPLAIN:
+		lines, refusal := p.explain(job)
+		return &peer.RelayReply{Lines: lines}, refusal
+	}
+	reply := &peer.RelayReply{}
+	if !p.jobs.View(job, func(j *state.Job) { reply.Job = j.Record() }) {
+		return nil, citron.NotRun(citron.NumberUnknownJob, 0, "job %q is not known; ended jobs are forgotten after a time", job)
+	}
+	return reply, nil
+}
+
+// unreached is the answer where the owner of a pool did not reply. Submitting and cancelling again is safe.
+func (s *Service) unreached(id citron.ShardID, request *peer.RelayRequest) *citron.Refusal {
+	r := citron.NotRun(citron.NumberNoOwner, retryAfter, "the owner of pool %s does not answer; send the same request again", id)
+	if request.GetVerb() == peer.RelayVerb_RELAY_VERB_SUBMIT {
+		r.Outcome = record.Outcome_OUTCOME_UNKNOWN
+	}
+	return r
+}
+
+// Check refuses a job that can never run, whatever the load.
+func (s *Service) Check(spec *record.JobSpec) *citron.Refusal {
+	t, ok := s.Templates.Get(citron.Team(spec.GetTeam()))
+	if !ok {
+		return citron.NotRun(citron.NumberUnknownTeam, 0, "team %q has no template; publish one with citronctl", spec.GetTeam())
+	}
+	if _, ok := t.Compiled.Classes[citron.Class(spec.GetClass())]; !ok {
+		return citron.NotRun(citron.NumberUnknownClass, 0, "team %q has no class %q; see citronctl template show", spec.GetTeam(), spec.GetClass())
+	}
+	if reason := badSpec(spec); reason != "" {
+		return citron.NotRun(citron.NumberBadBody, 0, "%s", reason)
+	}
+	q := t.Compiled.Quota
+	atOnce := int64(1)
+	if spec.GetGang() || spec.GetService() {
+		atOnce = int64(spec.GetTasks())
+	}
+	switch {
+	case past(q.MilliCores, atOnce*int64(spec.GetMilliCores())):
+		return neverFits("MilliCores", atOnce*int64(spec.GetMilliCores()), q.MilliCores)
+	case past(q.MemoryMb, atOnce*int64(spec.GetMemoryMb())):
+		return neverFits("MemoryMb", atOnce*int64(spec.GetMemoryMb()), q.MemoryMb)
+	case past(q.Accelerators, atOnce*int64(spec.GetAccelerators())):
+		return neverFits("Accelerators", atOnce*int64(spec.GetAccelerators()), q.Accelerators)
+	}
+	return nil
+}
+
+func badSpec(spec *record.JobSpec) string {
+	switch {
+	case spec.GetTasks() < 1 || spec.GetTasks() > maxTasks:
+		return fmt.Sprintf("Tasks is %d, must be from 1 to %d", spec.GetTasks(), maxTasks)
+	case spec.GetMilliCores() < 1:
+		return fmt.Sprintf("MilliCores is %d, must be 1 or more (1000 for a core)", spec.GetMilliCores())
+	case spec.GetMemoryMb() < 1:
+		return fmt.Sprintf("MemoryMb is %d, must be 1 or more", spec.GetMemoryMb())
+	case spec.GetAccelerators() < 0:
+		return "Accelerators must be 0 or more"
+	case spec.GetRunBoundMs() < 0:
+		return "RunBoundMs must be 0 (the class's bound) or more"
+	case len(spec.GetPayload()) > maxPayload:
+		return fmt.Sprintf("Payload has %d bytes, must have at most %d", len(spec.GetPayload()), maxPayload)
+	}
+	return ""
+}
+
+func past(bound, value int64) bool {
+	return bound > 0 && value > bound
+}
+
+func neverFits(what string, value, bound int64) *citron.Refusal {
+	return citron.NotRun(citron.NumberNeverFits, 0, "the job needs %d %s at once, the team's quota is %d; ask for less", value, what, bound)
+}
+
+func (s *Service) pool(id citron.ShardID) (*pool, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.pools[id]
+	return p, ok && p.ledger.IsReady()
+}
+
+// all lists the pools. The lock is held.
+func (s *Service) all() (pools []*pool) {
+	for _, p := range s.pools {
+		pools = append(pools, p)
+	}
+	return pools
+}
+
+func replyRefusal(r *peer.RelayReply) *citron.Refusal {
+	refusal := citron.NotRun(citron.Number(r.GetNumber()), time.Duration(r.GetRetryAfterMs())*time.Millisecond, "%s", r.GetReason())
+	return refusal
+}
+
+func refusalReply(r *citron.Refusal) *peer.RelayReply {
+	return &peer.RelayReply{Number: int32(r.Number), Reason: r.Reason, RetryAfterMs: r.RetryAfter.Milliseconds()}
+}
--- /dev/null
+++ b/citron/mesh/keys.go
@@ -0,0 +1,147 @@
+package mesh
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc/credentials"
+
+	"github.com/citroncross/citroncross/citron"
+)
+
+// errNoAuthority means that a CA file holds no certificate.
+var errNoAuthority = errors.New("no certificate in CA file")
+
+// Keys holds the key, certificate and authorities of mutual TLS and reads them again when the files change.
+type Keys struct {
+	CertFile string
+	KeyFile  string
+	CAFile   string
+	// Loaded is called after the files have been read.
+	Loaded func()
+
+	mu          sync.Mutex
+	changed     time.Time
+	certificate *tls.Certificate
+	authorities *x509.CertPool
+}
+
+// Load reads the files if one of them is newer than what is held. On an error the held keys stay in use.
+func (k *Keys) Load() (err error) {
+	defer func() { err = eris.Wrap(err, "load TLS keys") }()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	newest, err := newestChange(k.CertFile, k.KeyFile, k.CAFile)
+	if err != nil || !newest.After(k.changed) {
+		return err
+	}
+	certificate, err := tls.LoadX509KeyPair(k.CertFile, k.KeyFile)
+	if err != nil {
+		return err
+	}
+	text, err := os.ReadFile(k.CAFile)
+	if err != nil {
+		return err
+	}
+	authorities := x509.NewCertPool()
+	if !authorities.AppendCertsFromPEM(text) {
+		return errNoAuthority
+	}
+	k.changed, k.certificate, k.authorities = newest, &certificate, authorities
+	if k.Loaded != nil {
+		k.Loaded()
+	}
+	return nil
+}
+
+// Server returns the credentials of the peer port. Every handshake uses the newest keys.
+func (k *Keys) Server() credentials.TransportCredentials {
+	return credentials.NewTLS(&tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			certificate, authorities := k.current()
+			return &tls.Config{
+				MinVersion:   tls.VersionTLS13,
+				Certificates: []tls.Certificate{*certificate},
+				ClientAuth:   tls.RequireAndVerifyClientCert,
+				ClientCAs:    authorities,
+				NextProtos:   []string{"h2"},
+			}, nil
+		},
+	})
+}
+
+// Client returns the credentials towards one daemon, whose certificate must carry its VM name.
+func (k *Keys) Client(vm citron.VMName) credentials.TransportCredentials {
+	return &clientKeys{keys: k, name: string(vm)}
+}
+
+// current returns the keys in use; files that changed are read first.
+func (k *Keys) current() (*tls.Certificate, *x509.CertPool) {
+	_ = k.Load()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.certificate, k.authorities
+}
+
+// clientKeys makes new TLS credentials for each handshake, so that new keys are used without a restart.
+type clientKeys struct {
+	keys *Keys
+	name string
+}
+
+func (c *clientKeys) fresh() credentials.TransportCredentials {
+	certificate, authorities := c.keys.current()
+	return credentials.NewTLS(&tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		ServerName:   c.name,
+		Certificates: []tls.Certificate{*certificate},
+		RootCAs:      authorities,
+	})
+}
+
+// ClientHandshake runs the handshake with the newest keys.
+func (c *clientKeys) ClientHandshake(ctx context.Context, _ string, raw net.Conn) (net.Conn, credentials.AuthInfo, error) {
+	return c.fresh().ClientHandshake(ctx, c.name, raw)
+}
+
+// ServerHandshake runs the handshake with the newest keys.
+func (c *clientKeys) ServerHandshake(raw net.Conn) (net.Conn, credentials.AuthInfo, error) {
+	return c.fresh().ServerHandshake(raw)
+}
+
+// Info describes the protocol.
+func (c *clientKeys) Info() credentials.ProtocolInfo {
+	return credentials.ProtocolInfo{SecurityProtocol: "tls", ServerName: c.name}
+}
+
+// Clone returns a copy.
+func (c *clientKeys) Clone() credentials.TransportCredentials {
+	return &clientKeys{keys: c.keys, name: c.name}
+}
+
+// OverrideServerName is kept for the interface.
+func (c *clientKeys) OverrideServerName(name string) error {
+	c.name = name
+	return nil
+}
+
+func newestChange(files ...string) (newest time.Time, err error) {
+	for _, f := range files {
+		info, err := os.Stat(f)
+		if err != nil {
+			return newest, err
+		}
+		if info.ModTime().After(newest) {
+			newest = info.ModTime()
+		}
+	}
+	return newest, nil
+}
--- /dev/null
+++ b/citron/serve/serve.go
@@ -0,0 +1,72 @@
+// Package serve runs go-zero routes on a listener with a graceful stop.
+package serve
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/stat"
+	"github.com/zeromicro/go-zero/rest"
+)
+
+// headerTimeout bounds the reading of one request's headers.
+const headerTimeout = 5 * time.Second
+
+// Server answers HTTP on one listener.
+type Server struct {
+	http  *http.Server
+	ended chan error
+}
+
+// Start serves routes on a listener. Its end is reported on Ended.
+func Start(listener net.Listener, routes []rest.Route) (s *Server, err error) {
+	defer func() { err = eris.Wrap(err, "start HTTP server") }()
+	logx.Disable()
+	stat.DisableLog()
+	engine, err := rest.NewServer(rest.RestConf{}, rest.WithNotFoundHandler(http.NotFoundHandler()))
+	if err != nil {
+		return nil, err
+	}
+	engine.AddRoutes(routes)
+	handler, err := rest.NewServerless(engine)
+	if err != nil {
+		return nil, err
+	}
+	s = &Server{
+		http:  &http.Server{Handler: http.HandlerFunc(handler.Serve), ReadHeaderTimeout: headerTimeout},
+		ended: make(chan error, 1),
+	}
+	go func() {
+		err := s.http.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			err = nil
+		}
+		s.ended <- err
+	}()
+	return s, nil
+}
+
+// Ended reports the end of the server.
+func (s *Server) Ended() <-chan error {
+	return s.ended
+}
+
+// StopKeeping asks every client to close its connection after its next answer.
+func (s *Server) StopKeeping() {
+	s.http.SetKeepAlivesEnabled(false)
+}
+
+// Stop takes no new request and waits for those under way.
+func (s *Server) Stop(ctx context.Context) error {
+	return eris.Wrap(s.http.Shutdown(ctx), "stop HTTP server")
+}
+
+// Close ends the server at once.
+func (s *Server) Close() {
+	_ = s.http.Close()
+}
--- /dev/null
+++ b/citron/stats/stats.go
@@ -0,0 +1,102 @@
+// Package stats holds the metrics of one daemon.
+package stats
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/citroncross/citroncross/citron"
+)
+
+// Set is the metrics of one daemon. Team and class come from templates in force only, so no label is unbounded.
+type Set struct {
+	set *metrics.Set
+}
+
+// New returns an empty set.
+func New() *Set {
+	return &Set{set: metrics.NewSet()}
+}
+
+// Write writes all metrics in the text format of Prometheus.
+func (s *Set) Write(w io.Writer) {
+	s.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+// Wait notes how long a call waited for a slot.
+func (s *Set) Wait(team citron.Team, class citron.Class, d time.Duration) {
+	s.histogram("citron_wait_seconds", team, class).Update(d.Seconds())
+}
+
+// Run notes how long an endpoint took.
+func (s *Set) Run(team citron.Team, class citron.Class, d time.Duration) {
+	s.histogram("citron_run_seconds", team, class).Update(d.Seconds())
+}
+
+// Place notes how long a task waited for its placement.
+func (s *Set) Place(team citron.Team, class citron.Class, d time.Duration) {
+	s.histogram("citron_place_seconds", team, class).Update(d.Seconds())
+}
+
+// Outcome counts a final answer to a caller.
+func (s *Set) Outcome(team citron.Team, class citron.Class, outcome string) {
+	s.counter(`citron_outcomes_total{Team=%q,Class=%q,Outcome=%q}`, team, class, outcome).Inc()
+}
+
+// Refusal counts a refusal by number.
+func (s *Set) Refusal(number citron.Number) {
+	s.counter(`citron_refusals_total{Number="%d"}`, number).Inc()
+}
+
+// Retry counts a further attempt.
+func (s *Set) Retry(team citron.Team, class citron.Class) {
+	s.counter(`citron_retries_total{Team=%q,Class=%q}`, team, class).Inc()
+}
+
+// Forward counts a call that went to another daemon.
+func (s *Set) Forward(result string) {
+	s.counter(`citron_forwards_total{Result=%q}`, result).Inc()
+}
+
+// Append counts one append and its records.
+func (s *Set) Append(records int, failed bool) {
+	s.counter(`citron_appends_total{Failed="%t"}`, failed).Inc()
+	s.counter(`citron_appended_records_total`).Add(records)
+}
+
+// LeaseLoss counts a shard that could no longer be used.
+func (s *Set) LeaseLoss() {
+	s.counter(`citron_lease_losses_total`).Inc()
+}
+
+// ControlBytes counts the bytes of control messages by kind.
+func (s *Set) ControlBytes(kind string, n int) {
+	s.counter(`citron_control_bytes_total{Kind=%q}`, kind).Add(n)
+}
+
+// PeerRefusal counts a message that the peer port refused.
+func (s *Set) PeerRefusal() {
+	s.counter(`citron_peer_refusals_total`).Inc()
+}
+
+// Decision notes how long one placement decision took.
+func (s *Set) Decision(d time.Duration) {
+	s.set.GetOrCreateHistogram("citron_decision_seconds").Update(d.Seconds())
+}
+
+// Gauge shows a value that is read when the metrics are written.
+func (s *Set) Gauge(name string, read func() float64) {
+	s.set.GetOrCreateGauge(name, read)
+}
+
+func (s *Set) histogram(name string, team citron.Team, class citron.Class) *metrics.Histogram {
+	return s.set.GetOrCreateHistogram(fmt.Sprintf(`%s{Team=%q,Class=%q}`, name, team, class))
+}
+
+func (s *Set) counter(format string, args ...any) *metrics.Counter {
+	return s.set.GetOrCreateCounter(fmt.Sprintf(format, args...))
+}
--- /dev/null
+++ b/citron/stream/stream.go
@@ -0,0 +1,88 @@
+// Package stream reaches the platform's log service over HTTP.
+package stream
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/wire"
+	"github.com/citroncross/citroncross/schema/lab"
+	"github.com/citroncross/citroncross/schema/record"
+)
+
+const (
+	// maxRecords bounds one read.
+	maxRecords = 4096
+	// slack is added to the wait of a read before it counts as failed.
+	slack = 2 * time.Second
+)
+
+// Log is a client of the log service.
+type Log struct {
+	URL    string
+	client *wire.Client
+}
+
+var _ citron.Log = (*Log)(nil)
+
+// New returns a client. Bytes, if given, is called with the size of each exchange.
+func New(url string, bytes func(n int)) *Log {
+	client := wire.NewClient("platform-log", 128)
+	client.Bytes = bytes
+	return &Log{URL: url, client: client}
+}
+
+// Append adds entries in one step.
+func (l *Log) Append(ctx context.Context, stream citron.Stream, entries []*record.Entry) (offset citron.Offset, err error) {
+	defer func() { err = eris.Wrapf(err, "append to %s", stream) }()
+	request := &lab.AppendRequest{}
+	for _, e := range entries {
+		raw, err := proto.Marshal(e)
+		if err != nil {
+			return 0, err
+		}
+		request.Records = append(request.Records, raw)
+	}
+	var reply lab.AppendReply
+	url := fmt.Sprintf("%s/v1/streams/%s/records", l.URL, stream)
+	if err := l.client.Do(ctx, http.MethodPost, url, request, &reply); err != nil {
+		return 0, err
+	}
+	return citron.Offset(reply.GetOffset()), nil
+}
+
+// Read returns entries from an offset on. Records that cannot be decoded become empty entries, so that
+// offsets stay in step.
+func (l *Log) Read(ctx context.Context, stream citron.Stream, from citron.Offset, wait time.Duration) (batch citron.Batch, err error) {
+	defer func() { err = eris.Wrapf(err, "read %s", stream) }()
+	bounded, cancel := context.WithTimeout(ctx, wait+slack)
+	defer cancel()
+	var reply lab.ReadReply
+	url := fmt.Sprintf("%s/v1/streams/%s/records?From=%d&Max=%d&WaitMs=%d", l.URL, stream, from, maxRecords, wait.Milliseconds())
+	if err := l.client.Do(bounded, http.MethodGet, url, nil, &reply); err != nil {
+		return batch, err
+	}
+	batch = citron.Batch{
+		First: citron.Offset(reply.GetFirst()),
+		Start: citron.Offset(reply.GetOffset()),
+		End:   citron.Offset(reply.GetEnd()),
+	}
+	for _, raw := range reply.GetRecords() {
+		batch.Entries = append(batch.Entries, decode(raw))
+	}
+	return batch, nil
+}
+
+func decode(raw []byte) *record.Entry {
+	var e record.Entry
+	if err := proto.Unmarshal(raw, &e); err != nil {
+		return &record.Entry{}
+	}
+	return &e
+}
--- /dev/null
+++ b/citron/tmpl/tmpl.go
@@ -0,0 +1,181 @@
+// Package tmpl renders, checks and compiles team templates.
+package tmpl
+
+import (
+	"bytes"
+	"text/template"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/conf"
+	"github.com/citroncross/citroncross/schema/prefs"
+)
+
+// Urgency orders classes; a lower value is served first.
+type Urgency int
+
+// Urgencies of classes.
+const (
+	Urgent Urgency = iota
+	Normal
+	Batch
+	urgencies
+)
+
+// Urgencies is the number of urgencies.
+const Urgencies = int(urgencies)
+
+// String returns the name that templates use.
+func (u Urgency) String() string {
+	return [...]string{"Urgent", "Normal", "Batch"}[u]
+}
+
+// Class is one kind of work.
+type Class struct {
+	Name       citron.Class
+	Urgency    Urgency
+	Deadline   time.Duration
+	RunBound   time.Duration
+	Repeatable bool
+}
+
+// Quota is how much of the estate a team may claim. Zero means no bound.
+type Quota struct {
+	// SlotShare is the part of the service's slots, from 0 to 1.
+	SlotShare    float64
+	MilliCores   int64
+	MemoryMb     int64
+	Accelerators int64
+}
+
+// Template is a checked template.
+type Template struct {
+	Team    citron.Team
+	Service citron.Service
+	Quota   Quota
+	Classes map[citron.Class]Class
+}
+
+// Render fills the parameters into a template's text. Parameters are the keys of a TOML table.
+func Render(file, text, parameters string) (source string, problems conf.Problems) {
+	values := map[string]any{}
+	if _, err := toml.Decode(parameters, &values); err != nil {
+		problems.Add(file, "(parameters)", "%v", err)
+		return "", problems
+	}
+	t, err := template.New(file).Option("missingkey=error").Parse(text)
+	if err != nil {
+		problems.Add(file, "(template)", "%v", err)
+		return "", problems
+	}
+	var out bytes.Buffer
+	if err := t.Execute(&out, values); err != nil {
+		problems.Add(file, "(parameters)", "%v; set it with --param or in the parameter file", err)
+		return "", problems
+	}
+	return out.String(), nil
+}
+
+// Parse checks and compiles the rendered text of a template.
+func Parse(file, source string) (compiled *Template, problems conf.Problems) {
+	var raw prefs.Template
+	problems = conf.Read(file, source, &raw)
+	compiled = &Template{
+		Team:    citron.Team(raw.GetTeam()),
+		Service: citron.Service(raw.GetService()),
+		Quota:   quota(file, raw.GetQuota(), &problems),
+		Classes: map[citron.Class]Class{},
+	}
+	if !validName(raw.GetTeam()) {
+		problems.Add(file, "Team", "is %q, must be 1 to 63 of a-z, 0-9 and -", raw.GetTeam())
+	}
+	if !validName(raw.GetService()) {
+		problems.Add(file, "Service", "is %q, must be 1 to 63 of a-z, 0-9 and -", raw.GetService())
+	}
+	if len(raw.GetClasses()) == 0 {
+		problems.Add(file, "Classes", "is missing; add at least one [[Classes]]")
+	}
+	for _, c := range raw.GetClasses() {
+		class := compileClass(file, c, &problems)
+		if _, twice := compiled.Classes[class.Name]; twice {
+			problems.Add(file, "Classes", "%q is defined twice", class.Name)
+		}
+		compiled.Classes[class.Name] = class
+	}
+	return compiled, problems
+}
+
+// Longest returns the longest run bound of any class.
+func (t *Template) Longest() (bound time.Duration) {
+	for _, c := range t.Classes {
+		bound = max(bound, c.RunBound)
+	}
+	return bound
+}
+
+const (
+	maxDeadlineMs = 24 * 60 * 60 * 1000
+	maxNameLength = 63
+)
+
+func compileClass(file string, c *prefs.Class, p *conf.Problems) Class {
+	key := "Classes." + c.GetName()
+	if !validName(c.GetName()) {
+		p.Add(file, key, "name must be 1 to 63 of a-z, 0-9 and -")
+	}
+	urgency, ok := map[string]Urgency{"Urgent": Urgent, "Normal": Normal, "Batch": Batch}[c.GetUrgency()]
+	if !ok {
+		p.Add(file, key+".Urgency", "is %q, must be Urgent, Normal or Batch", c.GetUrgency())
+	}
+	if c.GetDeadlineMs() < 1 || c.GetDeadlineMs() > maxDeadlineMs {
+		p.Add(file, key+".DeadlineMs", "is %d, must be from 1 to %d milliseconds", c.GetDeadlineMs(), maxDeadlineMs)
+	}
+	if c.GetRunBoundMs() < 1 || c.GetRunBoundMs() > maxDeadlineMs {
+		p.Add(file, key+".RunBoundMs", "is %d, must be from 1 to %d milliseconds", c.GetRunBoundMs(), maxDeadlineMs)
+	}
+	return Class{
+		Name:       citron.Class(c.GetName()),
+		Urgency:    urgency,
+		Deadline:   time.Duration(c.GetDeadlineMs()) * time.Millisecond,
+		RunBound:   time.Duration(c.GetRunBoundMs()) * time.Millisecond,
+		Repeatable: c.GetRepeatable(),
+	}
+}
+
+func quota(file string, q *prefs.Quota, p *conf.Problems) Quota {
+	if q.GetSlotPercent() < 0 || q.GetSlotPercent() > 100 {
+		p.Add(file, "Quota.SlotPercent", "is %d, must be from 0 (no bound) to 100 percent", q.GetSlotPercent())
+	}
+	for _, n := range []struct {
+		key   string
+		value int64
+	}{
+		{"Quota.Cores", q.GetCores()},
+		{"Quota.MemoryMb", q.GetMemoryMb()},
+		{"Quota.Accelerators", q.GetAccelerators()},
+	} {
+		if n.value < 0 {
+			p.Add(file, n.key, "is %d, must be 0 (no bound) or more", n.value)
+		}
+	}
+	return Quota{
+		SlotShare:    float64(q.GetSlotPercent()) / 100,
+		MilliCores:   q.GetCores() * 1000,
+		MemoryMb:     q.GetMemoryMb(),
+		Accelerators: q.GetAccelerators(),
+	}
+}
+
+func validName(name string) bool {
+	if name == "" || len(name) > maxNameLength {
+		return false
+	}
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/citron/wire/wire.go
@@ -0,0 +1,99 @@
+// Package wire exchanges schema messages as JSON over HTTP.
+package wire
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/rest/httpc"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/citroncross/citroncross/citron"
+)
+
+// maxReply bounds one reply.
+const maxReply = 256 << 20
+
+// Client sends messages to one kind of server.
+type Client struct {
+	service httpc.Service
+	// Bytes is called with the size of each exchange.
+	Bytes func(n int)
+}
+
+// NewClient returns a client. Its transport neither follows redirects nor breaks circuits: retries and
+// endpoint choice are decided elsewhere.
+func NewClient(name string, perHost int) *Client {
+	logx.Disable()
+	breaker.NoBreakerFor(name)
+	transport := &http.Transport{MaxIdleConnsPerHost: perHost, IdleConnTimeout: 90 * time.Second}
+	return &Client{service: httpc.NewServiceWithClient(name, &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	})}
+}
+
+// Do sends in, which may be nil, and reads the reply into out, which may be nil.
+func (c *Client) Do(ctx context.Context, method, url string, in, out proto.Message) (err error) {
+	defer func() { err = eris.Wrapf(err, "%s %s", method, url) }()
+	var body []byte
+	if in != nil {
+		if body, err = protojson.Marshal(in); err != nil {
+			return err
+		}
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.service.DoRequest(request)
+	if err != nil {
+		return errors.Join(citron.ErrUnavailable, err)
+	}
+	defer response.Body.Close()
+	reply, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
+	if err != nil {
+		return errors.Join(citron.ErrUnavailable, err)
+	}
+	if c.Bytes != nil {
+		c.Bytes(len(body) + len(reply))
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%w: status %d: %s", citron.ErrUnavailable, response.StatusCode, bytes.TrimSpace(reply))
+	}
+	if out == nil {
+		return nil
+	}
+	return protojson.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(reply, out)
+}
+
+// Read fills a message from a request's body.
+func Read(r *http.Request, limit int64, into proto.Message) (err error) {
+	defer func() { err = eris.Wrap(err, "read message") }()
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit))
+	if err != nil {
+		return err
+	}
+	return protojson.Unmarshal(body, into)
+}
+
+// Write sends a message as the answer.
+func Write(w http.ResponseWriter, message proto.Message) {
+	body, err := protojson.Marshal(message)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/citrond/main.go
@@ -0,0 +1,79 @@
+// Command citrond is the daemon of one entry VM.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/citroncross/citroncross/citron/conf"
+	"github.com/citroncross/citroncross/citron/daemon"
+	"github.com/citroncross/citroncross/schema/prefs"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	app := kingpin.New("citrond", "The scheduler daemon of one entry VM.")
+	run := app.Command("run", "Run the daemon until SIGINT or SIGTERM.")
+	runFile := run.Arg("settings", "TOML settings file.").Required().String()
+	check := app.Command("check", "Check a settings file and report every problem.")
+	checkFile := check.Arg("settings", "TOML settings file.").Required().String()
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case run.FullCommand():
+		os.Exit(runDaemon(*runFile))
+	case check.FullCommand():
+		_, code := read(*checkFile)
+		if code == exitOK {
+			fmt.Println("settings are valid")
+		}
+		os.Exit(code)
+	}
+}
+
+func read(file string) (*prefs.Daemon, int) {
+	settings, problems := conf.ReadDaemon(file)
+	if len(problems) == 0 {
+		return settings, exitOK
+	}
+	fmt.Fprintln(os.Stderr, problems.Error())
+	return nil, exitSettings
+}
+
+func runDaemon(file string) int {
+	settings, code := read(file)
+	if code != exitOK {
+		return code
+	}
+	d, err := daemon.New(settings, os.Stderr)
+	if err == nil {
+		err = d.Start()
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	select {
+	case <-signals:
+	case <-d.Done():
+	}
+	go func() {
+		<-signals
+		os.Exit(exitFailed)
+	}()
+	if err := d.Stop(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/citronlab/main.go
@@ -0,0 +1,36 @@
+// Command citronlab runs stand-ins for the platform, endpoints and workers, a whole small cell, and load.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// command is one subcommand.
+type command struct {
+	clause *kingpin.CmdClause
+	run    func() error
+}
+
+func main() {
+	app := kingpin.New("citronlab", "Stand-ins, a small cell and load for citroncross.")
+	commands := []command{
+		devCommand(app),
+		platformCommand(app),
+		endpointCommand(app),
+		workerCommand(app),
+		settingsCommand(app),
+	}
+	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
+	for _, c := range commands {
+		if c.clause.FullCommand() != chosen {
+			continue
+		}
+		if err := c.run(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+}
--- /dev/null
+++ b/citronlab/plat/vms.go
@@ -0,0 +1,115 @@
+package plat
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest/pathvar"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/citroncross/citroncross/citron/wire"
+	"github.com/citroncross/citroncross/schema/lab"
+)
+
+// lagStep is how often the shown list is renewed.
+const lagStep = 250 * time.Millisecond
+
+// maxVM bounds one VM's description in bytes.
+const maxVM = 64 << 10
+
+// Run renews the shown list, with its lag, until the context ends, and reports its end on the returned channel.
+func (p *Platform) Run(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		tick, stop := p.Timer.Every(lagStep)
+		defer stop()
+		var pending []*lab.VMList
+		for {
+			pending = append(pending, p.snapshot())
+			if steps := int(p.Options.ListLag/lagStep) + 1; len(pending) > steps {
+				pending = pending[len(pending)-steps:]
+			}
+			p.show(pending[0])
+			select {
+			case <-tick:
+			case <-ctx.Done():
+				ended <- nil
+				return
+			}
+		}
+	}()
+	return ended
+}
+
+// snapshot copies the true list. Every copy is a later list.
+func (p *Platform) snapshot() *lab.VMList {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sequence++
+	list := &lab.VMList{Sequence: p.sequence}
+	for _, vm := range p.vms {
+		list.VMs = append(list.VMs, proto.Clone(vm).(*lab.VM))
+	}
+	return list
+}
+
+func (p *Platform) show(list *lab.VMList) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shown = list
+}
+
+func (p *Platform) list(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	shown := p.shown
+	p.mu.Unlock()
+	if shown == nil {
+		http.Error(w, "no list yet", http.StatusServiceUnavailable)
+		return
+	}
+	wire.Write(w, shown)
+}
+
+func (p *Platform) register(w http.ResponseWriter, r *http.Request) {
+	var vm lab.VM
+	if err := wire.Read(r, maxVM, &vm); err != nil || vm.GetName() == "" {
+		http.Error(w, "bad VM", http.StatusBadRequest)
+		return
+	}
+	p.Add(&vm)
+}
+
+func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
+	p.Remove(pathvar.Vars(r)["name"])
+	w.WriteHeader(http.StatusOK)
+}
+
+func (p *Platform) leaving(w http.ResponseWriter, r *http.Request) {
+	p.change(w, r, func(vm *lab.VM) { vm.Leaving = true })
+}
+
+func (p *Platform) power(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("On") != "true" {
+		p.change(w, r, func(vm *lab.VM) { vm.Asleep = true })
+		return
+	}
+	due, _ := p.Timer.After(p.Options.WakeTime)
+	select {
+	case <-due:
+	case <-r.Context().Done():
+	}
+	p.change(w, r, func(vm *lab.VM) { vm.Asleep = false })
+}
+
+func (p *Platform) change(w http.ResponseWriter, r *http.Request, f func(*lab.VM)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	vm, ok := p.vms[pathvar.Vars(r)["name"]]
+	if !ok {
+		http.Error(w, "unknown VM", http.StatusNotFound)
+		return
+	}
+	f(vm)
+	p.sequence++
+}
