Search ownership and strike every step of calls and jobs with every fault

Faults found, failing first (each case is in the matrix): - a repeat of a non-repeatable request was told NotRun by a daemon that could not read the records of the first one. Cause: the refusal spoke of the sending, not of the request. Now Unknown unless the id is fresh. - a keyed run outlived its daemon, detached from its caller without a bound. - after a worker's restart the link started the attempt on the worker's new run while its end, 'never started', was on its way to the log: two runs. Attempts of another run are no longer named to the worker.

A check was narrowed with its trace: of a repeatable call, sent twice by the caller, NotRun speaks of that sending only (docs/CALLERS.md).

--- a/citron/calls/calls.go
+++ b/citron/calls/calls.go
@@ -20,10 +20,12 @@
 
 // Request is one call as a caller sent it.
 type Request struct {
-	Team        citron.Team
-	Class       citron.Class
-	ID          citron.RequestID
-	Repeatable  bool
+	Team       citron.Team
+	Class      citron.Class
+	ID         citron.RequestID
+	Repeatable bool
+	// Fresh says that the daemon has made the id, so that the request is no repeat of another one.
+	Fresh       bool
 	Deadline    citron.Instant
 	ContentType string
 	Body        []byte
@@ -203,6 +205,24 @@
 	s.Changed()
 }
 
+// AskHeld asks endpoints for their own count where slots are taken without evidence.
+func (s *Service) AskHeld(ctx context.Context) {
+	held := s.Slots.Held(s.Timer.Now().Boot)
+	var asks sync.WaitGroup
+	for _, g := range held {
+		asks.Go(func() {
+			asked := s.Timer.Now().Boot
+			if n, err := s.Invoker.InFlight(ctx, g.Address); err == nil {
+				s.Slots.Report(g.Shard, g.Endpoint, asked, n)
+			}
+		})
+	}
+	asks.Wait()
+	if len(held) > 0 {
+		s.Changed()
+	}
+}
+
 // Lost stops the use of a shard's endpoints.
 func (s *Service) Lost(id citron.ShardID) {
 	s.Slots.Drop(id)
--- a/citron/calls/keyed.go
+++ b/citron/calls/keyed.go
@@ -120,12 +120,9 @@
 		return s.runKeyed(ctx, id, r, w)
 	}
 	to := s.Owner.OwnerOf(id)
-	if to.IsZero() || to == s.Self {
-		return citron.NotRun(citron.NumberNoOwner, time.Second, "the owner of this request id changes at the moment")
-	}
 	client, ok := s.Peers.Peer(to.VM)
-	if !ok {
-		return citron.NotRun(citron.NumberNoOwner, time.Second, "the owner of this request id cannot be reached")
+	if !ok || to == s.Self {
+		return unowned(r)
 	}
 	bounded, cancel := context.WithTimeout(ctx, r.Deadline.Boot-s.Timer.Now().Boot)
 	defer cancel()
@@ -139,11 +136,22 @@
 		}
 	}
 	if !sent.Maybe() {
-		return citron.NotRun(citron.NumberNoOwner, time.Second, "the owner of this request id cannot be reached")
+		return unowned(r)
 	}
 	return citron.Unknown(citron.NumberLost, "the daemon that ran this request was lost")
 }
 
+// unowned refuses a request whose records cannot be read at the moment. Only a request whose id was made here is
+// known to be no repeat, so only that one is known not to have run.
+func unowned(r *Request) *citron.Refusal {
+	refusal := citron.NotRun(citron.NumberNoOwner, time.Second,
+		"the owner of this request id changes at the moment; send the request again with the same id")
+	if !r.Fresh {
+		refusal.Outcome = record.Outcome_OUTCOME_UNKNOWN
+	}
+	return refusal
+}
+
 func (s *Service) keyedEnd(end *peer.AnswerEnd, answer *buffered) *citron.Refusal {
 	if end.GetNumber() != 0 {
 		return endRefusal(end)
@@ -158,7 +166,7 @@
 func (s *Service) forwardKeyed(ctx context.Context, r *Request, w *sender) error {
 	id := s.Layout.OfRequest(r.Team, r.ID)
 	if !s.Owner.MayAct(id) {
-		return w.end(refusalEnd(citron.NotRun(citron.NumberNoOwner, time.Second, "the owner of this request id changes at the moment")))
+		return w.end(refusalEnd(unowned(r)))
 	}
 	if refusal := s.runKeyed(ctx, id, r, w); refusal != nil {
 		return w.end(refusalEnd(refusal))
@@ -169,8 +177,8 @@
 // runKeyed runs a non-repeatable request at most once.
 func (s *Service) runKeyed(ctx context.Context, id citron.ShardID, r *Request, w citron.AnswerWriter) *citron.Refusal {
 	b, ok := s.Keyed.book(id)
-	if !ok || !s.Keyed.LogUp() {
-		return citron.NotRun(citron.NumberLogDown, logRetryAfter, "the platform's log does not answer, and this request may run once only")
+	if !ok {
+		return unowned(r)
 	}
 	key := state.CallKey{Team: r.Team, RequestID: r.ID}
 	if !s.Keyed.enter(b, key) {
@@ -180,8 +188,17 @@
 		s.Keyed.exit(b, key)
 		return replay(known, w)
 	}
+	if !s.Owner.MayAct(id) {
+		s.Keyed.exit(b, key)
+		return unowned(r)
+	}
+	if !s.Keyed.LogUp() {
+		s.Keyed.exit(b, key)
+		return citron.NotRun(citron.NumberLogDown, logRetryAfter, "the platform's log does not answer, and this request may run once only")
+	}
 	// A caller that goes away does not cut the run: its repeat gets the answer.
-	ctx = context.WithoutCancel(ctx)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.Deadline.Boot-s.Timer.Now().Boot)
+	defer cancel()
 	k := &keyedRun{s: s, id: id, book: b, key: key, request: r, intent: b.ledger.Entry()}
 	return k.run(ctx, w)
 }
@@ -332,3 +349,18 @@
 func (c *copied) whole() bool {
 	return c.status != 0 && !c.large
 }
+
+// AwaitReady returns once the book of an owned shard has read every record of former epochs, or the context ends.
+func (k *Keyed) AwaitReady(ctx context.Context, id citron.ShardID) {
+	k.mu.Lock()
+	b, ok := k.books[id]
+	k.mu.Unlock()
+	if !ok {
+		return
+	}
+	select {
+	case <-b.ledger.Ready():
+	case <-b.ledger.Ended():
+	case <-ctx.Done():
+	}
+}
--- a/citron/calls/run.go
+++ b/citron/calls/run.go
@@ -176,7 +176,7 @@
 	case !sent:
 		s.Slots.Free(grant, now, true)
 	default:
-		s.Slots.Hold(grant, now, began+r.class.RunBound+slots.Settle)
+		s.Slots.Hold(grant, now, began+r.class.RunBound)
 		s.Log.Emit(event.AnswerDropped, event.Fields{"Endpoint": grant.Endpoint, "Error": err})
 	}
 	if s.RoomChanged != nil {
--- a/citron/daemon/beat.go
+++ b/citron/daemon/beat.go
@@ -150,7 +150,7 @@
 	d.catchUp()
 	d.becomeReady()
 	d.keyed.Prune(d.timer.Now().Wall)
-	d.askHeld()
+	d.calls.AskHeld(d.run)
 }
 
 // catchUp fetches a control stream from the daemon that is furthest ahead, where this one lags.
@@ -212,18 +212,6 @@
 	return true
 }
 
-// askHeld asks endpoints for their own count where slots are taken without evidence.
-func (d *Daemon) askHeld() {
-	for _, g := range d.slots.Held(d.timer.Now().Boot) {
-		asked := d.timer.Now().Boot
-		n, err := d.calls.Invoker.InFlight(d.run, g.Address)
-		if err == nil {
-			d.slots.Report(g.Shard, g.Endpoint, asked, n)
-		}
-	}
-	d.calls.Changed()
-}
-
 // keepSnapshots writes snapshots of the control streams while this daemon owns the keeper's shard.
 func (d *Daemon) keepSnapshots() (ended []<-chan struct{}) {
 	for _, f := range d.feeds {
--- a/citron/jobs/link.go
+++ b/citron/jobs/link.go
@@ -242,6 +242,10 @@
 	}
 	request.WorkerIncarnation = uint64(l.incarnation)
 	for key, a := range l.attempts {
+		if a.incarnation != l.incarnation && !a.adopted {
+			// Its end is on its way to the log; the new run of the worker must not start it.
+			continue
+		}
 		a.asked = true
 		l.say(request, refOf(key, a.number), a)
 	}
--- a/citron/mesh/mesh.go
+++ b/citron/mesh/mesh.go
@@ -148,6 +148,17 @@
 	return context.WithValue(ctx, sentKey{}, s), s
 }
 
+// MarkSent notes that the bytes of the context's call can have left this process.
+func MarkSent(ctx context.Context) {
+	note, ok := ctx.Value(sentKey{}).(*Sent)
+	if !ok {
+		return
+	}
+	note.mu.Lock()
+	defer note.mu.Unlock()
+	note.sent = true
+}
+
 // counter counts the bytes of control messages and notes what was sent.
 type counter struct {
 	bytes func(kind string, n int)
@@ -164,11 +175,7 @@
 func (c counter) HandleRPC(ctx context.Context, s stats.RPCStats) {
 	switch e := s.(type) {
 	case *stats.OutHeader:
-		if note, ok := ctx.Value(sentKey{}).(*Sent); ok {
-			note.mu.Lock()
-			note.sent = true
-			note.mu.Unlock()
-		}
+		MarkSent(ctx)
 	case *stats.OutPayload:
 		c.count(ctx, e.WireLength)
 	case *stats.InPayload:
--- a/citron/shard/shard.go
+++ b/citron/shard/shard.go
@@ -269,15 +269,16 @@
 }
 
 func (r *Replica) isOwner() bool {
-	return !r.state.Owner.IsZero() && r.same(r.state.Owner)
+	return !r.state.Owner.IsZero() && r.same(r.state.Owner, ruleNoTakeBack)
 }
 
 func (r *Replica) isStandby() bool {
-	return !r.state.Standby.IsZero() && r.same(r.state.Standby)
+	return !r.state.Standby.IsZero() && r.same(r.state.Standby, ruleIncarnations)
 }
 
-func (r *Replica) same(m citron.Member) bool {
-	if r.skip == ruleIncarnations || r.skip == ruleNoTakeBack {
+// same reports whether m is this incarnation. The rule is the one that holds for m's part in the shard.
+func (r *Replica) same(m citron.Member, because rule) bool {
+	if r.skip == because {
 		return m.VM == r.Self.VM
 	}
 	return m == r.Self
--- a/citron/slots/slots.go
+++ b/citron/slots/slots.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// Settle is how long bytes of a call that was given up can still be on their way.
-	Settle = time.Second
+	// DefaultSettle is how long bytes of a call that was given up can still be on their way.
+	DefaultSettle = time.Second
 	// ejectAfter is the number of failures in a row that takes an endpoint out of the choice.
 	ejectAfter = 3
 	// ejectFor is how long it is left out; a single probe follows.
@@ -64,6 +64,9 @@
 
 // Table holds the endpoints of every shard. The zero value is empty.
 type Table struct {
+	// Settle is how long bytes of a call that was given up can still be on their way; 0 stands for DefaultSettle.
+	Settle time.Duration
+
 	mu     sync.RWMutex
 	groups map[citron.ShardID]*group
 }
@@ -130,11 +133,12 @@
 	})
 }
 
-// Hold gives up a call without evidence; its slot stays taken until evidence or until the run bound.
-func (t *Table) Hold(grant Grant, now, until time.Duration) {
+// Hold gives up a call without evidence; its slot stays taken until evidence or until its run must have ended.
+func (t *Table) Hold(grant Grant, now, runEnds time.Duration) {
+	settle := t.settle()
 	t.with(grant, func(e *endpoint) {
 		e.active--
-		e.holds = append(e.holds, hold{since: now, until: until})
+		e.holds = append(e.holds, hold{since: now, until: runEnds + settle})
 		e.judge(now, true)
 	})
 }
@@ -142,11 +146,12 @@
 // Report takes in an endpoint's own count of running calls, asked for at asked. Calls given up since shortly
 // before are not judged by it.
 func (t *Table) Report(shard citron.ShardID, name citron.Endpoint, asked time.Duration, inFlight int) {
+	settle := t.settle()
 	t.with(Grant{Endpoint: name, Shard: shard}, func(e *endpoint) {
 		sort.Slice(e.holds, func(i, j int) bool { return e.holds[i].until > e.holds[j].until })
 		kept := e.holds[:0]
 		for _, h := range e.holds {
-			if asked-h.since < Settle || inFlight > 0 {
+			if asked-h.since < settle || inFlight > 0 {
 				kept = append(kept, h)
 				inFlight--
 			}
@@ -196,6 +201,13 @@
 	return loads
 }
 
+func (t *Table) settle() time.Duration {
+	if t.Settle == 0 {
+		return DefaultSettle
+	}
+	return t.Settle
+}
+
 func (t *Table) with(grant Grant, f func(*endpoint)) {
 	g := t.group(grant.Shard)
 	g.mu.Lock()
--- /dev/null
+++ b/citron/stream/memory/memory.go
@@ -0,0 +1,89 @@
+// Package memory keeps a log in memory, for tests and for cells inside one process.
+package memory
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/schema/record"
+)
+
+// Log is a log in memory. The zero value is empty and keeps everything.
+type Log struct {
+	// Retain is the number of records that each stream keeps; 0 keeps all.
+	Retain int
+
+	mu      sync.Mutex
+	streams map[citron.Stream]*records
+}
+
+type records struct {
+	first   citron.Offset
+	entries []*record.Entry
+	changed chan struct{}
+}
+
+var _ citron.Log = (*Log)(nil)
+
+// Append adds entries in one step.
+func (l *Log) Append(_ context.Context, stream citron.Stream, entries []*record.Entry) (citron.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.stream(stream)
+	offset := r.end()
+	r.entries = append(r.entries, entries...)
+	if drop := len(r.entries) - l.Retain; l.Retain > 0 && drop > 0 {
+		r.first += citron.Offset(drop)
+		r.entries = append([]*record.Entry(nil), r.entries[drop:]...)
+	}
+	close(r.changed)
+	r.changed = make(chan struct{})
+	return offset, nil
+}
+
+// Read returns entries from an offset on and waits up to wait for the first one.
+func (l *Log) Read(ctx context.Context, stream citron.Stream, from citron.Offset, wait time.Duration) (citron.Batch, error) {
+	batch, changed := l.take(stream, from)
+	if len(batch.Entries) > 0 || wait == 0 {
+		return batch, nil
+	}
+	bounded, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	select {
+	case <-changed:
+	case <-bounded.Done():
+		if ctx.Err() != nil {
+			return citron.Batch{}, ctx.Err()
+		}
+	}
+	batch, _ = l.take(stream, from)
+	return batch, nil
+}
+
+func (l *Log) take(stream citron.Stream, from citron.Offset) (citron.Batch, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.stream(stream)
+	from = min(max(from, r.first), r.end())
+	entries := append([]*record.Entry(nil), r.entries[from-r.first:]...)
+	return citron.Batch{First: r.first, Start: from, End: r.end(), Entries: entries}, r.changed
+}
+
+// stream returns a stream. The lock is held.
+func (l *Log) stream(name citron.Stream) *records {
+	if l.streams == nil {
+		l.streams = map[citron.Stream]*records{}
+	}
+	r, ok := l.streams[name]
+	if !ok {
+		r = &records{changed: make(chan struct{})}
+		l.streams[name] = r
+	}
+	return r
+}
+
+func (r *records) end() citron.Offset {
+	return r.first + citron.Offset(len(r.entries))
+}
--- /dev/null
+++ b/citronlab/fault/calls_test.go
@@ -0,0 +1,227 @@
+package fault
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/calls"
+	"github.com/citroncross/citroncross/schema/record"
+)
+
+// answer collects what a caller got.
+type answer struct {
+	status int
+	body   strings.Builder
+}
+
+func (a *answer) Head(status int, _ string) error {
+	a.status = status
+	return nil
+}
+
+func (a *answer) Chunk(p []byte) error {
+	a.body.Write(p)
+	return nil
+}
+
+// call sends one request to one node as a caller would and returns its outcome.
+func (r *rig) call(n int, class citron.Class, id citron.RequestID, repeatable bool) (record.Outcome, string, *citron.Refusal) {
+	x := r.nodes[n]
+	ctx, cancel := context.WithCancel(x.ctx)
+	defer cancel()
+	var a answer
+	refusal := x.calls.Serve(ctx, calls.Request{Team: "t", Class: class, ID: id, Repeatable: repeatable}, &a)
+	if x.isDead() {
+		// The caller's connection broke; whatever the dead daemon meant to say never came.
+		return record.Outcome_OUTCOME_UNKNOWN, "", nil
+	}
+	if refusal != nil {
+		return refusal.Outcome, "", refusal
+	}
+	return record.Outcome_OUTCOME_DONE, a.body.String(), nil
+}
+
+// scenario is one path whose every step is struck by every fault.
+type scenario struct {
+	name  string
+	class citron.Class
+	// endpointOwner holds the endpoint; the request's key is held by keyOwner.
+	endpointOwner, keyOwner int
+}
+
+var scenarios = []scenario{
+	{"call, own endpoint", "again", 0, 0},
+	{"call, endpoint of another daemon", "again", 1, 0},
+	{"non-repeatable call, owner of its key", "once", 0, 0},
+	{"non-repeatable call, key held elsewhere", "once", 1, 1},
+	{"non-repeatable call, key and endpoint held elsewhere", "once", 2, 1},
+}
+
+// keyShard is the shard of request "q" in the rig's layout; the endpoint sits in another one.
+func (r *rig) shards() (key, endpoint citron.ShardID) {
+	key = r.layout.OfRequest("t", "q")
+	for _, id := range r.layout.Shards() {
+		if id != key && !id.IsPool() {
+			return key, id
+		}
+	}
+	return key, key
+}
+
+// play runs a scenario: the caller sends its request to node 0 and, while it has no final outcome, again to the
+// others. It returns every check that failed.
+func (s scenario) play(r *rig) (broken []string) {
+	key, at := r.shards()
+	r.own(key, s.keyOwner)
+	r.own(at, s.endpointOwner)
+	r.addEndpoint("e0", at)
+	for n := range r.nodes {
+		for about := range r.nodes {
+			if n != about && about == s.endpointOwner {
+				r.tell(n, about, r.slots)
+			}
+		}
+	}
+	r.settle()
+	const id = "q"
+	for try := range 4 {
+		n := try % len(r.nodes)
+		if r.nodes[n].isDead() {
+			continue
+		}
+		before := 0
+		if s.class == "again" {
+			// Of a repeatable call no record is kept: "not run" speaks of this sending of it.
+			before = r.runsOf(id)
+		}
+		outcome, got, refusal := r.call(n, s.class, id, s.class == "again")
+		runs := r.runsOf(id) - before
+		switch {
+		case outcome == record.Outcome_OUTCOME_DONE && refusal == nil && got != body(id):
+			broken = append(broken, fmt.Sprintf("wrong or partial answer %q", got))
+		case outcome == record.Outcome_OUTCOME_NOT_RUN && runs > 0:
+			broken = append(broken, "said not run although it ran")
+		}
+		if outcome == record.Outcome_OUTCOME_DONE {
+			break
+		}
+	}
+	if runs := r.runsOf(id); s.class == "once" && runs > 1 {
+		broken = append(broken, fmt.Sprintf("non-repeatable request ran %d times", runs))
+	}
+	return append(broken, r.overCapacity()...)
+}
+
+// settle waits, by events, until every ledger of an owned shard has read its stream.
+func (r *rig) settle() {
+	for _, x := range r.nodes {
+		for _, id := range r.layout.Shards() {
+			if x.MayAct(id) && !id.IsPool() {
+				x.calls.Keyed.AwaitReady(r.ctx, id)
+			}
+		}
+	}
+}
+
+func (r *rig) overCapacity() (broken []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.endpoints {
+		e.mu.Lock()
+		if e.most > e.slots {
+			broken = append(broken, fmt.Sprintf("%s had %d of %d slots in use", e.name, e.most, e.slots))
+		}
+		if e.late > 0 {
+			broken = append(broken, fmt.Sprintf("%s got %d calls after it was leaving", e.name, e.late))
+		}
+		e.mu.Unlock()
+	}
+	return broken
+}
+
+// countSteps plays a scenario without faults.
+func (s scenario) countSteps(t *testing.T) int {
+	r := newRig(t, nil)
+	if broken := s.play(r); len(broken) > 0 {
+		t.Fatalf("without faults: %v", broken)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.steps
+}
+
+func TestFaultMatrixOfCalls(t *testing.T) {
+	var all []trial
+	for _, s := range scenarios {
+		steps := s.countSteps(t)
+		for step := 1; step <= steps+1; step++ {
+			for k := failBefore; k < kinds; k++ {
+				all = append(all, trial{s.play, s.name, map[int]kind{step: k}})
+			}
+		}
+	}
+	playAll(t, all)
+}
+
+// trial is one scenario under one plan of strikes.
+type trial struct {
+	play    func(*rig) []string
+	name    string
+	strikes map[int]kind
+}
+
+// atOnce is the number of trials that run beside each other.
+const atOnce = 16
+
+// playAll plays trials beside each other and reports every check that failed.
+func playAll(t *testing.T, all []trial) {
+	t.Helper()
+	var group sync.WaitGroup
+	tokens := make(chan struct{}, atOnce)
+	for _, one := range all {
+		tokens <- struct{}{}
+		group.Go(func() {
+			defer func() { <-tokens }()
+			r := newRig(t, one.strikes)
+			defer r.end()
+			if broken := one.play(r); len(broken) > 0 {
+				t.Errorf("%s, strikes %v: %v\n%s", one.name, one.strikes, broken, r.story())
+			}
+		})
+	}
+	group.Wait()
+	t.Logf("%d cases", len(all))
+}
+
+// story is what happened, step by step.
+func (r *rig) story() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return strings.Join(r.trace, "\n")
+}
+
+// end stops every node of a rig.
+func (r *rig) end() {
+	for _, x := range r.nodes {
+		x.end()
+	}
+}
+
+// pairs lists pairs of strikes from a fixed seed.
+const pairCases = 150
+
+func TestFaultPairsOfCalls(t *testing.T) {
+	random := newRandom(1)
+	var all []trial
+	for range pairCases {
+		s := scenarios[random.IntN(len(scenarios))]
+		a, b := 1+random.IntN(8), 1+random.IntN(12)
+		strikes := map[int]kind{a: kind(1 + random.IntN(int(kinds)-1)), b: kind(1 + random.IntN(int(kinds)-1))}
+		all = append(all, trial{s.play, s.name, strikes})
+	}
+	playAll(t, all)
+}
--- a/citronlab/work/work.go
+++ b/citronlab/work/work.go
@@ -47,6 +47,7 @@
 	result string
 	lease  time.Duration
 	ends   time.Duration
+	span   *Span
 }
 
 // Worker runs tasks.
@@ -66,6 +67,7 @@
 	most     int32
 	memory   int32
 	mostMb   int32
+	spans    []*Span
 }
 
 // Record is what the worker says of its own past.
@@ -77,6 +79,15 @@
 	MemoryMb       int32
 	// Runs counts the starts of each attempt.
 	Runs map[string]int
+	// Spans lists when each run began and ended.
+	Spans []Span
+}
+
+// Span is one run of one task. Times are on the boot clock; Ended is 0 while it runs.
+type Span struct {
+	Task  string
+	Began time.Duration
+	Ended time.Duration
 }
 
 // Routes returns the routes of a worker.
@@ -125,9 +136,27 @@
 	for id, n := range w.runs {
 		r.Runs[id] = n
 	}
+	for _, s := range w.spans {
+		r.Spans = append(r.Spans, *s)
+	}
 	return r
 }
 
+// Restart ends every task and forgets all, as a new process on the same VM does.
+func (w *Worker) Restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.init()
+	for _, t := range w.tasks {
+		if t.state == jobs.StateRunning {
+			w.endTask(t, jobs.StateLapsed, "worker restarted")
+		}
+	}
+	w.tasks = map[ref]*task{}
+	w.epoch, w.sequence = 0, 0
+	w.Incarnation++
+}
+
 func (w *Worker) handle(out http.ResponseWriter, r *http.Request) {
 	var request lab.SyncRequest
 	if err := wire.Read(r, maxSync, &request); err != nil {
@@ -213,7 +242,9 @@
 		t.lease = lease
 		return
 	}
-	t := &task{start: s, state: jobs.StateRunning, lease: lease, ends: now + w.runTime(s)}
+	span := &Span{Task: fmt.Sprintf("%s/%d", key.job, key.task), Began: now}
+	w.spans = append(w.spans, span)
+	t := &task{start: s, state: jobs.StateRunning, lease: lease, ends: now + w.runTime(s), span: span}
 	w.tasks[key] = t
 	w.runs[fmt.Sprintf("%s/%d/%d", key.job, key.task, key.attempt)]++
 	w.used += s.GetMilliCores()
@@ -272,6 +303,7 @@
 
 func (w *Worker) endTask(t *task, state, result string) {
 	t.state, t.result = state, result
+	t.span.Ended = w.Timer.Now().Boot
 	w.used -= t.start.GetMilliCores()
 	w.memory -= t.start.GetMemoryMb()
 	w.notify()
