--- a/citronlab/fault/rig_test.go
+++ b/citronlab/fault/rig_test.go
@@ -80,6 +80,8 @@
 	endpoints map[string]*endpoint
 	workers   map[string]*worker
 	trace     []string
+	// broken names a promise that the fakes break on purpose, to test the checks.
+	broken breakage
 }
 
 // node is one daemon.
@@ -341,6 +343,9 @@
 		body = e.run(call)
 		return nil
 	})
+	if err == nil {
+		sent, body, err = i.x.r.broken.invoke(e, call, body)
+	}
 	if err != nil {
 		return sent, err
 	}
@@ -455,3 +460,8 @@
 
 func (noPower) List(context.Context) (*lab.VMList, error)        { return nil, citron.ErrUnavailable }
 func (noPower) Power(context.Context, citron.VMName, bool) error { return nil }
+
+// pollEvery is how often a condition of the fakes is looked at.
+const pollEvery = 2 * time.Millisecond
+
+func (r *rig) clock() timer.Service { return timer.Service{} }
