--- a/citron/daemon/build.go
+++ b/citron/daemon/build.go
@@ -184,6 +184,8 @@
 			QueuedBytes:    limits.GetQueuedBytes(),
 			BufferedAnswer: limits.GetBufferedAnswerBytes(),
 			RetryPercent:   int(limits.GetRetryPercent()),
+			NoForward:      d.settings.GetBaseline().GetNoForward(),
+			Fifo:           d.settings.GetBaseline().GetFifo(),
 		},
 		Timer:       d.timer,
 		Templates:   &d.templates,
@@ -213,6 +215,7 @@
 			Rules: place.Rules{
 				QuarantineFailures: int(j.GetQuarantineFailures()),
 				QuarantineFor:      ms(j.GetQuarantineMs()),
+				FirstFit:           d.settings.GetBaseline().GetFirstFit(),
 			},
 		},
 		Timer:     d.timer,
--- a/citronlab/cell/cell.go
+++ b/citronlab/cell/cell.go
@@ -46,7 +46,10 @@
 	Endpoints int
 	Workers   int
 	Slots     int
-	Run       time.Duration
+	// FailPercent is the part of calls that the first Failing endpoints of each service fail.
+	FailPercent int
+	Failing     int
+	Run         time.Duration
 	// Spread is the sigma of the log-normal run times.
 	Spread float64
 	Log    io.Writer
@@ -285,8 +288,12 @@
 func (c *Cell) startEndpoint(n int) error {
 	service := services[n%len(services)].service
 	name := fmt.Sprintf("%s-%02d", service, n/len(services))
+	failing := 0
+	if n/len(services) < c.Options.Failing {
+		failing = c.Options.FailPercent
+	}
 	e := &endp.Endpoint{
-		Options: endp.Options{Name: name, Slots: c.Options.Slots, Run: c.Options.Run, Spread: c.Options.Spread, Seed: uint64(n)},
+		Options: endp.Options{Name: name, Slots: c.Options.Slots, Run: c.Options.Run, Spread: c.Options.Spread, Seed: uint64(n), FailPercent: failing},
 		Timer:   c.Timer,
 	}
 	address := c.Options.address(100, endpointPort+n)
--- a/citronlab/endp/endp.go
+++ b/citronlab/endp/endp.go
@@ -2,6 +2,7 @@
 package endp
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"math"
@@ -44,8 +45,6 @@
 	random   *rand.Rand
 	inFlight int
 	most     int
-	late     int
-	leaving  time.Duration
 	runs     map[string]int
 	total    int64
 }
@@ -92,7 +91,7 @@
 	}
 	class := pathvar.Vars(r)["class"]
 	id := r.Header.Get(invoke.HeaderRequestID)
-	took, failed := e.begin(r.Header.Get(invoke.HeaderTeam) + "/" + class + "/" + id)
+	took, failed := e.begin(r.Header.Get(invoke.HeaderTeam)+"/"+class+"/"+id, wanted(body))
 	defer e.end()
 	if bytes, _ := strconv.Atoi(r.Header.Get("Content-Type")); bytes > 0 {
 		body = make([]byte, bytes)
@@ -118,7 +117,16 @@
 	_, _ = io.WriteString(w, answer)
 }
 
-func (e *Endpoint) begin(key string) (took time.Duration, failed bool) {
+// wanted reads how long a call asks to run, in microseconds; 0 leaves it to the endpoint.
+func wanted(body []byte) time.Duration {
+	var asked struct{ RunUs int64 }
+	if json.Unmarshal(body, &asked) != nil {
+		return 0
+	}
+	return time.Duration(asked.RunUs) * time.Microsecond
+}
+
+func (e *Endpoint) begin(key string, asked time.Duration) (took time.Duration, failed bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.random == nil {
@@ -134,6 +142,9 @@
 	if failed {
 		return 0, true
 	}
+	if asked > 0 {
+		return asked, false
+	}
 	return time.Duration(float64(e.Options.Run) * factor), false
 }
 
--- /dev/null
+++ b/citronlab/load/load.go
@@ -0,0 +1,134 @@
+// Package load sends calls with open-loop arrivals and says how they fared beside one omniscient queue.
+package load
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/front"
+	"github.com/citroncross/citroncross/schema/prefs"
+)
+
+// Call is one planned call and how it fared.
+type Call struct {
+	Stream int
+	// At is when the call arrives, from the start of the load.
+	At time.Duration
+	// Run is how long it runs on an endpoint.
+	Run time.Duration
+	// Took is how long the caller waited for the answer.
+	Took time.Duration
+	// Outcome is Done, NotRun, Unknown or Error.
+	Outcome string
+	// ComeBack is when a refused caller was told to come back.
+	ComeBack time.Duration
+	// Served says that a refused caller who came back as told was served.
+	Served bool
+}
+
+// Plan draws every call from the seed.
+func Plan(settings *prefs.Load) []Call {
+	var calls []Call
+	end := time.Duration(settings.GetWarmUpMs()+settings.GetDurationMs()) * time.Millisecond
+	for n, a := range settings.GetArrivals() {
+		random := rand.New(rand.NewPCG(uint64(settings.GetSeed()), uint64(n)))
+		sigma := float64(a.GetSpreadPercent()) / 100
+		// The mean of a log-normal value is exp(mu + sigma^2/2).
+		mu := math.Log(float64(a.GetRunMs())) - sigma*sigma/2
+		for at := 0.0; ; {
+			at += random.ExpFloat64() / float64(a.GetPerSecond())
+			t := time.Duration(at * float64(time.Second))
+			if t > end {
+				break
+			}
+			run := time.Duration(math.Exp(mu+sigma*random.NormFloat64()) * float64(time.Millisecond))
+			calls = append(calls, Call{Stream: n, At: t, Run: run})
+		}
+	}
+	sort.Slice(calls, func(i, j int) bool { return calls[i].At < calls[j].At })
+	return calls
+}
+
+// Sender sends planned calls to daemons.
+type Sender struct {
+	Settings *prefs.Load
+	Timer    citron.Timer
+	Targets  []string
+
+	service httpc.Service
+}
+
+// Send sends every call at its time and fills in how it fared.
+func (s *Sender) Send(ctx context.Context, calls []Call) {
+	breaker.NoBreakerFor("load")
+	s.service = httpc.NewServiceWithClient("load", &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096}})
+	var group sync.WaitGroup
+	began := s.Timer.Now().Boot
+	for n := range calls {
+		if !s.pause(ctx, calls[n].At-(s.Timer.Now().Boot-began)) {
+			break
+		}
+		target := s.Targets[n%len(s.Targets)]
+		group.Go(func() { s.one(ctx, &calls[n], target) })
+	}
+	group.Wait()
+}
+
+// one sends a call and, where it was refused and its stream says so, once more when it was told to.
+func (s *Sender) one(ctx context.Context, c *Call, target string) {
+	began := s.Timer.Now().Boot
+	c.Outcome, c.ComeBack = s.post(ctx, c, target)
+	c.Took = s.Timer.Now().Boot - began
+	if c.Outcome != "NotRun" || !s.Settings.GetArrivals()[c.Stream].GetComeBack() || !s.pause(ctx, c.ComeBack) {
+		return
+	}
+	again, _ := s.post(ctx, c, target)
+	c.Served = again == "Done"
+}
+
+func (s *Sender) post(ctx context.Context, c *Call, target string) (outcome string, comeBack time.Duration) {
+	a := s.Settings.GetArrivals()[c.Stream]
+	url := fmt.Sprintf("%s/v1/teams/%s/calls/%s", target, a.GetTeam(), a.GetClass())
+	body := fmt.Sprintf(`{"RunUs":%d}`, c.Run.Microseconds())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewBufferString(body))
+	if err != nil {
+		return "Error", 0
+	}
+	response, err := s.service.DoRequest(request)
+	if err != nil {
+		return "Error", 0
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return "Error", 0
+	}
+	ms, _ := strconv.ParseInt(response.Header.Get(front.HeaderRetryAfter), 10, 64)
+	return response.Header.Get(front.HeaderOutcome), time.Duration(ms) * time.Millisecond
+}
+
+func (s *Sender) pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	due, stop := s.Timer.After(d)
+	defer stop()
+	select {
+	case <-due:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/citronlab/load/report.go
@@ -0,0 +1,160 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/citroncross/citroncross/schema/prefs"
+)
+
+// Row is the result of one stream. Waits are answer times less run times, in milliseconds.
+type Row struct {
+	Team, Class string
+	Calls       int
+	Done        int
+	NotRun      int
+	Unknown     int
+	Errors      int
+	WaitP50     float64
+	WaitP99     float64
+	WaitMax     float64
+	// OmniP99 is the wait in the omniscient queue, and Ratio how much longer this one is.
+	OmniP99 float64
+	Ratio   float64
+	// RefusedP99 is how long refusals took to come.
+	RefusedP99 float64
+	// CameBack is the number of refused callers who came back as told, and Served how many of them were served.
+	CameBack int
+	Served   int
+	// GoodPerSecond is the endpoint time of served calls for each second, in slots.
+	GoodPerSecond float64
+
+	waits *hdrhistogram.Histogram
+}
+
+// Report is the result of one load.
+type Report struct {
+	Name  string
+	Seed  int64
+	Slots int
+	Rows  []Row
+	// Goodput is the part of all slots that served calls have used.
+	Goodput float64
+}
+
+// highest bounds histogram values, in microseconds.
+const highest = int64(10 * time.Minute / time.Microsecond)
+
+// Measure sums up calls that arrived after the warm-up. Omni are the waits in the omniscient queue.
+func Measure(name string, settings *prefs.Load, slots int, calls []Call, omni []time.Duration) Report {
+	report := Report{Name: name, Seed: settings.GetSeed(), Slots: slots}
+	warm := time.Duration(settings.GetWarmUpMs()) * time.Millisecond
+	seconds := float64(settings.GetDurationMs()) / 1000
+	for n, a := range settings.GetArrivals() {
+		row := measureRow(n, calls, omni, warm)
+		row.Team, row.Class = a.GetTeam(), a.GetClass()
+		row.GoodPerSecond /= seconds
+		report.Goodput += row.GoodPerSecond / float64(slots)
+		report.Rows = append(report.Rows, row)
+	}
+	return report
+}
+
+func measureRow(stream int, calls []Call, omni []time.Duration, warm time.Duration) (row Row) {
+	waits := hdrhistogram.New(1, highest, 3)
+	reference := hdrhistogram.New(1, highest, 3)
+	refused := hdrhistogram.New(1, highest, 3)
+	for n, c := range calls {
+		if c.Stream != stream || c.At < warm {
+			continue
+		}
+		row.Calls++
+		if omni[n] >= 0 {
+			_ = reference.RecordValue(max(omni[n].Microseconds(), 1))
+		}
+		switch c.Outcome {
+		case "Done":
+			row.Done++
+			row.GoodPerSecond += c.Run.Seconds()
+			_ = waits.RecordValue(max((c.Took - c.Run).Microseconds(), 1))
+		case "NotRun":
+			row.NotRun++
+			_ = refused.RecordValue(max(c.Took.Microseconds(), 1))
+			if c.ComeBack > 0 {
+				row.CameBack++
+			}
+			if c.Served {
+				row.Served++
+			}
+		case "Unknown":
+			row.Unknown++
+		default:
+			row.Errors++
+		}
+	}
+	row.waits = waits
+	row.WaitP50 = milliseconds(waits, 50)
+	row.WaitP99 = milliseconds(waits, 99)
+	row.WaitMax = milliseconds(waits, 100)
+	row.OmniP99 = milliseconds(reference, 99)
+	row.RefusedP99 = milliseconds(refused, 99)
+	row.Ratio = row.WaitP99 / max(row.OmniP99, 0.001)
+	return row
+}
+
+func milliseconds(h *hdrhistogram.Histogram, percent float64) float64 {
+	return float64(h.ValueAtQuantile(percent)) / 1000
+}
+
+// Table returns the report as lines.
+func (r Report) Table() string {
+	var out strings.Builder
+	fmt.Fprintf(&out, "%s: seed %d, %d slots, goodput %.3f\n", r.Name, r.Seed, r.Slots, r.Goodput)
+	w := tabwriter.NewWriter(&out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "class\tcalls\tdone\tnot run\tunknown\terrors\twait p50 ms\tp99\tmax\tomniscient p99\tratio\trefused p99\tcame back\tserved\t")
+	for _, row := range r.Rows {
+		fmt.Fprintf(w, "%s/%s\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%d\t%d\t\n",
+			row.Team, row.Class, row.Calls, row.Done, row.NotRun, row.Unknown, row.Errors,
+			row.WaitP50, row.WaitP99, row.WaitMax, row.OmniP99, row.Ratio, row.RefusedP99, row.CameBack, row.Served)
+	}
+	_ = w.Flush()
+	return out.String()
+}
+
+// JSON returns the report as JSON.
+func (r Report) JSON() ([]byte, error) {
+	return json.MarshalIndent(r, "", "  ")
+}
+
+// Plot writes the distribution of waits as a picture; the file's ending chooses the format.
+func (r Report) Plot(file string) error {
+	p := plot.New()
+	p.Title.Text = r.Name
+	p.X.Label.Text = "percentile"
+	p.Y.Label.Text = "wait, ms"
+	p.Y.Scale = plot.LogScale{}
+	p.Y.Tick.Marker = plot.LogTicks{}
+	for n, row := range r.Rows {
+		points := plotter.XYs{}
+		for percent := 1.0; percent < 100; percent++ {
+			points = append(points, plotter.XY{X: percent, Y: max(milliseconds(row.waits, percent), 0.01)})
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return err
+		}
+		line.Width = vg.Points(1.5)
+		line.Dashes = []vg.Length{vg.Points(float64(4 * n))}
+		p.Add(line)
+		p.Legend.Add(row.Team+"/"+row.Class, line)
+	}
+	return p.Save(16*vg.Centimeter, 10*vg.Centimeter, file)
+}
--- /dev/null
+++ b/citronlab/loadcmd.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/citroncross/citroncross/citron/conf"
+	"github.com/citroncross/citroncross/citron/timer"
+	"github.com/citroncross/citroncross/citron/tmpl"
+	"github.com/citroncross/citroncross/citronlab/cell"
+	"github.com/citroncross/citroncross/citronlab/load"
+	"github.com/citroncross/citroncross/schema/prefs"
+)
+
+// loadCommand sends load and reports how it fared.
+func loadCommand(app *kingpin.Application) command {
+	clause := app.Command("load", "Send open-loop load and compare it with one omniscient queue.")
+	file := clause.Arg("settings", "TOML settings file; see docs/results.").Required().String()
+	out := clause.Flag("out", "Folder for the JSON result and the plot.").String()
+	examples := clause.Flag("examples", "Folder of the example templates.").Default("examples").String()
+	seeds := clause.Flag("runs", "Number of runs, each with its own seed.").Default("1").Int()
+	return command{clause: clause, run: func() (err error) {
+		defer func() { err = eris.Wrap(err, "load") }()
+		var settings prefs.Load
+		if problems := conf.ReadFile(*file, &settings); len(problems) > 0 {
+			return problems
+		}
+		name := strings.TrimSuffix(filepath.Base(*file), ".toml")
+		for range *seeds {
+			report, err := runLoad(name, &settings, *examples)
+			if err != nil {
+				return err
+			}
+			fmt.Print(report.Table())
+			if err := saveReport(report, *out); err != nil {
+				return err
+			}
+			settings.Seed++
+		}
+		return nil
+	}}
+}
+
+func saveReport(report load.Report, folder string) error {
+	if folder == "" {
+		return nil
+	}
+	body, err := report.JSON()
+	if err != nil {
+		return err
+	}
+	base := filepath.Join(folder, fmt.Sprintf("%s-%d", report.Name, report.Seed))
+	if err := os.WriteFile(base+".json", append(body, '\n'), 0o644); err != nil {
+		return err
+	}
+	return report.Plot(base + ".svg")
+}
+
+func runLoad(name string, settings *prefs.Load, examples string) (report load.Report, err error) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	var targets []string
+	for _, t := range settings.GetTargets() {
+		targets = append(targets, t.GetURL())
+	}
+	if len(targets) == 0 {
+		c, err := loadCell(ctx, settings, examples)
+		if err != nil {
+			return report, err
+		}
+		defer c.Close()
+		for n := range c.Daemons {
+			targets = append(targets, c.CallerURL(n))
+		}
+	}
+	calls := load.Plan(settings)
+	sender := &load.Sender{Settings: settings, Timer: timer.Service{}, Targets: targets}
+	sender.Send(ctx, calls)
+	ranks, limits, err := classes(settings, examples)
+	if err != nil {
+		return report, err
+	}
+	slots := int(settings.GetCell().GetEndpoints() * settings.GetCell().GetSlots())
+	omni := load.Omniscient(calls, slots, ranks, limits)
+	return load.Measure(name, settings, slots, calls, omni), nil
+}
+
+// settleTime lets slots that count as taken after the start come free before load is sent.
+const settleTime = 3 * time.Second
+
+func loadCell(ctx context.Context, settings *prefs.Load, examples string) (*cell.Cell, error) {
+	options := cell.Defaults()
+	options.Net = "127.1.0"
+	options.Log = io.Discard
+	options.Endpoints = int(settings.GetCell().GetEndpoints())
+	options.Slots = int(settings.GetCell().GetSlots())
+	options.FailPercent = int(settings.GetCell().GetFailPercent())
+	options.Failing = int(settings.GetCell().GetFailingEndpoints())
+	options.Change = func(d *prefs.Daemon) { d.Baseline = settings.GetBaseline() }
+	c, err := cell.Start(options)
+	if err == nil {
+		err = c.PublishExamples(ctx, examples)
+	}
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	awaitReady(ctx, c)
+	due, _ := c.Timer.After(settleTime)
+	<-due
+	return c, nil
+}
+
+// classes returns the urgency and the longest wait of each stream's class.
+func classes(settings *prefs.Load, examples string) (ranks []int, limits []time.Duration, err error) {
+	for _, a := range settings.GetArrivals() {
+		text, err := os.ReadFile(filepath.Join(examples, a.GetTeam()+".toml"))
+		if err != nil {
+			return nil, nil, err
+		}
+		parameters, err := os.ReadFile(filepath.Join(examples, a.GetTeam()+".parameters.toml"))
+		if err != nil {
+			return nil, nil, err
+		}
+		source, problems := tmpl.Render(a.GetTeam(), string(text), string(parameters))
+		if len(problems) > 0 {
+			return nil, nil, problems
+		}
+		compiled, problems := tmpl.Parse(a.GetTeam(), source)
+		if len(problems) > 0 {
+			return nil, nil, problems
+		}
+		for name, c := range compiled.Classes {
+			if string(name) == a.GetClass() {
+				ranks = append(ranks, int(c.Urgency))
+				limits = append(limits, c.Deadline)
+			}
+		}
+	}
+	return ranks, limits, nil
+}
--- a/citronlab/main.go
+++ b/citronlab/main.go
@@ -22,6 +22,7 @@
 		endpointCommand(app),
 		workerCommand(app),
 		settingsCommand(app),
+		loadCommand(app),
 	}
 	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
 	for _, c := range commands {
