Offer free slots to daemons whose calls wait, and even out slots by service

A moved shard also stayed idle up to the longest run bound, since its endpoints' own count cannot tell the new owner's calls from the former one's.

Change: a daemon whose calls wait tells the others (Want); a daemon with a free slot and nothing more urgent of its own holds one for it (Offer). Shards move, in turns, by the sum of squares of slots for each service. The former owner tells the new one what it still has (Remaining).

The load report now says what was stolen: waits of runs with steal say little.

--- a/citron/calls/calls.go
+++ b/citron/calls/calls.go
@@ -11,6 +11,7 @@
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/event"
 	"github.com/citroncross/citroncross/citron/member"
+	"github.com/citroncross/citroncross/citron/shard"
 	"github.com/citroncross/citroncross/citron/slots"
 	"github.com/citroncross/citroncross/citron/state"
 	"github.com/citroncross/citroncross/citron/stats"
@@ -78,15 +79,18 @@
 	Keyed     *Keyed
 	Stats     *stats.Set
 	Log       *event.Logger
-	// RoomChanged is called when the free slots of a service came or went.
+	// RoomChanged is called from time to time while slots come and go.
 	RoomChanged func()
 
 	mu    sync.Mutex
 	rooms map[citron.Service]*room
+	// former is the owner before this one of each shard that is owned.
+	former map[citron.ShardID]citron.Member
 
 	retries  budget
 	attempts seen
 	flights  flights
+	offers   offers
 }
 
 // Serve runs a request and writes its answer. A nil refusal means that the whole answer was written.
@@ -108,9 +112,10 @@
 	return s.flights.count()
 }
 
-// Changed tells the queues that a slot may have come free here or elsewhere.
+// Changed tells the queues that slots may have come or gone here or elsewhere.
 func (s *Service) Changed() {
 	for _, r := range s.allRooms() {
+		r.measure()
 		r.kick()
 	}
 }
@@ -126,6 +131,10 @@
 			case now := <-tick:
 				s.Changed()
 				s.attempts.expire(now.Boot)
+				s.freeOffers(now.Boot)
+				if s.RoomChanged != nil {
+					s.RoomChanged()
+				}
 			case <-ctx.Done():
 				ended <- nil
 				return
@@ -199,15 +208,69 @@
 	return bound
 }
 
-// Gained counts every slot of a shard as taken until evidence or until the longest run bound.
-func (s *Service) Gained(id citron.ShardID) {
+// Gained counts every slot of a shard as taken until evidence or until the longest run bound. A shard that nobody
+// has owned before has no calls under way.
+func (s *Service) Gained(id citron.ShardID, former citron.Member) {
+	s.mu.Lock()
+	if s.former == nil {
+		s.former = map[citron.ShardID]citron.Member{}
+	}
+	s.former[id] = former
+	s.mu.Unlock()
 	s.Slots.Adopt(id, s.Timer.Now().Boot, s.longestRun())
 	s.Changed()
 }
 
+// Remaining answers the new owner of a shard.
+func (s *Service) Remaining(request *peer.RemainingRequest) *peer.RemainingReply {
+	reply := &peer.RemainingReply{}
+	remaining, released := s.Slots.Remaining(citron.ShardID(request.GetShard()), s.Timer.Now().Boot)
+	if !released || shard.MemberOf(request.GetReceiver()) != s.Self {
+		return reply
+	}
+	for name, n := range remaining {
+		reply.Endpoints = append(reply.Endpoints, &peer.EndpointCalls{Endpoint: string(name), Calls: int32(n)})
+	}
+	return reply
+}
+
+// askFormer asks the former owners of shards with held slots for the calls that they still have.
+func (s *Service) askFormer(ctx context.Context, held []slots.Grant) {
+	asked := map[citron.ShardID]bool{}
+	for _, g := range held {
+		if asked[g.Shard] {
+			continue
+		}
+		asked[g.Shard] = true
+		s.mu.Lock()
+		former := s.former[g.Shard]
+		s.mu.Unlock()
+		client, ok := s.Peers.Peer(former.VM)
+		if !ok {
+			continue
+		}
+		bounded, cancel := context.WithTimeout(ctx, offerTimeout)
+		reply, err := client.Remaining(bounded, &peer.RemainingRequest{
+			Sender:   shard.MemberRecord(s.Self),
+			Receiver: shard.MemberRecord(former),
+			Shard:    string(g.Shard),
+		})
+		cancel()
+		if err != nil {
+			continue
+		}
+		remaining := map[citron.Endpoint]int{}
+		for _, e := range reply.GetEndpoints() {
+			remaining[citron.Endpoint(e.GetEndpoint())] = int(e.GetCalls())
+		}
+		s.Slots.Release(g.Shard, remaining)
+	}
+}
+
 // AskHeld asks endpoints for their own count where slots are taken without evidence.
 func (s *Service) AskHeld(ctx context.Context) {
 	held := s.Slots.Held(s.Timer.Now().Boot)
+	s.askFormer(ctx, held)
 	var asks sync.WaitGroup
 	for _, g := range held {
 		asks.Go(func() {
--- a/citron/calls/forward.go
+++ b/citron/calls/forward.go
@@ -154,7 +154,10 @@
 	for _, e := range f.GetAvoid() {
 		avoid = append(avoid, citron.Endpoint(e))
 	}
-	grant, ok := s.Slots.Acquire(r.service, s.Timer.Now().Boot, avoid, s.Owner.MayAct)
+	grant, ok := s.offers.take(f.GetOfferID())
+	if !ok {
+		grant, ok = s.Slots.Acquire(r.service, s.Timer.Now().Boot, avoid, s.Owner.MayAct)
+	}
 	if !ok {
 		return w.end(s.withRoom(r, refusalEnd(citron.NotRun(citron.NumberNoSlot, 0, "no free slot"))))
 	}
--- a/citron/calls/room.go
+++ b/citron/calls/room.go
@@ -24,7 +24,9 @@
 type assignment struct {
 	grant  slots.Grant
 	remote citron.Member
-	late   bool
+	// offer names the slot that the other daemon holds for the call.
+	offer string
+	late  bool
 }
 
 // ticket is one waiting call.
@@ -45,6 +47,12 @@
 	mu       sync.Mutex
 	queue    queue.Queue
 	expected map[classKey]time.Duration
+	// cell is the slots of the service in the cell, mine the part that serves this daemon's queue.
+	cell, mine int
+	// wants are the calls that wait in other daemons.
+	wants map[citron.VMName]*want
+	// wanted is when this daemon last told the others what it waits for.
+	wanted time.Duration
 }
 
 type classKey struct {
@@ -53,13 +61,20 @@
 }
 
 func newRoom(s *Service, service citron.Service) *room {
-	return &room{s: s, service: service, queue: queue.Queue{Fifo: s.Options.Fifo}, expected: map[classKey]time.Duration{}}
+	r := &room{
+		s:        s,
+		service:  service,
+		queue:    queue.Queue{Fifo: s.Options.Fifo},
+		expected: map[classKey]time.Duration{},
+		wants:    map[citron.VMName]*want{},
+	}
+	r.measure()
+	return r
 }
 
 // enter queues a call or refuses it at once.
 func (r *room) enter(t *ticket) *citron.Refusal {
 	now := r.s.Timer.Now().Boot
-	cell, mine := r.cellSlots()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	expected := r.expect(t.request)
@@ -72,12 +87,12 @@
 		Payload:     t,
 	}
 	r.queue.SetShare(t.request.Team, r.share(t.request.Team))
-	wait := r.queue.Wait(t.request.class.Urgency, mine)
+	wait := r.queue.Wait(t.request.class.Urgency, r.mine)
 	if t.item.LatestStart < now {
 		return citron.NotRun(citron.NumberDeadlineTooNear, 0,
 			"the deadline leaves %v, a run takes about %v; allow more time", t.request.Deadline.Boot-now, expected)
 	}
-	if cell == 0 {
+	if r.cell == 0 {
 		return citron.NotRun(citron.NumberNoEndpoint, time.Second, "service %q has no endpoint in use at the moment", r.service)
 	}
 	if now+wait > t.item.LatestStart {
@@ -108,22 +123,25 @@
 // kick assigns free slots to waiting calls and answers those that are too late.
 func (r *room) kick() {
 	now := r.s.Timer.Now()
-	cell, _ := r.cellSlots()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, item := range r.queue.Expired(now.Boot) {
 		item.Payload.(*ticket).assigned <- assignment{late: true}
 	}
 	for {
-		item := r.queue.Peek(cell)
+		item := r.queue.Peek(r.cell)
+		if r.offerFirst(now, item) {
+			continue
+		}
 		if item == nil {
 			return
 		}
 		a, ok := r.find(now, item.Payload.(*ticket))
 		if !ok {
+			r.tellWants(now, item)
 			return
 		}
-		r.queue.Pop(cell)
+		r.queue.Pop(r.cell)
 		item.Payload.(*ticket).assigned <- a
 	}
 }
@@ -179,16 +197,18 @@
 	return r.queue.Len()
 }
 
-// cellSlots returns the slots of the service in the cell, and the part that serves this daemon's queue.
-func (r *room) cellSlots() (cell, mine int) {
+// measure counts the slots of the service in the cell.
+func (r *room) measure() {
 	now := r.s.Timer.Now()
 	own := r.s.Slots.Loads(now.Boot, r.s.Owner.MayAct)[r.service].Slots
+	others, daemons := r.s.Members.Totals(now, r.service, r.s.Self.VM)
 	if r.s.Options.NoForward {
-		return own, own
+		others, daemons = 0, 0
 	}
-	others, daemons := r.s.Members.Totals(now, r.service, r.s.Self.VM)
-	cell = own + others
-	return cell, (cell + daemons) / (daemons + 1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cell = own + others
+	r.mine = (r.cell + daemons) / (daemons + 1)
 }
 
 // comeBack returns when a refused caller should try again.
--- a/citron/calls/run.go
+++ b/citron/calls/run.go
@@ -96,13 +96,14 @@
 	if a.remote.IsZero() {
 		s.Slots.Free(a.grant, s.Timer.Now().Boot, false)
 	}
+	// A slot that another daemon holds for this one comes free there by itself.
 }
 
 func (s *Service) attempt(ctx context.Context, room *room, t *ticket, a assignment, w *buffered) result {
 	if a.remote.IsZero() {
 		return s.local(ctx, room, t.request, a.grant, newAttempt(), w)
 	}
-	return s.remote(ctx, room, t, a.remote, w)
+	return s.remote(ctx, room, t, a, w)
 }
 
 // judge decides whether a request is over or is tried again.
@@ -179,14 +180,12 @@
 		s.Slots.Hold(grant, now, began+r.class.RunBound)
 		s.Log.Emit(event.AnswerDropped, event.Fields{"Endpoint": grant.Endpoint, "Error": err})
 	}
-	if s.RoomChanged != nil {
-		s.RoomChanged()
-	}
 	return result{whole: err == nil, sent: sent, endpoint: grant.Endpoint, err: err}
 }
 
 // remote runs one attempt in another daemon.
-func (s *Service) remote(ctx context.Context, room *room, t *ticket, to citron.Member, w *buffered) result {
+func (s *Service) remote(ctx context.Context, room *room, t *ticket, a assignment, w *buffered) result {
+	to := a.remote
 	client, ok := s.Peers.Peer(to.VM)
 	if !ok {
 		return result{refused: true}
@@ -196,7 +195,9 @@
 	defer cancel()
 	noted, sent := mesh.WithSent(bounded)
 	began := s.Timer.Now().Boot
-	stream, err := client.Forward(noted, s.forwardRequest(t, to, false))
+	request := s.forwardRequest(t, to, false)
+	request.OfferID = a.offer
+	stream, err := client.Forward(noted, request)
 	if err != nil {
 		s.Members.SetFree(to.VM, r.service, 0)
 		return result{sent: sent.Maybe(), refused: !sent.Maybe(), err: err}
--- a/citron/daemon/build.go
+++ b/citron/daemon/build.go
@@ -151,6 +151,7 @@
 		Mesh:       &d.mesh,
 		Appender:   d.appender,
 		LogUp:      d.probeLog,
+		Weigh:      d.slots.ByService,
 		Hooks:      owner.Hooks{Gained: d.gained, Lost: d.lost},
 		Stats:      d.stats,
 		Log:        d.log,
@@ -253,12 +254,12 @@
 	return n
 }
 
-func (d *Daemon) gained(id citron.ShardID, epoch citron.Epoch) {
+func (d *Daemon) gained(id citron.ShardID, epoch citron.Epoch, former citron.Member) {
 	if id.IsPool() {
 		d.jobs.Gained(d.run, d.options, id, epoch)
 		return
 	}
-	d.calls.Gained(id)
+	d.calls.Gained(id, former)
 	d.keyed.Gained(d.run, d.options, id, epoch)
 }
 
--- a/citron/daemon/serve.go
+++ b/citron/daemon/serve.go
@@ -54,6 +54,31 @@
 	return p.d.calls.Forward(request, stream)
 }
 
+// Want takes in what waits in another daemon.
+func (p *peerServer) Want(_ context.Context, request *peer.WantRequest) (*peer.WantReply, error) {
+	if err := p.check(request.GetSender()); err != nil {
+		return nil, err
+	}
+	p.d.calls.Wanted(request)
+	return &peer.WantReply{}, nil
+}
+
+// Remaining answers the new owner of a shard that this daemon owned.
+func (p *peerServer) Remaining(_ context.Context, request *peer.RemainingRequest) (*peer.RemainingReply, error) {
+	if err := p.check(request.GetSender()); err != nil {
+		return nil, err
+	}
+	return p.d.calls.Remaining(request), nil
+}
+
+// Offer takes slots that another daemon holds for calls that wait here.
+func (p *peerServer) Offer(_ context.Context, request *peer.OfferRequest) (*peer.OfferReply, error) {
+	if err := p.check(request.GetSender()); err != nil {
+		return nil, err
+	}
+	return p.d.calls.Offered(request), nil
+}
+
 // Relay answers another daemon's job request.
 func (p *peerServer) Relay(ctx context.Context, request *peer.RelayRequest) (*peer.RelayReply, error) {
 	return p.d.jobs.Relay(ctx, request), nil
--- a/citron/member/member.go
+++ b/citron/member/member.go
@@ -17,7 +17,9 @@
 	AdminAddress string
 	Stopping     bool
 	OwnedShards  int
-	Alive        bool
+	// Slots are those of the daemon's shards by service.
+	Slots map[citron.Service]int
+	Alive bool
 }
 
 // Load is the room of one daemon for one service.
@@ -181,7 +183,12 @@
 }
 
 func (l *List) view(now citron.Instant, e *entry) Peer {
+	slots := make(map[citron.Service]int, len(e.loads))
+	for service, load := range e.loads {
+		slots[service] = load.Slots
+	}
 	return Peer{
+		Slots:        slots,
 		Member:       shard.MemberOf(e.state.GetSender()),
 		AdminAddress: e.state.GetAdminAddress(),
 		Stopping:     e.state.GetStopping(),
--- a/citron/owner/owner.go
+++ b/citron/owner/owner.go
@@ -22,8 +22,6 @@
 const (
 	// repeatAfter is when a change whose end is not known is sent again.
 	repeatAfter = time.Second
-	// balanceEvery is how often a daemon with too many shards hands one over.
-	balanceEvery = 2 * time.Second
 	// settleFor is how long a new daemon listens before it claims shards that have no owner.
 	settleFor = 2 * time.Second
 )
@@ -35,8 +33,8 @@
 
 // Hooks tell the parts that use shards what this daemon holds.
 type Hooks struct {
-	// Gained is called when this daemon becomes the owner of a shard.
-	Gained func(id citron.ShardID, epoch citron.Epoch)
+	// Gained is called when this daemon becomes the owner of a shard. Former is the owner before, if any.
+	Gained func(id citron.ShardID, epoch citron.Epoch, former citron.Member)
 	// Lost is called when it no longer is.
 	Lost func(id citron.ShardID)
 }
@@ -67,6 +65,8 @@
 	Appender   *group.Appender
 	// LogUp asks the log whether it answers now.
 	LogUp func(ctx context.Context) bool
+	// Weigh returns the slots of a shard by service.
+	Weigh func(id citron.ShardID) map[citron.Service]int
 	Hooks Hooks
 	Stats *stats.Set
 	Log   *event.Logger
@@ -208,7 +208,7 @@
 			reply.Taken = append(reply.Taken, l)
 		}
 		if gained {
-			m.gained(citron.ShardID(l.GetShard()), citron.Epoch(l.GetEpoch()))
+			m.gained(citron.ShardID(l.GetShard()), citron.Epoch(l.GetEpoch()), shard.MemberOf(request.GetOwner()))
 		}
 	}
 	return reply
@@ -231,17 +231,17 @@
 	s.held = owns
 	s.mu.Unlock()
 	if gained {
-		m.gained(state.Shard, state.Epoch)
+		m.gained(state.Shard, state.Epoch, before.Owner)
 	}
 	if lost {
 		m.lost(state.Shard)
 	}
 }
 
-func (m *Manager) gained(id citron.ShardID, epoch citron.Epoch) {
+func (m *Manager) gained(id citron.ShardID, epoch citron.Epoch, former citron.Member) {
 	m.Log.Emit(event.ShardGained, event.Fields{"Shard": id, "Epoch": epoch})
 	if m.Hooks.Gained != nil {
-		m.Hooks.Gained(id, epoch)
+		m.Hooks.Gained(id, epoch, former)
 	}
 }
 
--- a/citron/owner/step.go
+++ b/citron/owner/step.go
@@ -104,6 +104,8 @@
 type need struct {
 	id   citron.ShardID
 	kind kind
+	// to is the new owner of a shard that is moved for balance.
+	to citron.Member
 }
 
 // due lists the shards that need a change now.
@@ -115,8 +117,11 @@
 			needs = append(needs, need{id: id, kind: k})
 		}
 	}
-	if id, ok := m.surplus(now, usable); ok && len(needs) == 0 {
-		needs = append(needs, need{id: id, kind: kindBalance})
+	if len(needs) > 0 || m.isStopping() {
+		return needs
+	}
+	if move, ok := m.surplus(now, usable); ok {
+		needs = append(needs, need{id: move.id, kind: kindBalance, to: move.to})
 	}
 	return needs
 }
@@ -182,44 +187,6 @@
 	return n%count == place
 }
 
-// surplus returns a shard to hand over when this daemon has more than its share and another has less.
-func (m *Manager) surplus(now citron.Instant, usable []member.Peer) (id citron.ShardID, ok bool) {
-	if now.Boot-m.balanced < balanceEvery || m.isStopping() {
-		return "", false
-	}
-	m.balanced = now.Boot
-	fair := (len(m.order) + len(usable)) / (len(usable) + 1)
-	if m.Owned() <= fair || m.lightest(usable, "").Member.IsZero() {
-		return "", false
-	}
-	if m.lightest(usable, "").OwnedShards >= len(m.order)/(len(usable)+1) {
-		return "", false
-	}
-	for _, id := range m.order {
-		s := m.slots[id]
-		s.mu.Lock()
-		movable := s.held && s.replica.MayAct(now) && !s.replica.Open()
-		s.mu.Unlock()
-		if movable {
-			return id, true
-		}
-	}
-	return "", false
-}
-
-// lightest returns the daemon with the fewest shards, other than this one and except.
-func (m *Manager) lightest(usable []member.Peer, except citron.VMName) (best member.Peer) {
-	for _, p := range usable {
-		if p.Member.VM == m.Self.VM || p.Member.VM == except {
-			continue
-		}
-		if best.Member.IsZero() || p.OwnedShards < best.OwnedShards {
-			best = p
-		}
-	}
-	return best
-}
-
 // changes turns needs into changes. From here on the shards' own rules hold until the log shows the end.
 func (m *Manager) changes(needs []need) (changes []shard.Change) {
 	now := m.Timer.Now()
@@ -252,9 +219,8 @@
 		m.Log.Emit(event.StandbyChanged, event.Fields{"Shard": n.id, "Standby": next.VM})
 		return s.replica.Appoint(now, next)
 	case kindBalance:
-		to := m.lightest(usable, "").Member
-		m.Log.Emit(event.ShardHandedOff, event.Fields{"Shard": n.id, "To": to.VM})
-		return s.replica.HandOver(to, m.Self)
+		m.Log.Emit(event.ShardHandedOff, event.Fields{"Shard": n.id, "To": n.to.VM})
+		return s.replica.HandOver(n.to, m.Self)
 	}
 	return shard.Change{}, false
 }
--- a/citron/slots/slots.go
+++ b/citron/slots/slots.go
@@ -57,6 +57,8 @@
 
 // group is the endpoints of one shard under one lock.
 type group struct {
+	id citron.ShardID
+
 	mu        sync.Mutex
 	owned     bool
 	endpoints map[citron.Endpoint]*endpoint
@@ -69,6 +71,8 @@
 
 	mu     sync.RWMutex
 	groups map[citron.ShardID]*group
+	// list holds the same groups; it is replaced, never changed.
+	list []*group
 }
 
 // Set takes in the platform's list. Endpoints that are no longer listed get nothing new.
@@ -109,16 +113,17 @@
 // for which mayAct is false.
 func (t *Table) Acquire(service citron.Service, now time.Duration, avoid []citron.Endpoint, mayAct func(citron.ShardID) bool) (Grant, bool) {
 	for range 2 {
-		best, free := citron.ShardID(""), 0
-		for id, g := range t.snapshot() {
-			if n := g.best(service, now, avoid); n > free && mayAct(id) {
-				best, free = id, n
+		var best *group
+		free := 0
+		for _, g := range t.all() {
+			if n := g.best(service, now, avoid); n > free && mayAct(g.id) {
+				best, free = g, n
 			}
 		}
-		if free == 0 {
+		if best == nil {
 			return Grant{}, false
 		}
-		if grant, ok := t.group(best).take(service, now, avoid); ok {
+		if grant, ok := best.take(service, now, avoid); ok {
 			return grant, true
 		}
 	}
@@ -160,13 +165,50 @@
 	})
 }
 
+// Remaining returns how many calls are or may be running at each endpoint of a shard that is owned no more. It
+// reports false while the shard is owned.
+func (t *Table) Remaining(shard citron.ShardID, now time.Duration) (map[citron.Endpoint]int, bool) {
+	g := t.group(shard)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	remaining := make(map[citron.Endpoint]int, len(g.endpoints))
+	for name, e := range g.endpoints {
+		e.expire(now)
+		remaining[name] = e.active + len(e.holds)
+	}
+	return remaining, !g.owned
+}
+
+// Release takes in what a former owner says of the calls that it still has. It is the only one that can have any.
+func (t *Table) Release(shard citron.ShardID, remaining map[citron.Endpoint]int) {
+	for name, n := range remaining {
+		t.with(Grant{Endpoint: name, Shard: shard}, func(e *endpoint) {
+			e.holds = e.holds[:min(n, len(e.holds))]
+		})
+	}
+}
+
+// ByService returns the slots of one shard by service.
+func (t *Table) ByService(shard citron.ShardID) map[citron.Service]int {
+	g := t.group(shard)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	total := map[citron.Service]int{}
+	for _, e := range g.endpoints {
+		if !e.gone && !e.Leaving {
+			total[e.Service] += e.limit()
+		}
+	}
+	return total
+}
+
 // Held lists the endpoints of owned shards that have slots without evidence.
 func (t *Table) Held(now time.Duration) (held []Grant) {
-	for id, g := range t.snapshot() {
+	for _, g := range t.all() {
 		g.mu.Lock()
 		for _, e := range g.endpoints {
 			if e.expire(now); g.owned && len(e.holds) > 0 && !e.gone {
-				held = append(held, Grant{Endpoint: e.Name, Address: e.Address, Shard: id})
+				held = append(held, Grant{Endpoint: e.Name, Address: e.Address, Shard: g.id})
 			}
 		}
 		g.mu.Unlock()
@@ -183,8 +225,8 @@
 // Loads returns the room by service.
 func (t *Table) Loads(now time.Duration, mayAct func(citron.ShardID) bool) map[citron.Service]Load {
 	loads := map[citron.Service]Load{}
-	for id, g := range t.snapshot() {
-		if !mayAct(id) {
+	for _, g := range t.all() {
+		if !mayAct(g.id) {
 			continue
 		}
 		g.mu.Lock()
@@ -230,27 +272,17 @@
 		t.groups = map[citron.ShardID]*group{}
 	}
 	if g, ok = t.groups[id]; !ok {
-		g = &group{endpoints: map[citron.Endpoint]*endpoint{}}
+		g = &group{id: id, endpoints: map[citron.Endpoint]*endpoint{}}
 		t.groups[id] = g
+		t.list = append(t.list[:len(t.list):len(t.list)], g)
 	}
 	return g
 }
 
-func (t *Table) all() (groups []*group) {
-	for _, g := range t.snapshot() {
-		groups = append(groups, g)
-	}
-	return groups
-}
-
-func (t *Table) snapshot() map[citron.ShardID]*group {
+func (t *Table) all() []*group {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	groups := make(map[citron.ShardID]*group, len(t.groups))
-	for id, g := range t.groups {
-		groups[id] = g
-	}
-	return groups
+	return t.list
 }
 
 func (g *group) set(s Spec) {
--- a/citronlab/fault/rig_test.go
+++ b/citronlab/fault/rig_test.go
@@ -205,7 +205,7 @@
 		x.jobs.Gained(x.ctx, x.opt, id, epoch)
 		return
 	}
-	x.calls.Gained(id)
+	x.calls.Gained(id, citron.Member{})
 	x.calls.Keyed.Gained(x.ctx, x.opt, id, epoch)
 }
 
--- a/citronlab/load/report.go
+++ b/citronlab/load/report.go
@@ -46,6 +46,10 @@
 	Seed  int64
 	Slots int
 	Rows  []Row
+	// StealPercent is the part of the machine's time that other machines took during the load, and BusyPercent the
+	// part that was used. Waits of a run with steal say little of the scheduler.
+	StealPercent float64
+	BusyPercent  float64
 	// Goodput is the part of all slots that served calls have used.
 	Goodput float64
 }
@@ -117,7 +121,8 @@
 // Table returns the report as lines.
 func (r Report) Table() string {
 	var out strings.Builder
-	fmt.Fprintf(&out, "%s: seed %d, %d slots, goodput %.3f\n", r.Name, r.Seed, r.Slots, r.Goodput)
+	fmt.Fprintf(&out, "%s: seed %d, %d slots, goodput %.3f, machine busy %.0f %%, stolen %.0f %%\n",
+		r.Name, r.Seed, r.Slots, r.Goodput, r.BusyPercent, r.StealPercent)
 	w := tabwriter.NewWriter(&out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "class\tcalls\tdone\tnot run\tunknown\terrors\twait p50 ms\tp99\tmax\tomniscient p99\tratio\trefused p99\tcame back\tserved\t")
 	for _, row := range r.Rows {
--- a/citronlab/loadcmd.go
+++ b/citronlab/loadcmd.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"runtime/pprof"
 	"strings"
 	"syscall"
 	"time"
@@ -29,8 +30,14 @@
 	out := clause.Flag("out", "Folder for the JSON result and the plot.").String()
 	examples := clause.Flag("examples", "Folder of the example templates.").Default("examples").String()
 	seeds := clause.Flag("runs", "Number of runs, each with its own seed.").Default("1").Int()
+	profile := clause.Flag("profile", "File for a CPU profile.").String()
 	return command{clause: clause, run: func() (err error) {
 		defer func() { err = eris.Wrap(err, "load") }()
+		stopProfile, err := startProfile(*profile)
+		if err != nil {
+			return err
+		}
+		defer stopProfile()
 		var settings prefs.Load
 		if problems := conf.ReadFile(*file, &settings); len(problems) > 0 {
 			return problems
@@ -51,6 +58,24 @@
 	}}
 }
 
+// startProfile writes a CPU profile to a file until stopped; no file means no profile.
+func startProfile(file string) (stop func(), err error) {
+	if file == "" {
+		return func() {}, nil
+	}
+	out, err := os.Create(file)
+	if err != nil {
+		return nil, err
+	}
+	if err := pprof.StartCPUProfile(out); err != nil {
+		return nil, err
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		_ = out.Close()
+	}, nil
+}
+
 func saveReport(report load.Report, folder string) error {
 	if folder == "" {
 		return nil
@@ -85,14 +110,18 @@
 	}
 	calls := load.Plan(settings)
 	sender := &load.Sender{Settings: settings, Timer: timer.Service{}, Targets: targets}
+	before := load.ReadMachine()
 	sender.Send(ctx, calls)
+	busy, steal := before.Since()
 	ranks, limits, err := classes(settings, examples)
 	if err != nil {
 		return report, err
 	}
 	slots := int(settings.GetCell().GetEndpoints() * settings.GetCell().GetSlots())
 	omni := load.Omniscient(calls, slots, ranks, limits)
-	return load.Measure(name, settings, slots, calls, omni), nil
+	report = load.Measure(name, settings, slots, calls, omni)
+	report.BusyPercent, report.StealPercent = busy, steal
+	return report, nil
 }
 
 // settleTime lets slots that count as taken after the start come free before load is sent.
