--- a/citronlab/fault/rig_test.go
+++ b/citronlab/fault/rig_test.go
@@ -196,6 +196,7 @@
 // own gives a shard to a node.
 func (r *rig) own(id citron.ShardID, n int) {
 	r.mu.Lock()
+	former, owned := r.owners[id]
 	r.owners[id] = n
 	r.epochs[id]++
 	epoch := r.epochs[id]
@@ -205,7 +206,12 @@
 		x.jobs.Gained(x.ctx, x.opt, id, epoch)
 		return
 	}
-	x.calls.Gained(id, citron.Member{})
+	var before citron.Member
+	if owned {
+		before = r.nodes[former].self
+		r.nodes[former].calls.Lost(id)
+	}
+	x.calls.Gained(id, before)
 	x.calls.Keyed.Gained(x.ctx, x.opt, id, epoch)
 }
 
@@ -465,3 +471,34 @@
 const pollEvery = 2 * time.Millisecond
 
 func (r *rig) clock() timer.Service { return timer.Service{} }
+
+// Want hands what waits to the other node.
+func (w wire) Want(_ context.Context, request *peer.WantRequest, _ ...grpc.CallOption) (*peer.WantReply, error) {
+	return &peer.WantReply{}, w.from.step("want to "+string(w.to.self.VM), false, func() error {
+		if w.to.isDead() {
+			return citron.ErrUnavailable
+		}
+		w.to.calls.Wanted(request)
+		return nil
+	})
+}
+
+// Offer hands offered slots to the other node.
+func (w wire) Offer(_ context.Context, request *peer.OfferRequest, _ ...grpc.CallOption) (reply *peer.OfferReply, err error) {
+	err = w.from.step("offer to "+string(w.to.self.VM), false, func() error {
+		if w.to.isDead() {
+			return citron.ErrUnavailable
+		}
+		reply = w.to.calls.Offered(request)
+		return nil
+	})
+	return reply, err
+}
+
+// Remaining asks the other node, as a former owner. It is no step: a lost answer is asked for again.
+func (w wire) Remaining(_ context.Context, request *peer.RemainingRequest, _ ...grpc.CallOption) (*peer.RemainingReply, error) {
+	if w.to.isDead() {
+		return nil, citron.ErrUnavailable
+	}
+	return w.to.calls.Remaining(request), nil
+}
