--- a/citron/daemon/daemon.go
+++ b/citron/daemon/daemon.go
@@ -168,6 +168,11 @@
 	return d.stopAsk
 }
 
+// InFlight returns the number of calls that are under way here.
+func (d *Daemon) InFlight() int {
+	return d.calls.InFlight()
+}
+
 // Self returns the member that this process is.
 func (d *Daemon) Self() citron.Member {
 	return d.self
--- a/citronlab/endp/endp.go
+++ b/citronlab/endp/endp.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -84,6 +85,13 @@
 	return r
 }
 
+// Runs counts the runs of each request, by team, class and request id.
+func (e *Endpoint) Runs() map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.runs)
+}
+
 func (e *Endpoint) run(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
 	if err != nil {
