--- a/citron/conf/conf.go
+++ b/citron/conf/conf.go
@@ -127,19 +127,20 @@
 		if n, is := value.(int64); is {
 			return protoreflect.ValueOfInt64(n), true
 		}
-		r.problems.Add(r.file, path, "is %v, must be a whole number%s", value, unit(path))
+		r.problems.Add(r.file, path, "is %v, must be a whole number%s", value, unit(path, " of %s without a unit"))
 	}
 	return v, false
 }
 
-func unit(path string) string {
+// unit names the unit that a key ends with, in a phrase.
+func unit(path, phrase string) string {
 	units := map[string]string{
 		"Ms": "milliseconds", "Minutes": "minutes", "Percent": "percent",
 		"Mb": "megabytes", "Bytes": "bytes", "PerSecond": "events per second",
 	}
 	for suffix, name := range units {
 		if strings.HasSuffix(path, suffix) {
-			return " of " + name + " without a unit"
+			return fmt.Sprintf(phrase, name)
 		}
 	}
 	return ""
--- a/citron/conf/daemon.go
+++ b/citron/conf/daemon.go
@@ -87,7 +87,7 @@
 	oneOf(file, "Log.Format", d.GetLog().GetFormat(), p, "text", "json")
 	for _, r := range daemonRanges(d) {
 		if r.value < r.min || r.value > r.max {
-			p.Add(file, r.key, "is %d, must be from %d to %d%s", r.value, r.min, r.max, unit(r.key))
+			p.Add(file, r.key, "is %d, must be from %d to %d%s", r.value, r.min, r.max, unit(r.key, " %s"))
 		}
 	}
 	if o := d.GetOwnership(); o.GetRenewMs()*3 > o.GetLeaseMs() {
--- a/citron/event/catalog.go
+++ b/citron/event/catalog.go
@@ -20,7 +20,6 @@
 	SnapshotWritten = add(202, logrus.InfoLevel, "snapshot written")
 	ListFailed      = add(203, logrus.WarnLevel, "VM list failed")
 	VMGone          = add(204, logrus.InfoLevel, "VM gone")
-	VMLeaving       = add(205, logrus.InfoLevel, "VM leaving")
 	PowerFailed     = add(206, logrus.WarnLevel, "power change failed")
 )
 
--- /dev/null
+++ b/citron/feed/feed_test.go
@@ -0,0 +1,68 @@
+package feed
+
+import (
+	"context"
+	"testing"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/state"
+	"github.com/citroncross/citroncross/citron/stream/memory"
+	"github.com/citroncross/citroncross/citron/timer"
+	"github.com/citroncross/citroncross/schema/record"
+)
+
+func ownership(base uint64, vm string) *record.Entry {
+	c := &record.ShardChange{Shard: "c000", BaseEpoch: base, BaseStandbyNumber: base, Owner: &record.Member{VM: vm, Incarnation: 1}}
+	return &record.Entry{Body: &record.Entry_Ownership{Ownership: &record.Ownership{Changes: []*record.ShardChange{c}}}}
+}
+
+// load folds a stream with a new follower.
+func load(log citron.Log) (*state.Owners, error) {
+	owners := &state.Owners{}
+	f := &Follower{Log: log, Timer: timer.Service{}, Stream: citron.StreamOwners, Fold: owners}
+	return owners, f.Load(context.Background())
+}
+
+func TestStateOutlastsRetention(t *testing.T) {
+	log := &memory.Log{Retain: 4}
+	ctx := context.Background()
+	add := func(e *record.Entry) {
+		if _, err := log.Append(ctx, citron.StreamOwners, []*record.Entry{e}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	add(ownership(0, "a"))
+	add(ownership(1, "b"))
+	owners, err := load(log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	snapshot := owners.Snapshot()
+	snapshot.AsOf = 1
+	add(ownership(2, "c"))
+	add(&record.Entry{Body: &record.Entry_Snapshot{Snapshot: snapshot}})
+	// A late claim on an old base, behind the snapshot, must stay void for a reader that starts here.
+	add(ownership(1, "d"))
+	owners, err = load(log)
+	if err != nil || owners.Get("c000").Owner.VM != "c" {
+		t.Errorf("owner is %v, error %v", owners.Get("c000").Owner, err)
+	}
+	add(ownership(9, "x"))
+	add(ownership(9, "x"))
+	if _, err := load(log); err == nil {
+		t.Error("a stream whose snapshot no longer reaches back far enough was loaded")
+	}
+}
+
+func TestAnOlderLogTakesNothingBack(t *testing.T) {
+	log := &memory.Log{}
+	owners := &state.Owners{}
+	f := &Follower{Log: log, Timer: timer.Service{}, Stream: citron.StreamOwners, Fold: owners}
+	f.Adopt(&record.Snapshot{Shards: []*record.ShardState{{Shard: "c000", Epoch: 5, Owner: &record.Member{VM: "a"}}}}, 7)
+	if err := f.Load(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if f.Next() != 7 || owners.Get("c000").Epoch != 5 {
+		t.Errorf("went back to offset %d, epoch %d", f.Next(), owners.Get("c000").Epoch)
+	}
+}
--- a/citronlab/load/report.go
+++ b/citronlab/load/report.go
@@ -34,7 +34,7 @@
 	// CameBack is the number of refused callers who came back as told, and Served how many of them were served.
 	CameBack int
 	Served   int
-	// GoodPerSecond is the endpoint time of served calls for each second, in slots.
+	// GoodPerSecond is the endpoint time of served calls for each second of the measured time, in slots.
 	GoodPerSecond float64
 
 	waits *hdrhistogram.Histogram
@@ -63,7 +63,7 @@
 	warm := time.Duration(settings.GetWarmUpMs()) * time.Millisecond
 	seconds := float64(settings.GetDurationMs()) / 1000
 	for n, a := range settings.GetArrivals() {
-		row := measureRow(n, calls, omni, warm)
+		row := measureRow(n, calls, omni, warm, warm+time.Duration(settings.GetDurationMs())*time.Millisecond)
 		row.Team, row.Class = a.GetTeam(), a.GetClass()
 		row.GoodPerSecond /= seconds
 		report.Goodput += row.GoodPerSecond / float64(slots)
@@ -72,12 +72,18 @@
 	return report
 }
 
-func measureRow(stream int, calls []Call, omni []time.Duration, warm time.Duration) (row Row) {
+func measureRow(stream int, calls []Call, omni []time.Duration, warm, end time.Duration) (row Row) {
 	waits := hdrhistogram.New(1, highest, 3)
 	reference := hdrhistogram.New(1, highest, 3)
 	refused := hdrhistogram.New(1, highest, 3)
 	for n, c := range calls {
-		if c.Stream != stream || c.At < warm {
+		if c.Stream != stream {
+			continue
+		}
+		if c.At < warm {
+			if c.Outcome == "Done" {
+				row.GoodPerSecond += within(c, warm, end).Seconds()
+			}
 			continue
 		}
 		row.Calls++
@@ -87,7 +93,7 @@
 		switch c.Outcome {
 		case "Done":
 			row.Done++
-			row.GoodPerSecond += c.Run.Seconds()
+			row.GoodPerSecond += within(c, warm, end).Seconds()
 			_ = waits.RecordValue(max((c.Took - c.Run).Microseconds(), 1))
 		case "NotRun":
 			row.NotRun++
@@ -114,6 +120,12 @@
 	return row
 }
 
+// within returns the part of a served call's run that lies between two times.
+func within(c Call, from, to time.Duration) time.Duration {
+	ended := c.At + c.Took
+	return max(min(ended, to)-max(ended-c.Run, from), 0)
+}
+
 func milliseconds(h *hdrhistogram.Histogram, percent float64) float64 {
 	return float64(h.ValueAtQuantile(percent)) / 1000
 }
