Charge the share of less urgent work by slot time, not by turns

Cause: at twice the load each 16th turn went to batch work whose runs are eight times as long, so batch took a third of the slot time and urgent work, 85 % of the slots alone, was starved into its deadline.

--- a/citron/queue/queue.go
+++ b/citron/queue/queue.go
@@ -9,8 +9,13 @@
 	"github.com/citroncross/citroncross/citron/tmpl"
 )
 
-// lowerEvery is the number of pops of which one goes to the least urgent waiting work.
-const lowerEvery = 16
+const (
+	// lowerShare is the part of the slot time, as a divisor, that goes to the least urgent waiting work even while
+	// more urgent work waits.
+	lowerShare = 16
+	// maxCredit bounds the slot time that less urgent work can save up.
+	maxCredit = time.Minute
+)
 
 // Item is one waiting call. Times are on the boot clock.
 type Item struct {
@@ -54,8 +59,9 @@
 	work  [tmpl.Urgencies]time.Duration
 	count int
 	bytes int64
-	pops  uint64
 	seq   uint64
+	// credit is the slot time that the least urgent waiting work has a right to.
+	credit time.Duration
 }
 
 // SetShare sets the part of the slots that a team may claim, from 0 to 1; 0 stands for no bound.
@@ -89,8 +95,19 @@
 
 // Peek returns the item that the next Pop returns for slots slots in all, or nil.
 func (q *Queue) Peek(slots int) *Item {
-	lowest := !q.Fifo && (q.pops+1)%lowerEvery == 0
-	var best *Item
+	best := q.first(slots, false)
+	if best == nil || q.Fifo {
+		return best
+	}
+	lowest := q.first(slots, true)
+	if lowest.Urgency > best.Urgency && lowest.Expected <= q.credit {
+		return lowest
+	}
+	return best
+}
+
+// first returns the item that goes before all others. Lowest turns the order of urgencies round.
+func (q *Queue) first(slots int, lowest bool) (best *Item) {
 	for _, t := range q.teams {
 		for u := range t.lanes {
 			l := &t.lanes[u]
@@ -102,13 +119,23 @@
 	return best
 }
 
+// charge keeps the account of slot time between urgent and less urgent work.
+func (q *Queue) charge(item *Item, best *Item) {
+	q.credit = min(q.credit+item.Expected/lowerShare, maxCredit)
+	if item.Urgency > best.Urgency {
+		q.credit = max(q.credit-item.Expected, 0)
+	}
+}
+
 // Pop takes out the next item for slots slots in all and counts it as in use by its team.
 func (q *Queue) Pop(slots int) *Item {
 	item := q.Peek(slots)
 	if item == nil {
 		return nil
 	}
-	q.pops++
+	if !q.Fifo {
+		q.charge(item, q.first(slots, false))
+	}
 	q.Remove(item)
 	q.Started(item.Team)
 	return item
