--- a/citron/calls/calls.go
+++ b/citron/calls/calls.go
@@ -124,16 +124,18 @@
 func (s *Service) Run(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
 	go func() {
+		round := 0
 		tick, stop := s.Timer.Every(expireEvery)
 		defer stop()
 		for {
 			select {
 			case now := <-tick:
-				s.Changed()
-				s.attempts.expire(now.Boot)
 				s.freeOffers(now.Boot)
-				if s.RoomChanged != nil {
-					s.RoomChanged()
+				s.expire()
+				if round++; round%measureRounds == 0 {
+					s.Changed()
+					s.attempts.expire(now.Boot)
+					s.roomChanged()
 				}
 			case <-ctx.Done():
 				ended <- nil
@@ -144,6 +146,21 @@
 	return ended
 }
 
+// expire answers waiting calls that can no longer start in time.
+func (s *Service) expire() {
+	for _, r := range s.allRooms() {
+		if r.len() > 0 {
+			r.kick()
+		}
+	}
+}
+
+func (s *Service) roomChanged() {
+	if s.RoomChanged != nil {
+		s.RoomChanged()
+	}
+}
+
 // Queued returns the number of waiting calls by service.
 func (s *Service) Queued() map[citron.Service]int {
 	queued := map[citron.Service]int{}
--- a/citron/calls/room.go
+++ b/citron/calls/room.go
@@ -12,6 +12,8 @@
 const (
 	// expireEvery is how often calls that can no longer start in time are answered.
 	expireEvery = 20 * time.Millisecond
+	// measureRounds is the number of those rounds after which the slots of the cell are counted again.
+	measureRounds = 10
 	// leastRetryAfter is the shortest time after which a refused caller is asked to come back.
 	leastRetryAfter = 100 * time.Millisecond
 	// learnWeight is the weight of a new run time in the expected one.
--- a/citronlab/load/load.go
+++ b/citronlab/load/load.go
@@ -25,6 +25,8 @@
 // Call is one planned call and how it fared.
 type Call struct {
 	Stream int
+	// ID is the request id.
+	ID string
 	// At is when the call arrives, from the start of the load.
 	At time.Duration
 	// Run is how long it runs on an endpoint.
@@ -82,20 +84,23 @@
 			break
 		}
 		target := s.Targets[n%len(s.Targets)]
-		group.Go(func() { s.one(ctx, &calls[n], target) })
+		calls[n].ID = fmt.Sprintf("load-%d-%d", s.Settings.GetSeed(), n)
+		next := s.Targets[(n+1)%len(s.Targets)]
+		group.Go(func() { s.one(ctx, &calls[n], target, next) })
 	}
 	group.Wait()
 }
 
-// one sends a call and, where it was refused and its stream says so, once more when it was told to.
-func (s *Sender) one(ctx context.Context, c *Call, target string) {
+// one sends a call and, where it was not answered and its stream says so, once more, with the same request id and to
+// another daemon, when it was told to.
+func (s *Sender) one(ctx context.Context, c *Call, target, next string) {
 	began := s.Timer.Now().Boot
 	c.Outcome, c.ComeBack = s.post(ctx, c, target)
 	c.Took = s.Timer.Now().Boot - began
-	if c.Outcome != "NotRun" || !s.Settings.GetArrivals()[c.Stream].GetComeBack() || !s.pause(ctx, c.ComeBack) {
+	if c.Outcome == "Done" || !s.Settings.GetArrivals()[c.Stream].GetComeBack() || !s.pause(ctx, c.ComeBack) {
 		return
 	}
-	again, _ := s.post(ctx, c, target)
+	again, _ := s.post(ctx, c, next)
 	c.Served = again == "Done"
 }
 
@@ -107,6 +112,7 @@
 	if err != nil {
 		return "Error", 0
 	}
+	request.Header.Set(front.HeaderRequestID, c.ID)
 	response, err := s.service.DoRequest(request)
 	if err != nil {
 		return "Error", 0
--- a/citronlab/load/report.go
+++ b/citronlab/load/report.go
@@ -90,6 +90,12 @@
 		if omni[n] >= 0 {
 			_ = reference.RecordValue(max(omni[n].Microseconds(), 1))
 		}
+		if c.Outcome != "Done" && c.ComeBack > 0 {
+			row.CameBack++
+		}
+		if c.Served {
+			row.Served++
+		}
 		switch c.Outcome {
 		case "Done":
 			row.Done++
@@ -98,12 +104,6 @@
 		case "NotRun":
 			row.NotRun++
 			_ = refused.RecordValue(max(c.Took.Microseconds(), 1))
-			if c.ComeBack > 0 {
-				row.CameBack++
-			}
-			if c.Served {
-				row.Served++
-			}
 		case "Unknown":
 			row.Unknown++
 		default:
--- a/citronlab/main.go
+++ b/citronlab/main.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/zeromicro/go-zero/core/logx"
 )
 
 // command is one subcommand.
@@ -15,6 +16,7 @@
 }
 
 func main() {
+	logx.Disable()
 	app := kingpin.New("citronlab", "Stand-ins, a small cell and load for citroncross.")
 	commands := []command{
 		devCommand(app),
