--- a/citronlab/endp/endp.go
+++ b/citronlab/endp/endp.go
@@ -169,6 +169,11 @@
 	wire.Write(w, &lab.EndpointReport{InFlight: int32(n)})
 }
 
-func (e *Endpoint) record(w http.ResponseWriter, _ *http.Request) {
+// record answers with the record and, where Runs=true is asked for, the runs of each request.
+func (e *Endpoint) record(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("Runs") == "true" {
+		writeJSON(w, e.Runs())
+		return
+	}
 	writeJSON(w, e.Record())
 }
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -31,17 +31,14 @@
 	strike &
 	"$run/citronlab" load docs/results/faults.toml
 	wait %1
-	echo "endpoints' own records: most calls at once of slots, runs, request ids that ran more than once by class"
+	echo "endpoints' own records: most calls at once of slots, and runs"
 	for n in 0 1 2 3; do
-		curl -s "http://127.0.0.100:910$n/v1/record" | python3 -c '
-import json, sys
-r = json.load(sys.stdin)
-again = {}
-for key, n in r["Repeated"].items():
-    c = key.split("/")[1]
-    again[c] = again.get(c, 0) + 1
-print(r["Name"], r["Most"], "of", r["Slots"], "runs", r["Total"], "repeated", again)'
+		curl -s "http://127.0.0.100:910$n/v1/record"
 	done
+	echo "sweeps over all endpoints: request ids, and those that ran more than once"
+	for n in 0 1 2 3; do
+		curl -s "http://127.0.0.100:910$n/v1/record?Runs=true" | tr ',{}' '\n\n\n' | grep /sweep/
+	done | awk -F: '{runs[$1 ":" $2] += $NF} END {for (id in runs) {all++; if (runs[id] > 1) again++}; print all + 0, again + 0}'
 	"$run/citronctl" status
 } | tee docs/results/faults.txt
 scripts/cell.sh stop
