--- a/citron/calls/calls.go
+++ b/citron/calls/calls.go
@@ -13,6 +13,7 @@
 	"github.com/citroncross/citroncross/citron/member"
 	"github.com/citroncross/citroncross/citron/shard"
 	"github.com/citroncross/citroncross/citron/slots"
+	"github.com/citroncross/citroncross/citron/spawn"
 	"github.com/citroncross/citroncross/citron/state"
 	"github.com/citroncross/citroncross/citron/stats"
 	"github.com/citroncross/citroncross/citron/tmpl"
@@ -91,6 +92,8 @@
 	attempts seen
 	flights  flights
 	offers   offers
+	// exchanges are messages and records that nobody's answer waits for.
+	exchanges spawn.Group
 }
 
 // Serve runs a request and writes its answer. A nil refusal means that the whole answer was written.
@@ -124,6 +127,7 @@
 func (s *Service) Run(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
 	go func() {
+		s.exchanges.Bind(ctx)
 		round := 0
 		tick, stop := s.Timer.Every(expireEvery)
 		defer stop()
@@ -138,6 +142,7 @@
 					s.roomChanged()
 				}
 			case <-ctx.Done():
+				<-s.exchanges.Ended()
 				ended <- nil
 				return
 			}
--- a/citron/calls/keyed.go
+++ b/citron/calls/keyed.go
@@ -287,24 +287,33 @@
 		body.Body = k.answer.body
 		body.ContentType = k.answer.contentType
 	}
-	go k.recordOutcome(body)
+	// A graceful stop waits for the record as for a request.
+	end := k.s.flights.begin()
+	k.s.exchanges.Go(func(ctx context.Context) {
+		defer end()
+		k.recordOutcome(ctx, body)
+	})
 }
 
 // recordOutcome repeats the record until it has been applied or the shard is lost.
-func (k *keyedRun) recordOutcome(body *record.CallOutcome) {
+func (k *keyedRun) recordOutcome(ctx context.Context, body *record.CallOutcome) {
 	defer k.s.Keyed.exit(k.book, k.key)
 	for {
 		entry := k.book.ledger.Entry()
 		entry.Body = &record.Entry_CallOutcome{CallOutcome: body}
-		bounded, cancel := context.WithTimeout(context.Background(), intentTimeout)
+		bounded, cancel := context.WithTimeout(ctx, intentTimeout)
 		err := k.book.ledger.Commit(bounded, entry)
 		cancel()
 		if err == nil {
 			return
 		}
-		due, _ := k.s.Timer.After(closeRetry)
-		<-due
-		if !k.s.Owner.MayAct(k.id) {
+		due, stop := k.s.Timer.After(closeRetry)
+		select {
+		case <-due:
+		case <-ctx.Done():
+			stop()
+		}
+		if ctx.Err() != nil || !k.s.Owner.MayAct(k.id) {
 			k.s.Log.Emit(event.CallUnknown, event.Fields{"Team": k.key.Team, "Class": k.request.Class, "Error": "outcome not recorded"})
 			return
 		}
--- a/citron/calls/offer.go
+++ b/citron/calls/offer.go
@@ -135,7 +135,8 @@
 	w.count--
 	id := uuid.NewString()
 	r.s.offers.add(id, grant, now.Boot+offerLasts)
-	go r.offer(w.sender, id)
+	to := w.sender
+	r.s.exchanges.Go(func(ctx context.Context) { r.offer(ctx, to, id) })
 	return true
 }
 
@@ -164,14 +165,14 @@
 	return w.latestStart+slackMargin < own.LatestStart
 }
 
-// offer tells another daemon of a slot. It ends by its time limit, so nobody waits for it.
-func (r *room) offer(to citron.Member, id string) {
+// offer tells another daemon of a slot.
+func (r *room) offer(ctx context.Context, to citron.Member, id string) {
 	taken := false
 	client, ok := r.s.Peers.Peer(to.VM)
 	if ok {
-		ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
+		bounded, cancel := context.WithTimeout(ctx, offerTimeout)
 		defer cancel()
-		reply, err := client.Offer(ctx, &peer.OfferRequest{
+		reply, err := client.Offer(bounded, &peer.OfferRequest{
 			Sender:   shard.MemberRecord(r.s.Self),
 			Service:  string(r.service),
 			OfferIDs: []string{id},
@@ -206,14 +207,14 @@
 	}
 	for _, p := range r.s.Members.Usable(now) {
 		if client, ok := r.s.Peers.Peer(p.Member.VM); ok && p.Member.VM != r.s.Self.VM {
-			go tellWant(client, request)
+			r.s.exchanges.Go(func(ctx context.Context) { tellWant(ctx, client, request) })
 		}
 	}
 }
 
-// tellWant is one message. It ends by its time limit, so nobody waits for it.
-func tellWant(client peer.PeerClient, request *peer.WantRequest) {
-	ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
+// tellWant is one message.
+func tellWant(ctx context.Context, client peer.PeerClient, request *peer.WantRequest) {
+	bounded, cancel := context.WithTimeout(ctx, offerTimeout)
 	defer cancel()
-	_, _ = client.Want(ctx, request)
+	_, _ = client.Want(bounded, request)
 }
--- a/citron/daemon/beat.go
+++ b/citron/daemon/beat.go
@@ -56,6 +56,7 @@
 	go func() {
 		tick, stop := d.timer.Every(ms(d.settings.GetOwnership().GetBeatMs()))
 		defer stop()
+		d.exchanges.Bind(d.run)
 		for {
 			d.beatAll()
 			d.pause(d.run, leastBeat)
@@ -63,6 +64,7 @@
 			case <-tick:
 			case <-d.beatNow:
 			case <-d.run.Done():
+				<-d.exchanges.Ended()
 				ended <- nil
 				return
 			}
@@ -74,17 +76,17 @@
 func (d *Daemon) beatAll() {
 	said := d.state()
 	for _, vm := range d.mesh.Names() {
-		go d.beat(vm, said)
+		d.exchanges.Go(func(ctx context.Context) { d.beat(ctx, vm, said) })
 	}
 }
 
-// beat is one exchange with one daemon. It ends by its time limit, so nobody waits for it.
-func (d *Daemon) beat(vm citron.VMName, said *peer.BeatRequest) {
+// beat is one exchange with one daemon.
+func (d *Daemon) beat(ctx context.Context, vm citron.VMName, said *peer.BeatRequest) {
 	client, ok := d.mesh.Peer(vm)
 	if !ok {
 		return
 	}
-	bounded, cancel := context.WithTimeout(d.run, ms(d.settings.GetOwnership().GetBeatMs()))
+	bounded, cancel := context.WithTimeout(ctx, ms(d.settings.GetOwnership().GetBeatMs()))
 	defer cancel()
 	reply, err := client.Beat(bounded, said)
 	if err == nil {
--- a/citron/daemon/daemon.go
+++ b/citron/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/citroncross/citroncross/citron/owner"
 	"github.com/citroncross/citroncross/citron/serve"
 	"github.com/citroncross/citroncross/citron/slots"
+	"github.com/citroncross/citroncross/citron/spawn"
 	"github.com/citroncross/citroncross/citron/state"
 	"github.com/citroncross/citroncross/citron/stats"
 	"github.com/citroncross/citroncross/citron/timer"
@@ -68,6 +69,7 @@
 	options   ledger.Options
 	health    logHealth
 	beatNow   chan struct{}
+	exchanges spawn.Group
 
 	// run lasts until the daemon has stopped.
 	run    context.Context
--- a/citron/owner/owner.go
+++ b/citron/owner/owner.go
@@ -13,6 +13,7 @@
 	"github.com/citroncross/citroncross/citron/group"
 	"github.com/citroncross/citroncross/citron/member"
 	"github.com/citroncross/citroncross/citron/shard"
+	"github.com/citroncross/citroncross/citron/spawn"
 	"github.com/citroncross/citroncross/citron/state"
 	"github.com/citroncross/citroncross/citron/stats"
 	"github.com/citroncross/citroncross/schema/peer"
@@ -76,16 +77,16 @@
 	started  time.Duration
 	balanced time.Duration
 
+	exchanges spawn.Group
+
 	mu       sync.Mutex
 	stopping bool
-	drained  chan struct{}
 }
 
 // Init prepares the manager. It is called before the ownership stream is followed.
 func (m *Manager) Init() {
 	m.slots = map[citron.ShardID]*slot{}
 	m.order = m.Layout.Shards()
-	m.drained = make(chan struct{})
 	m.started = m.Timer.Now().Boot
 	for _, id := range m.order {
 		s := &slot{replica: shard.Replica{Self: m.Self, Shard: id, Terms: m.Terms}}
@@ -100,11 +101,13 @@
 	go func() {
 		tick, stop := m.Timer.Every(m.RenewEvery)
 		defer stop()
+		m.exchanges.Bind(ctx)
 		for {
 			select {
 			case <-tick:
 				m.step(ctx)
 			case <-ctx.Done():
+				<-m.exchanges.Ended()
 				ended <- nil
 				return
 			}
--- a/citron/owner/step.go
+++ b/citron/owner/step.go
@@ -12,7 +12,7 @@
 
 // step runs one round: renew leases, then send the changes that are due.
 func (m *Manager) step(ctx context.Context) {
-	m.renewAll(ctx)
+	m.renewAll()
 	m.watchLeases()
 	due := m.due()
 	if len(due) == 0 {
@@ -25,7 +25,7 @@
 }
 
 // renewAll asks every standby for the leases of its shards, one message to each.
-func (m *Manager) renewAll(ctx context.Context) {
+func (m *Manager) renewAll() {
 	wanted := map[citron.Member]*peer.RenewRequest{}
 	for _, id := range m.order {
 		s := m.slots[id]
@@ -43,11 +43,11 @@
 		request.Shards = append(request.Shards, leaseRecord(l))
 	}
 	for standby, request := range wanted {
-		go m.renew(ctx, standby, request)
+		m.exchanges.Go(func(ctx context.Context) { m.renew(ctx, standby, request) })
 	}
 }
 
-// renew is one exchange with one standby. It ends by its time limit, so nobody waits for it.
+// renew is one exchange with one standby.
 func (m *Manager) renew(ctx context.Context, standby citron.Member, request *peer.RenewRequest) {
 	client, ok := m.Mesh.Peer(standby.VM)
 	if !ok {
