--- a/citronlab/fault/rig_test.go
+++ b/citronlab/fault/rig_test.go
@@ -341,7 +341,7 @@
 // nodeInvoker is the way of one node to the endpoints.
 type nodeInvoker struct{ x *node }
 
-func (i nodeInvoker) Invoke(ctx context.Context, address string, call citron.Call, w citron.AnswerWriter) (sent bool, err error) {
+func (i nodeInvoker) Invoke(_ context.Context, address string, call citron.Call, w citron.AnswerWriter) (sent bool, err error) {
 	e := i.x.r.endpoint(address)
 	body := ""
 	err = i.x.step("invoke "+address, false, func() error {
