--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Runs every test with the race detector. Tests named in KNOWN-RED.txt are passed over and printed.
+# Runs every test, with the race detector wherever threads meet. Tests named in KNOWN-RED.txt are passed over and
+# printed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 red=$(grep -oE '^Test[A-Za-z0-9_/]+' KNOWN-RED.txt 2>/dev/null | sort -u | paste -sd'|' - || true)
@@ -8,4 +9,12 @@
 	echo "known red, passed over (see KNOWN-RED.txt): $red"
 	skip=(-skip "^($red)\$")
 fi
-go test -race -count=1 -timeout 20m "${skip[@]}" ./schema/... ./citron/... ./citrond/... ./citronctl/... ./citronlab/...
+# The model search of citron/shard has one thread and many states.
+go test -count=1 -timeout 20m "${skip[@]}" ./citron/shard/...
+threaded=$(go list ./schema/... ./citron/... ./citrond/... ./citronctl/... ./citronlab/... | grep -v '/citron/shard$')
+go test -race -count=1 -timeout 20m "${skip[@]}" $threaded
+# A short fixed run of each fuzz target.
+fuzz() { go test -run '^$' -fuzz "^$1\$" -fuzztime 2000x "$2"; }
+fuzz FuzzRead ./citron/conf
+fuzz FuzzParse ./citron/tmpl
+fuzz FuzzFolds ./citron/state
