cell.sh: stop ends every process, start refuses a running cell

Cause: a pid file removed between two reads ended 'stop' early and left six workers; a second 'start' overwrote their pid files. Found by 'dev' failing to bind.

--- a/scripts/cell.sh
+++ b/scripts/cell.sh
@@ -20,14 +20,18 @@
 daemon() { spawn "entry-$1" "$run/citrond" run "$run/entry-$1.toml"; }
 
 finish() { # finish NAME SIGNAL
-	local file=$run/$1.pid
-	[ -e "$file" ] || return 0
-	kill "-$2" "$(cat "$file")" 2>/dev/null || true
-	while kill -0 "$(cat "$file")" 2>/dev/null; do sleep 0.05; done
+	local file=$run/$1.pid pid
+	pid=$(cat "$file" 2>/dev/null) || return 0
+	kill "-$2" "$pid" 2>/dev/null || true
+	while kill -0 "$pid" 2>/dev/null; do sleep 0.05; done
 	rm -f "$file"
 }
 
 start() {
+	if compgen -G "$run/*.pid" >/dev/null; then
+		echo "a cell is running; stop it first: scripts/cell.sh stop" >&2
+		exit 1
+	fi
 	build
 	"$run/citronlab" settings "$run"
 	spawn platform "$run/citronlab" platform
