--- a/citron/calls/calls.go
+++ b/citron/calls/calls.go
@@ -42,8 +42,6 @@
 	MayAct(id citron.ShardID) bool
 	// OwnerOf returns the owner that the log names last.
 	OwnerOf(id citron.ShardID) citron.Member
-	// StandbyOf returns the standby that the log names last.
-	StandbyOf(id citron.ShardID) citron.Member
 }
 
 // Peers reaches other daemons.
--- a/citron/errors.go
+++ b/citron/errors.go
@@ -35,20 +35,16 @@
 	NumberBadBody         Number = 105
 	NumberNeverFits       Number = 106
 	NumberUnknownJob      Number = 107
-	NumberBadTarget       Number = 108
 	NumberQueueFull       Number = 201
 	NumberDeadlineTooNear Number = 202
 	NumberDeadlinePassed  Number = 203
 	NumberNoEndpoint      Number = 204
 	NumberLogDown         Number = 205
-	NumberStopping        Number = 206
 	NumberNoOwner         Number = 207
 	NumberNoSlot          Number = 208
-	NumberQuota           Number = 209
 	NumberAlreadyRan      Number = 301
 	NumberInProgress      Number = 302
 	NumberLost            Number = 401
-	NumberEndpointFailed  Number = 402
 )
 
 // Refusal is a final answer other than the endpoint's own.
@@ -69,7 +65,7 @@
 // Status returns the HTTP status that goes with the number.
 func (r *Refusal) Status() int {
 	switch r.Number {
-	case NumberUnknownTeam, NumberUnknownClass, NumberUnknownJob, NumberBadTarget:
+	case NumberUnknownTeam, NumberUnknownClass, NumberUnknownJob:
 		return http.StatusNotFound
 	case NumberBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
@@ -79,9 +75,9 @@
 		return http.StatusUnprocessableEntity
 	case NumberAlreadyRan, NumberInProgress:
 		return http.StatusConflict
-	case NumberQuota, NumberQueueFull:
+	case NumberQueueFull:
 		return http.StatusTooManyRequests
-	case NumberLost, NumberEndpointFailed:
+	case NumberLost:
 		return http.StatusBadGateway
 	}
 	return http.StatusServiceUnavailable
--- a/citron/owner/owner.go
+++ b/citron/owner/owner.go
@@ -133,11 +133,6 @@
 	return m.Owners.Get(id).Owner
 }
 
-// StandbyOf returns the standby that the log names last.
-func (m *Manager) StandbyOf(id citron.ShardID) citron.Member {
-	return m.Owners.Get(id).Standby
-}
-
 // Owned returns the number of shards that this daemon owns.
 func (m *Manager) Owned() (n int) {
 	for _, s := range m.slots {
--- a/citronlab/fault/rig_test.go
+++ b/citronlab/fault/rig_test.go
@@ -312,9 +312,6 @@
 	return x.r.nodes[owner].self
 }
 
-// StandbyOf names nobody: takeovers are the rig's.
-func (x *node) StandbyOf(citron.ShardID) citron.Member { return citron.Member{} }
-
 // tell makes one node know the room of another.
 func (r *rig) tell(to, about, free int) {
 	r.nodes[to].calls.Members.Note(timer.Service{}.Now(), &peer.BeatRequest{
