One way to count a daemon's place among the live ones

The turn of a move and the first claim of shards counted it separately; both call place now. A comment on Gained said more than the code does. Behaviour is the same; cell and fault tests pass with the race detector.

--- a/citron/calls/calls.go
+++ b/citron/calls/calls.go
@@ -228,8 +228,8 @@
 	return bound
 }
 
-// Gained counts every slot of a shard as taken until evidence or until the longest run bound. A shard that nobody
-// has owned before has no calls under way.
+// Gained counts every slot of a shard as taken until evidence or until the longest run bound. Former is who is asked
+// for evidence first.
 func (s *Service) Gained(id citron.ShardID, former citron.Member) {
 	s.mu.Lock()
 	if s.former == nil {
--- a/citron/owner/balance.go
+++ b/citron/owner/balance.go
@@ -49,16 +49,7 @@
 
 // myTurn gives each live daemon a turn by the wall clock. Clocks that differ cost a needless move, no more.
 func (m *Manager) myTurn(now citron.Instant, usable []member.Peer) bool {
-	place, count := 0, 1
-	for _, p := range usable {
-		if p.Member.VM == m.Self.VM {
-			continue
-		}
-		count++
-		if p.Member.VM < m.Self.VM {
-			place++
-		}
-	}
+	place, count := m.place(usable)
 	turn := now.Wall.UnixNano() / int64(balanceTurn)
 	return int(turn%int64(count)) == place
 }
--- a/citron/owner/step.go
+++ b/citron/owner/step.go
@@ -174,7 +174,13 @@
 	if now.Boot-m.started < settleFor {
 		return false
 	}
-	place, count := 0, 1
+	place, count := m.place(usable)
+	return n%count == place
+}
+
+// place returns this daemon's place by name among the live ones, and their number.
+func (m *Manager) place(usable []member.Peer) (place, count int) {
+	count = 1
 	for _, p := range usable {
 		if p.Member.VM == m.Self.VM {
 			continue
@@ -184,7 +190,7 @@
 			place++
 		}
 	}
-	return n%count == place
+	return place, count
 }
 
 // changes turns needs into changes. From here on the shards' own rules hold until the log shows the end.
