--- /dev/null
+++ b/citron/claim/claim.go
@@ -0,0 +1,113 @@
+// Package claim decides when a daemon should claim a pool. A claim is safe at any moment, since the store and the
+// workers refuse the former holder; this package only keeps claims quick when the holder is lost and rare otherwise.
+package claim
+
+import (
+	"time"
+
+	"github.com/citroncross/citroncross/citron"
+)
+
+const (
+	// RefusedAfter is how long a holder's port may refuse connections.
+	RefusedAfter = 150 * time.Millisecond
+	// SilentAfter is how long a holder may leave pings unanswered.
+	SilentAfter = 700 * time.Millisecond
+	// StoreLostAfter is how long a holder may be without the store while this daemon has it.
+	StoreLostAfter = 1500 * time.Millisecond
+	// storeFresh is how recent this daemon's own word from the store must be.
+	storeFresh = 900 * time.Millisecond
+	// AdoptWithin is how long a daemon may take from being named to holding the pool.
+	AdoptWithin = 3 * time.Second
+	// rankPause separates the claims of several daemons that miss the same holder.
+	rankPause = 80 * time.Millisecond
+	// againFirst and againMost are the pauses between a claim and the next; they double while claims follow closely.
+	againFirst = 500 * time.Millisecond
+	againMost  = 8 * time.Second
+)
+
+// Claim is the newest claim of a pool; the zero value means that nobody has claimed it.
+type Claim struct {
+	Holder citron.Member
+	Epoch  citron.Epoch
+}
+
+// Ping is what the last questions to the holder gave.
+type Ping struct {
+	// Answered is when the holder last answered.
+	Answered time.Duration
+	// RefusedSince is when its port began to refuse connections; zero if it does not.
+	RefusedSince time.Duration
+	// Incarnation is the run of the daemon that answered.
+	Incarnation citron.Incarnation
+	// StoreAge is how long ago the store had answered the holder.
+	StoreAge time.Duration
+	// Holds is the epoch in which the daemon says that it holds the pool.
+	Holds citron.Epoch
+	// Stopping is set where the daemon is about to stop.
+	Stopping bool
+}
+
+// Watch decides for one pool. The zero value works.
+type Watch struct {
+	newest  Claim
+	seen    time.Duration
+	again   time.Duration
+	started time.Duration
+}
+
+// Seen takes in the newest claim.
+func (w *Watch) Seen(now time.Duration, c Claim) {
+	if c == w.newest {
+		return
+	}
+	if now-w.seen < 2*againMost && w.seen > 0 {
+		w.again = min(max(2*w.again, againFirst), againMost)
+	} else {
+		w.again = againFirst
+	}
+	w.newest, w.seen = c, now
+}
+
+// Newest returns the newest claim.
+func (w *Watch) Newest() Claim {
+	return w.newest
+}
+
+// Should reports whether self should claim now, and why. Rank is the place of self among the live daemons.
+func (w *Watch) Should(now time.Duration, self citron.Member, rank int, storeAge time.Duration, p Ping) (reason string, ok bool) {
+	if w.started == 0 {
+		w.started = now
+	}
+	if storeAge > storeFresh || w.newest.Holder == self {
+		return "", false
+	}
+	if w.newest.Holder.IsZero() {
+		return "nobody holds the pool", now-w.started >= time.Duration(rank)*rankPause
+	}
+	pause := time.Duration(rank) * rankPause
+	if w.newest.Holder.VM == self.VM {
+		return "an earlier run of this daemon held the pool", true
+	}
+	if now-w.seen < w.again {
+		return "", false
+	}
+	return w.missed(now, pause, p)
+}
+
+func (w *Watch) missed(now, pause time.Duration, p Ping) (reason string, ok bool) {
+	since := max(p.Answered, w.seen)
+	switch {
+	case p.Incarnation > w.newest.Holder.Incarnation:
+		return "the holder has restarted", now-w.seen >= pause
+	case p.RefusedSince > 0 && now-p.RefusedSince >= RefusedAfter+pause:
+		return "the holder refuses connections", true
+	case now-since >= SilentAfter+pause:
+		return "the holder does not answer", true
+	case p.Answered > w.seen && p.StoreAge >= StoreLostAfter+pause:
+		return "the holder does not reach the store", true
+	case p.Answered > w.seen+AdoptWithin+pause && p.Holds < w.newest.Epoch:
+		return "the holder has given up", true
+	}
+	return "", false
+}
--- /dev/null
+++ b/citron/entry/claims.go
@@ -0,0 +1,251 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/claim"
+	"github.com/citroncross/citroncross/citron/event"
+	"github.com/citroncross/citroncross/citron/holder"
+	"github.com/citroncross/citroncross/citron/pool"
+	"github.com/citroncross/citroncross/schema/work"
+)
+
+const (
+	// claimEvery is how often a daemon looks whether the holder is well.
+	claimEvery = 40 * time.Millisecond
+	// pingEvery is how often the holder is pinged by the others, and they by the holder.
+	pingEvery = 200 * time.Millisecond
+	// reclaimAfter is when a daemon that gave up a pool claims it again if nobody else has.
+	reclaimAfter = 4 * time.Second
+)
+
+func (d *Daemon) hurryClaims() {
+	select {
+	case d.hurry <- struct{}{}:
+	default:
+	}
+}
+
+// runClaims keeps this daemon's part in line with the newest claim, and claims the pool where its holder is lost.
+func (d *Daemon) runClaims() <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		tick, stop := d.Timer.Every(claimEvery)
+		defer stop()
+		for {
+			select {
+			case <-d.run.Done():
+				d.drop()
+				ended <- nil
+				return
+			case <-tick:
+			case <-d.hurry:
+			}
+			d.follow()
+			d.maybeClaim()
+		}
+	}()
+	return ended
+}
+
+// follow starts or ends the holding of the pool as the newest claim says.
+func (d *Daemon) follow() {
+	newest := d.newest()
+	d.mu.Lock()
+	h := d.holding
+	d.mu.Unlock()
+	if h != nil {
+		select {
+		case err := <-h.ended:
+			d.over(h, err)
+			h = nil
+		default:
+		}
+	}
+	if h != nil && h.epoch != newest.Epoch {
+		d.drop()
+		h = nil
+	}
+	if h == nil && newest.Holder == d.self && newest.Epoch > d.resigned {
+		d.hold(newest.Epoch)
+	}
+}
+
+// drop ends the holding and waits for its last order.
+func (d *Daemon) drop() {
+	d.mu.Lock()
+	h := d.holding
+	d.mu.Unlock()
+	if h == nil {
+		return
+	}
+	h.cancel()
+	d.over(h, <-h.ended)
+}
+
+func (d *Daemon) over(h *holding, err error) {
+	d.mu.Lock()
+	d.holding = nil
+	d.resigned, d.resignedAt = h.epoch, d.Timer.Now().Boot
+	d.mu.Unlock()
+	h.cancel()
+	d.Log.Emit(event.PoolLost, event.Fields{"Epoch": h.epoch, "Error": err})
+}
+
+// hold begins to run the pool.
+func (d *Daemon) hold(epoch citron.Epoch) {
+	ctx, cancel := context.WithCancel(d.run)
+	p := pool.New(d.Settings.Pool, epoch, &d.desk)
+	p.Observe = d.decided
+	ended := make(chan error, 1)
+	h := &holding{epoch: epoch, cancel: cancel, ended: ended, holder: &holder.Holder{
+		Store:     d.Store,
+		Partition: progressPartition,
+		Producer:  producer,
+		Workers:   d.Workers,
+		Timer:     d.Timer,
+		View:      &d.view,
+		Progress:  d.progress,
+		Pool:      p,
+		Advise:    d.advise,
+		Observed:  d.exchangeFailed,
+	}}
+	d.mu.Lock()
+	d.holding = h
+	d.mu.Unlock()
+	d.Log.Emit(event.PoolClaimed, event.Fields{"Epoch": epoch})
+	d.desk.Daemons(append(d.peers.Live(), d.self.VM))
+	go func() {
+		ended <- h.holder.Run(ctx, func() {
+			h.ready.Store(true)
+			d.mu.Lock()
+			entries := d.entries
+			d.mu.Unlock()
+			h.holder.Listed(entries)
+			d.Log.Emit(event.PoolRuns, event.Fields{"Epoch": epoch, "Workers": len(entries)})
+		})
+		d.hurryClaims()
+	}()
+}
+
+// maybeClaim claims the pool where its holder is lost.
+func (d *Daemon) maybeClaim() {
+	if d.stopping.Load() {
+		return
+	}
+	now := d.Timer.Now().Boot
+	newest := d.newest()
+	ping := d.peers.LastPing(newest.Holder.VM)
+	rank := slices.Index(d.peers.All(), d.self.VM)
+	age := d.cell.Age()
+	d.mu.Lock()
+	reason, ok := d.watch.Should(now, d.self, rank, age, ping)
+	if d.takeOver && newest.Holder != d.self {
+		reason, ok = "the holder is about to stop", true
+	}
+	if newest.Holder == d.self && d.holding == nil && d.resigned == newest.Epoch && now-d.resignedAt > reclaimAfter {
+		reason, ok = "nobody has claimed the pool that this daemon gave up", true
+	}
+	d.mu.Unlock()
+	if ok {
+		d.claim(newest, reason)
+	}
+}
+
+// claim names this daemon as holder unless the cell's records have changed meanwhile.
+func (d *Daemon) claim(newest claim.Claim, reason string) {
+	next, loaded := d.cell.Next()
+	if !loaded || d.newest() != newest {
+		return
+	}
+	epoch := newest.Epoch + 1
+	value, err := proto.Marshal(&work.Claim{VM: string(d.self.VM), Incarnation: uint64(d.self.Incarnation), Epoch: uint64(epoch)})
+	if err != nil {
+		d.Log.Emit(event.LogAppendFailed, event.Fields{"Error": err})
+		return
+	}
+	d.Log.Emit(event.ClaimSent, event.Fields{"Epoch": epoch, "Former": newest.Holder.VM, "Reason": reason})
+	err = d.appendCell(d.run, citron.Keyed{Key: claimKey, Value: value}, citron.Condition{At: &next})
+	if err != nil && !errors.Is(err, citron.ErrConflict) {
+		d.Log.Emit(event.LogAppendFailed, event.Fields{"Topic": cellPartition.Topic, "Error": err})
+	}
+	// Whether it landed, the cell's records will show.
+	bounded, cancel := context.WithTimeout(d.run, claimSettle)
+	defer cancel()
+	if err := d.cell.Reach(bounded, next+1); err != nil {
+		return
+	}
+	d.follow()
+}
+
+// claimSettle is how long a daemon waits for its claim, or another one, to be read back.
+const claimSettle = 300 * time.Millisecond
+
+// runPings keeps the liveness of the holder, and at the holder that of all daemons.
+func (d *Daemon) runPings() <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		tick, stop := d.Timer.Every(pingEvery)
+		defer stop()
+		for {
+			select {
+			case <-d.run.Done():
+				ended <- nil
+				return
+			case <-tick:
+			}
+			newest := d.newest().Holder
+			if newest != d.self {
+				if newest.VM != "" && newest.VM != d.self.VM {
+					d.calls.Go(func(ctx context.Context) { d.peers.Ping(ctx, newest.VM) })
+				}
+				continue
+			}
+			for _, vm := range d.peers.All() {
+				if vm != d.self.VM {
+					d.calls.Go(func(ctx context.Context) { d.peers.Ping(ctx, vm) })
+				}
+			}
+			d.desk.Daemons(append(d.peers.Live(), d.self.VM))
+		}
+	}()
+	return ended
+}
+
+// handOver asks a live daemon to take the pool, and waits until it has.
+func (d *Daemon) handOver(ctx context.Context) {
+	newest := d.newest()
+	if newest.Holder != d.self {
+		return
+	}
+	for _, vm := range d.peers.Live() {
+		if err := d.peers.TakeOver(ctx, vm, newest.Epoch); err != nil {
+			d.Log.Emit(event.HandOverFailed, event.Fields{"VM": vm, "Error": err})
+			continue
+		}
+		for d.newest().Holder == d.self && ctx.Err() == nil {
+			d.pause(ctx, claimEvery)
+		}
+		return
+	}
+}
+
+// advise puts a question from the daemon that the pool has chosen.
+func (d *Daemon) advise(ctx context.Context, a pool.Ask) ([]citron.Permit, time.Duration, error) {
+	timeout := adviseSlack + a.Cost
+	bounded, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if a.VM == d.self.VM {
+		return d.Adviser.Advise(bounded, a.Step, a.Workers)
+	}
+	return d.peers.Advise(bounded, a.VM, a.Step, a.Workers, timeout)
+}
+
+// adviseSlack is how much longer than its cost a question may take, with the questions before it.
+const adviseSlack = 1600 * time.Millisecond
--- /dev/null
+++ b/citron/entry/entry.go
@@ -0,0 +1,304 @@
+// Package entry puts the parts of one entry VM's daemon together whose state lies in the platform's store.
+package entry
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/advice"
+	"github.com/citroncross/citroncross/citron/claim"
+	"github.com/citroncross/citroncross/citron/event"
+	"github.com/citroncross/citroncross/citron/holder"
+	"github.com/citroncross/citroncross/citron/intake"
+	"github.com/citroncross/citroncross/citron/peers"
+	"github.com/citroncross/citroncross/citron/pool"
+	"github.com/citroncross/citroncross/citron/spawn"
+	"github.com/citroncross/citroncross/citron/stats"
+	"github.com/citroncross/citroncross/citron/tail"
+	"github.com/citroncross/citroncross/citron/view"
+	"github.com/citroncross/citroncross/schema/work"
+)
+
+// The product's partitions in the store.
+var (
+	cellPartition     = citron.Partition{Topic: "citron.cell"}
+	jobsPartition     = citron.Partition{Topic: "citron.jobs"}
+	progressPartition = citron.Partition{Topic: "citron.progress"}
+)
+
+const (
+	// producer names the pool towards the store.
+	producer = "pool-0"
+	// claimKey and peerKey begin the keys of the cell's records.
+	claimKey = "claim/0"
+	peerKey  = "peer/"
+	// readPause bounds the reads of a partition to fifty a second.
+	readPause = 20 * time.Millisecond
+	// readyAge is how long the store may be silent before this daemon asks for no more callers.
+	readyAge = 2500 * time.Millisecond
+)
+
+// Settings are what one daemon needs to know of its place.
+type Settings struct {
+	VM            citron.VMName
+	FailureDomain citron.FailureDomain
+	PeerAddress   string
+	Pool          pool.Options
+}
+
+// Daemon is one process of the scheduler.
+type Daemon struct {
+	Settings Settings
+	Store    citron.Store
+	Workers  citron.Workers
+	Adviser  citron.Adviser
+	Timer    citron.Timer
+	Log      *event.Logger
+	Stats    *stats.Set
+
+	// Intake answers callers.
+	Intake *intake.Service
+
+	self     citron.Member
+	peers    peers.Peers
+	view     view.View
+	cell     *tail.Tail
+	jobs     *tail.Tail
+	progress *tail.Tail
+	desk     advice.Desk
+	calls    spawn.Group
+	parts    []<-chan error
+	hurry    chan struct{}
+
+	run    context.Context
+	cancel context.CancelFunc
+
+	config   atomic.Pointer[citron.Config]
+	stopping atomic.Bool
+
+	mu       sync.Mutex
+	watch    claim.Watch
+	holding  *holding
+	takeOver bool
+	entries  []citron.WorkerEntry
+	// resigned is the epoch that this daemon gave up by itself, and when.
+	resigned   citron.Epoch
+	resignedAt time.Duration
+}
+
+// holding is the pool while this daemon holds it.
+type holding struct {
+	epoch  citron.Epoch
+	holder *holder.Holder
+	cancel context.CancelFunc
+	ended  <-chan error
+	ready  atomic.Bool
+}
+
+// Start begins to work; it returns before anything is known of the cell.
+func (d *Daemon) Start() (err error) {
+	defer func() { err = eris.Wrap(err, "start daemon") }()
+	listener, err := net.Listen("tcp", d.Settings.PeerAddress)
+	if err != nil {
+		return err
+	}
+	d.run, d.cancel = context.WithCancel(context.Background())
+	d.self = citron.Member{VM: d.Settings.VM, Incarnation: citron.Incarnation(d.Timer.Now().Wall.UnixMilli())}
+	d.peers.Self, d.peers.Timer = d.self, d.Timer
+	d.hurry = make(chan struct{}, 1)
+	d.calls.Bind(d.run)
+	d.view.Unreadable = func(key string, err error) {
+		d.Log.Emit(event.RecordUnreadable, event.Fields{"Key": key, "Error": err})
+	}
+	d.cell = d.tail(cellPartition, d.applyCell, 0)
+	d.jobs = d.tail(jobsPartition, d.view.Apply, readPause)
+	d.progress = d.tail(progressPartition, d.view.Apply, readPause)
+	writer := &intake.Writer{Store: d.Store, Partition: jobsPartition, Timer: d.Timer, Relay: d.relay}
+	d.Intake = &intake.Service{View: &d.view, Writer: writer, Tail: d.jobs, Timer: d.Timer}
+	d.Log.Emit(event.DaemonStarted, event.Fields{"Incarnation": d.self.Incarnation, "Peer": d.Settings.PeerAddress})
+	d.parts = append(d.parts,
+		peers.Serve(d.run, listener, &server{d: d}),
+		d.cell.Run(d.run), d.jobs.Run(d.run), d.progress.Run(d.run),
+		d.runClaims(), d.runPings())
+	d.calls.Go(d.announce)
+	return nil
+}
+
+func (d *Daemon) tail(p citron.Partition, apply func(citron.KeyedBatch, bool), pause time.Duration) *tail.Tail {
+	return &tail.Tail{Store: d.Store, Partition: p, Timer: d.Timer, Apply: apply, Pause: pause, Changed: func(err error) {
+		if err != nil {
+			d.Log.Emit(event.LogReadFailed, event.Fields{"Topic": p.Topic, "Error": err})
+			return
+		}
+		d.Log.Emit(event.StoreAnswers, event.Fields{"Topic": p.Topic})
+	}}
+}
+
+// announce tells the other daemons where this one is.
+func (d *Daemon) announce(ctx context.Context) {
+	value, err := proto.Marshal(&work.Presence{
+		VM:            string(d.self.VM),
+		Incarnation:   uint64(d.self.Incarnation),
+		PeerAddress:   d.Settings.PeerAddress,
+		FailureDomain: string(d.Settings.FailureDomain),
+	})
+	if err != nil {
+		d.Log.Emit(event.LogAppendFailed, event.Fields{"Error": err})
+		return
+	}
+	record := citron.Keyed{Key: peerKey + string(d.self.VM), Value: value}
+	for ctx.Err() == nil {
+		err := d.appendCell(ctx, record, citron.Condition{})
+		if err == nil {
+			return
+		}
+		d.Log.Emit(event.LogAppendFailed, event.Fields{"Topic": cellPartition.Topic, "Error": err})
+		d.pause(ctx, announceRetry)
+	}
+}
+
+const (
+	// announceRetry separates the tries to announce this daemon.
+	announceRetry = 200 * time.Millisecond
+	// cellTimeout bounds one append to the cell's records.
+	cellTimeout = 500 * time.Millisecond
+)
+
+func (d *Daemon) appendCell(ctx context.Context, record citron.Keyed, c citron.Condition) error {
+	bounded, cancel := context.WithTimeout(ctx, cellTimeout)
+	defer cancel()
+	_, err := d.Store.Append(bounded, cellPartition, []citron.Keyed{record}, c)
+	return err
+}
+
+// SetConfig puts a configuration in force; an older one than before is passed over.
+func (d *Daemon) SetConfig(c *citron.Config) {
+	if old := d.config.Load(); old != nil && old.Version >= c.Version {
+		return
+	}
+	d.config.Store(c)
+	d.Log.Emit(event.ConfigInForce, event.Fields{"Version": c.Version, "Queues": len(c.Queues)})
+}
+
+// Config returns the configuration in force; nil if there is none yet.
+func (d *Daemon) Config() *citron.Config {
+	return d.config.Load()
+}
+
+// SetWorkers takes in the platform's list of workers.
+func (d *Daemon) SetWorkers(entries []citron.WorkerEntry) {
+	d.mu.Lock()
+	d.entries = entries
+	h := d.holding
+	d.mu.Unlock()
+	if h != nil && h.ready.Load() {
+		h.holder.Listed(entries)
+	}
+}
+
+// Ready reports whether new callers should come here.
+func (d *Daemon) Ready() bool {
+	return !d.stopping.Load() && d.config.Load() != nil && d.storeAge() < readyAge
+}
+
+// storeAge is how long ago the store last answered anything.
+func (d *Daemon) storeAge() time.Duration {
+	return min(d.cell.Age(), d.jobs.Age(), d.progress.Age())
+}
+
+// applyCell takes in claims and presences.
+func (d *Daemon) applyCell(batch citron.KeyedBatch, _ bool) {
+	for _, r := range batch.Records {
+		switch {
+		case r.Key == claimKey:
+			d.applyClaim(r)
+		case len(r.Key) > len(peerKey) && r.Key[:len(peerKey)] == peerKey:
+			d.applyPresence(citron.VMName(r.Key[len(peerKey):]), r)
+		}
+	}
+}
+
+func (d *Daemon) applyClaim(r citron.Keyed) {
+	var c work.Claim
+	if err := proto.Unmarshal(r.Value, &c); err != nil {
+		d.view.Unreadable(r.Key, err)
+		return
+	}
+	newest := claim.Claim{
+		Holder: citron.Member{VM: citron.VMName(c.GetVM()), Incarnation: citron.Incarnation(c.GetIncarnation())},
+		Epoch:  citron.Epoch(c.GetEpoch()),
+	}
+	d.mu.Lock()
+	if newest.Epoch > d.watch.Newest().Epoch {
+		d.watch.Seen(d.Timer.Now().Boot, newest)
+		d.takeOver = false
+	}
+	d.mu.Unlock()
+	d.Log.Emit(event.ClaimSeen, event.Fields{"Holder": c.GetVM(), "Epoch": c.GetEpoch()})
+	d.hurryClaims()
+}
+
+func (d *Daemon) applyPresence(vm citron.VMName, r citron.Keyed) {
+	if len(r.Value) == 0 {
+		d.peers.Know(vm, nil)
+		return
+	}
+	var presence work.Presence
+	if err := proto.Unmarshal(r.Value, &presence); err != nil {
+		d.view.Unreadable(r.Key, err)
+		return
+	}
+	d.peers.Know(vm, &presence)
+}
+
+// relay has a live daemon append for this one.
+func (d *Daemon) relay(ctx context.Context, records []citron.Keyed) error {
+	newest := d.newest().Holder.VM
+	candidates := append([]citron.VMName{newest}, d.peers.All()...)
+	result, tried := citron.ErrNotDone, 0
+	for _, vm := range candidates {
+		if vm == d.self.VM || vm == "" || tried == relayTries || tried > 0 && vm == newest {
+			continue
+		}
+		tried++
+		bounded, cancel := context.WithTimeout(ctx, relayTimeout)
+		err := d.peers.Append(bounded, vm, records)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		if err != citron.ErrNotDone {
+			result = err
+		}
+	}
+	return result
+}
+
+const (
+	// relayTries is the number of daemons that are asked to append for this one.
+	relayTries = 2
+	// relayTimeout bounds one of them.
+	relayTimeout = 600 * time.Millisecond
+)
+
+func (d *Daemon) newest() claim.Claim {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.watch.Newest()
+}
+
+func (d *Daemon) pause(ctx context.Context, t time.Duration) {
+	due, stop := d.Timer.After(t)
+	defer stop()
+	select {
+	case <-due:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/citron/entry/serve.go
@@ -0,0 +1,131 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/event"
+	"github.com/citroncross/citroncross/citron/peers"
+	"github.com/citroncross/citroncross/citron/pool"
+	"github.com/citroncross/citroncross/schema/link"
+)
+
+// server answers the other daemons.
+type server struct {
+	link.UnimplementedLinkServer
+	d *Daemon
+}
+
+// Ping tells how this daemon is.
+func (s *server) Ping(context.Context, *link.PingRequest) (*link.PingReply, error) {
+	d := s.d
+	reply := &link.PingReply{
+		VM:          string(d.self.VM),
+		Incarnation: uint64(d.self.Incarnation),
+		StoreAgeMs:  d.storeAge().Milliseconds(),
+		Stopping:    d.stopping.Load(),
+	}
+	d.mu.Lock()
+	if d.holding != nil {
+		reply.Epoch = uint64(d.holding.epoch)
+	}
+	d.mu.Unlock()
+	return reply, nil
+}
+
+// Advise puts a question to the policy service.
+func (s *server) Advise(ctx context.Context, r *link.AdviseRequest) (*link.AdviseReply, error) {
+	workers := make([]citron.Worker, 0, len(r.GetWorkers()))
+	for _, w := range r.GetWorkers() {
+		workers = append(workers, citron.Worker(w))
+	}
+	permits, valid, err := s.d.Adviser.Advise(ctx, citron.StepRef(r.GetStep()), workers)
+	if errors.Is(err, citron.ErrNotDone) {
+		return &link.AdviseReply{Busy: true}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	reply := &link.AdviseReply{ValidMs: valid.Milliseconds()}
+	for _, p := range permits {
+		reply.Permits = append(reply.Permits, &link.Permit{Worker: string(p.Worker), Ticket: p.Ticket})
+	}
+	return reply, nil
+}
+
+// Append stores intake records for a daemon that does not reach the store.
+func (s *server) Append(ctx context.Context, r *link.AppendRequest) (*link.AppendReply, error) {
+	records := make([]citron.Keyed, 0, len(r.GetRecords()))
+	for _, one := range r.GetRecords() {
+		records = append(records, citron.Keyed{Key: one.GetKey(), Value: one.GetValue()})
+	}
+	err := s.d.Intake.Writer.Direct(ctx, records)
+	switch {
+	case err == nil:
+		return &link.AppendReply{Outcome: peers.Stored}, nil
+	case errors.Is(err, citron.ErrNotDone):
+		return &link.AppendReply{Outcome: peers.NotStored}, nil
+	}
+	return &link.AppendReply{Outcome: peers.Unknown}, nil
+}
+
+// TakeOver makes this daemon claim the pool.
+func (s *server) TakeOver(_ context.Context, r *link.TakeOverRequest) (*link.TakeOverReply, error) {
+	d := s.d
+	d.mu.Lock()
+	d.takeOver = uint64(d.watch.Newest().Epoch) == r.GetEpoch()
+	d.mu.Unlock()
+	d.hurryClaims()
+	return &link.TakeOverReply{}, nil
+}
+
+const (
+	// handOverWithin bounds the hand-over of the pool at a planned stop.
+	handOverWithin = 1200 * time.Millisecond
+)
+
+// Drain makes this daemon unready and hands the pool over. Callers are still answered.
+func (d *Daemon) Drain() {
+	d.stopping.Store(true)
+	d.Log.Emit(event.DaemonDraining, nil)
+	bounded, cancel := context.WithTimeout(d.run, handOverWithin)
+	defer cancel()
+	d.handOver(bounded)
+}
+
+// Stop ends the daemon.
+func (d *Daemon) Stop() {
+	d.cancel()
+	for _, part := range d.parts {
+		<-part
+	}
+	<-d.calls.Ended()
+	d.Log.Emit(event.DaemonStopped, nil)
+}
+
+// decided logs one decision of the pool.
+func (d *Daemon) decided(c pool.Decision) {
+	fields := event.Fields{"Job": c.Job, "Task": c.Task, "Run": c.Run, "Worker": c.Worker, "Outcome": c.Outcome, "Reason": c.Reason, "AgeMs": c.Age.Milliseconds()}
+	for key, value := range fields {
+		if value == "" || value == citron.JobID("") || value == citron.TaskRef("") || value == citron.Worker("") {
+			delete(fields, key)
+		}
+	}
+	d.Log.Emit(decisionEvents[c.Kind], fields)
+}
+
+var decisionEvents = map[pool.DecisionKind]event.Event{
+	pool.DecidedStart:      event.TaskPlaced,
+	pool.DecidedEnd:        event.TaskEnded,
+	pool.DecidedRestart:    event.TaskRequeued,
+	pool.DecidedJobEnd:     event.JobEnded,
+	pool.DecidedAsk:        event.AdviceAsked,
+	pool.DecidedQuarantine: event.WorkerQuarantined,
+	pool.DecidedWorkerLost: event.WorkerLost,
+}
+
+func (d *Daemon) exchangeFailed(what string, err error) {
+	d.Log.Emit(event.ExchangeFailed, event.Fields{"Exchange": what, "Error": err})
+}
--- a/citron/event/catalog.go
+++ b/citron/event/catalog.go
@@ -15,12 +15,14 @@
 
 // Events of the platform's log and VM list.
 var (
-	LogReadFailed   = add(200, logrus.WarnLevel, "log read failed")
-	LogAppendFailed = add(201, logrus.WarnLevel, "log append failed")
-	SnapshotWritten = add(202, logrus.InfoLevel, "snapshot written")
-	ListFailed      = add(203, logrus.WarnLevel, "VM list failed")
-	VMGone          = add(204, logrus.InfoLevel, "VM gone")
-	PowerFailed     = add(206, logrus.WarnLevel, "power change failed")
+	LogReadFailed    = add(200, logrus.WarnLevel, "log read failed")
+	LogAppendFailed  = add(201, logrus.WarnLevel, "log append failed")
+	SnapshotWritten  = add(202, logrus.InfoLevel, "snapshot written")
+	ListFailed       = add(203, logrus.WarnLevel, "VM list failed")
+	VMGone           = add(204, logrus.InfoLevel, "VM gone")
+	PowerFailed      = add(206, logrus.WarnLevel, "power change failed")
+	StoreAnswers     = add(207, logrus.InfoLevel, "store answers")
+	RecordUnreadable = add(208, logrus.WarnLevel, "record cannot be read, passed over")
 )
 
 // Events of ownership.
@@ -33,11 +35,17 @@
 	ShardReleased  = add(305, logrus.InfoLevel, "shard released to its standby")
 	ShardHandedOff = add(306, logrus.InfoLevel, "shard handover sent")
 	ShardReady     = add(307, logrus.InfoLevel, "shard state loaded")
+	ClaimSeen      = add(308, logrus.InfoLevel, "pool claimed by a daemon")
+	PoolClaimed    = add(309, logrus.InfoLevel, "pool held, state loading")
+	PoolRuns       = add(310, logrus.InfoLevel, "pool running")
+	PoolLost       = add(311, logrus.WarnLevel, "pool no longer held")
+	HandOverFailed = add(312, logrus.WarnLevel, "hand-over refused")
 )
 
 // Events of configuration.
 var (
 	TemplateInForce = add(400, logrus.InfoLevel, "template in force")
+	ConfigInForce   = add(401, logrus.InfoLevel, "configuration in force")
 )
 
 // Events of calls.
@@ -57,6 +65,13 @@
 	WorkerSyncFailed  = add(604, logrus.WarnLevel, "worker sync failed")
 	TaskPreempted     = add(605, logrus.InfoLevel, "task preempted")
 	WorkerPowered     = add(606, logrus.InfoLevel, "worker power changed")
+	TaskRequeued      = add(607, logrus.InfoLevel, "task waits again")
+	JobEnded          = add(608, logrus.InfoLevel, "job ended")
+	JobRefused        = add(609, logrus.InfoLevel, "job refused")
+	JobCancelled      = add(610, logrus.InfoLevel, "job cancelled")
+	AdviceAsked       = add(611, logrus.DebugLevel, "policy service asked")
+	WorkerLost        = add(612, logrus.WarnLevel, "worker lost")
+	ExchangeFailed    = add(613, logrus.WarnLevel, "exchange failed")
 )
 
 // Events of the ports.
--- a/citron/event/event.go
+++ b/citron/event/event.go
@@ -3,8 +3,10 @@
 
 import (
 	"io"
+	"sync"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 )
 
 // Event is one kind of log line. docs/LOGS.md lists them all.
@@ -21,6 +23,43 @@
 type Logger struct {
 	log *logrus.Logger
 	vm  string
+
+	mu     sync.Mutex
+	limit  rate.Limit
+	counts map[int]*count
+}
+
+// count bounds one kind of event.
+type count struct {
+	limiter *rate.Limiter
+	omitted int
+}
+
+// Limit bounds the lines of each kind of event to a number a second. A later line tells how many were left out.
+func (l *Logger) Limit(perSecond int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limit, l.counts = rate.Limit(perSecond), map[int]*count{}
+}
+
+// allow reports whether a line may be written, and how many were left out since the last one.
+func (l *Logger) allow(number int) (omitted int, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.counts == nil {
+		return 0, true
+	}
+	c := l.counts[number]
+	if c == nil {
+		c = &count{limiter: rate.NewLimiter(l.limit, int(l.limit))}
+		l.counts[number] = c
+	}
+	if !c.limiter.Allow() {
+		c.omitted++
+		return 0, false
+	}
+	omitted, c.omitted = c.omitted, 0
+	return omitted, true
 }
 
 // New returns a logger for one VM. Level and format come from checked settings.
@@ -43,5 +82,12 @@
 	if l == nil || l.log == nil || !l.log.IsLevelEnabled(e.Level) {
 		return
 	}
+	omitted, ok := l.allow(e.Number)
+	if !ok {
+		return
+	}
+	if omitted > 0 {
+		l.log.WithFields(logrus.Fields{"Event": e.Number, "VM": l.vm, "Omitted": omitted}).Log(e.Level, "lines left out")
+	}
 	l.log.WithFields(logrus.Fields{"Event": e.Number, "VM": l.vm}).WithFields(fields).Log(e.Level, e.Text)
 }
--- /dev/null
+++ b/citron/holder/holder.go
@@ -0,0 +1,234 @@
+// Package holder runs a pool in one epoch: it records what the pool decides, sends its orders and feeds it with answers.
+package holder
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/pool"
+	"github.com/citroncross/citroncross/citron/spawn"
+	"github.com/citroncross/citroncross/citron/tail"
+	"github.com/citroncross/citroncross/citron/view"
+)
+
+const (
+	// appendTimeout bounds one append.
+	appendTimeout = 600 * time.Millisecond
+	// appendRetry separates the tries of one append.
+	appendRetry = 30 * time.Millisecond
+	// orderTimeout bounds one start or stop.
+	orderTimeout = 700 * time.Millisecond
+	// planEvery is the longest time between two plannings: leases and due times are looked at this often.
+	planEvery = 50 * time.Millisecond
+	// planPause is the least time between two plannings; events that come meanwhile are planned together.
+	planPause = 4 * time.Millisecond
+)
+
+// Holder runs one pool in one epoch.
+type Holder struct {
+	Store citron.Store
+	// Partition holds the progress of the pool's jobs.
+	Partition citron.Partition
+	// Producer names the pool towards the store.
+	Producer string
+	Workers  citron.Workers
+	Timer    citron.Timer
+	View     *view.View
+	// Progress follows Partition.
+	Progress *tail.Tail
+	Pool     *pool.Pool
+	// Advise puts a question to the policy service from a given daemon.
+	Advise func(ctx context.Context, a pool.Ask) ([]citron.Permit, time.Duration, error)
+	// Observed, if set, is called for each exchange with a worker or the store that failed.
+	Observed func(what string, err error)
+
+	kick     chan struct{}
+	sequence int64
+	// numbered is set once an append of this epoch has been answered, so the next number is known.
+	numbered bool
+	calls    spawn.Group
+	mu       sync.Mutex
+	polls    map[citron.Worker]*poll
+}
+
+// Run claims the pool's records and runs the pool until the context ends or another daemon has taken over; then it
+// returns ErrFenced. Ready is called once the former holder can no longer record anything.
+func (h *Holder) Run(ctx context.Context, ready func()) (err error) {
+	defer func() { err = eris.Wrapf(err, "hold pool in epoch %d", h.Pool.Epoch) }()
+	run, cancel := context.WithCancel(ctx)
+	defer func() {
+		cancel()
+		<-h.calls.Ended()
+	}()
+	h.kick = make(chan struct{}, 1)
+	h.polls = map[citron.Worker]*poll{}
+	h.calls.Bind(run)
+	end, err := h.append(run, nil)
+	if err != nil {
+		return err
+	}
+	if err := h.Progress.Reach(run, end); err != nil {
+		return err
+	}
+	h.View.Listen(h.jobChanged)
+	defer h.View.Listen(nil)
+	ready()
+	return h.loop(run)
+}
+
+// Listed takes in the platform's list of workers.
+func (h *Holder) Listed(entries []citron.WorkerEntry) {
+	h.Pool.Listed(h.Timer.Now(), entries)
+	h.wake()
+}
+
+func (h *Holder) jobChanged(id citron.JobID, e view.Entry) {
+	now := h.Timer.Now()
+	h.Pool.Accept(now, e.Spec, e.Progress)
+	if e.Cancelled {
+		h.Pool.Cancel(now, id)
+	}
+	h.wake()
+}
+
+func (h *Holder) wake() {
+	select {
+	case h.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (h *Holder) loop(ctx context.Context) error {
+	for {
+		if err := h.round(ctx); err != nil {
+			return err
+		}
+		due, stop := h.Timer.After(planEvery)
+		select {
+		case <-h.kick:
+		case <-due:
+		case <-ctx.Done():
+			stop()
+			return ctx.Err()
+		}
+		stop()
+		pause, stopPause := h.Timer.After(planPause)
+		select {
+		case <-pause:
+		case <-ctx.Done():
+		}
+		stopPause()
+	}
+}
+
+// round plans once and carries the plan out. Stops and questions need no record; starts wait for theirs.
+func (h *Holder) round(ctx context.Context) error {
+	e, err := h.Pool.Plan(h.Timer.Now())
+	if err != nil {
+		return err
+	}
+	if h.Pool.Fenced() {
+		return citron.ErrFenced
+	}
+	for _, s := range e.Stops {
+		h.calls.Go(func(ctx context.Context) { h.stop(ctx, s) })
+	}
+	for _, a := range e.Asks {
+		h.calls.Go(func(ctx context.Context) { h.ask(ctx, a) })
+	}
+	if len(e.Records) > 0 {
+		if _, err := h.append(ctx, e.Records); err != nil {
+			return err
+		}
+	}
+	h.Pool.Committed(e)
+	for _, s := range e.Starts {
+		h.calls.Go(func(ctx context.Context) { h.start(ctx, s) })
+	}
+	h.pollWorkers(e.Acks)
+	return nil
+}
+
+// append stores records under the pool's epoch. It repeats an append with the same number until the store answers, so
+// that it lands exactly once.
+func (h *Holder) append(ctx context.Context, records []citron.Keyed) (end citron.Offset, err error) {
+	for {
+		c := citron.Condition{Producer: h.Producer, Epoch: h.Pool.Epoch, Sequence: h.sequence}
+		bounded, cancel := context.WithTimeout(ctx, appendTimeout)
+		end, err = h.Store.Append(bounded, h.Partition, records, c)
+		cancel()
+		if err == nil {
+			h.sequence++
+			h.numbered = len(records) > 0
+			return end, nil
+		}
+		var sequence *citron.SequenceError
+		switch {
+		case ctx.Err() != nil || errors.Is(err, citron.ErrFenced):
+			return 0, err
+		case errors.As(err, &sequence):
+			if h.numbered {
+				return 0, err
+			}
+			h.sequence = sequence.Expected
+		}
+		h.failed("append", err)
+		due, stop := h.Timer.After(appendRetry)
+		select {
+		case <-due:
+		case <-ctx.Done():
+		}
+		stop()
+	}
+}
+
+func (h *Holder) start(ctx context.Context, s pool.Start) {
+	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	outcome, clock, err := h.Workers.Start(bounded, &s.Worker, s.Order)
+	if err != nil {
+		h.failed("start", err)
+	}
+	h.Pool.Started(h.Timer.Now(), s, outcome, clock)
+	if outcome != citron.Started {
+		h.wake()
+	}
+	h.nudge(s.Worker.ID)
+}
+
+func (h *Holder) stop(ctx context.Context, s pool.Stop) {
+	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	clock, err := h.Workers.Stop(bounded, &s.Worker, s.Order)
+	switch {
+	case errors.Is(err, citron.ErrGone):
+		h.Pool.Gone(h.Timer.Now(), s.Worker.ID)
+	case err != nil:
+		h.failed("stop", err)
+		return
+	default:
+		h.Pool.Stopped(h.Timer.Now(), s, clock)
+	}
+	h.nudge(s.Worker.ID)
+	h.wake()
+}
+
+func (h *Holder) ask(ctx context.Context, a pool.Ask) {
+	permits, valid, err := h.Advise(ctx, a)
+	if err != nil {
+		h.failed("advise", err)
+	}
+	h.Pool.Advised(h.Timer.Now(), a, permits, valid, err != nil)
+	h.wake()
+}
+
+func (h *Holder) failed(what string, err error) {
+	if h.Observed != nil {
+		h.Observed(what, err)
+	}
+}
--- /dev/null
+++ b/citron/intake/intake.go
@@ -0,0 +1,104 @@
+// Package intake takes jobs, cancellations and questions from callers. Any daemon can do so: a job is accepted once the
+// store has it, whoever holds the pool.
+package intake
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/pool"
+	"github.com/citroncross/citroncross/citron/tail"
+	"github.com/citroncross/citroncross/citron/view"
+	"github.com/citroncross/citroncross/schema/work"
+)
+
+const (
+	// confirmTimeout bounds the question whether a job that is not known here is known to the store.
+	confirmTimeout = 600 * time.Millisecond
+	// comeBack is when a caller should try again while the store does not answer.
+	comeBack = time.Second
+)
+
+// Service answers callers.
+type Service struct {
+	View   *view.View
+	Writer *Writer
+	// Tail follows the partition that Writer appends to.
+	Tail  *tail.Tail
+	Timer citron.Timer
+}
+
+// Submit stores a job. Submitting the same job again is harmless.
+func (s *Service) Submit(ctx context.Context, job *work.Job) *citron.Refusal {
+	if _, known := s.View.Get(citron.JobID(job.GetID())); known {
+		return nil
+	}
+	value, err := proto.Marshal(job)
+	if err != nil {
+		return citron.NotRun(citron.NumberBadBody, 0, "the job cannot be stored: %v", err)
+	}
+	return refusal(s.Writer.Write(ctx, citron.Keyed{Key: pool.JobKey + job.GetID(), Value: value}))
+}
+
+// Cancel ends a job. Cancelling an ended job changes nothing.
+func (s *Service) Cancel(ctx context.Context, id citron.JobID) *citron.Refusal {
+	e, refused := s.Status(ctx, id)
+	if refused != nil {
+		return refused
+	}
+	if pool.Ended(e.State()) {
+		return nil
+	}
+	return refusal(s.Writer.Write(ctx, citron.Keyed{Key: pool.CancelKey + string(id), Value: []byte{1}}))
+}
+
+// Status returns what is known of a job. A job that is not known here is looked up in the store before it is denied.
+func (s *Service) Status(ctx context.Context, id citron.JobID) (view.Entry, *citron.Refusal) {
+	if e, ok := s.View.Get(id); ok {
+		return e, nil
+	}
+	if err := s.catchUp(ctx); err != nil {
+		return view.Entry{}, citron.NotRun(citron.NumberLogDown, comeBack, "the store does not answer, so it is not known whether job %q exists", id)
+	}
+	if e, ok := s.View.Get(id); ok {
+		return e, nil
+	}
+	return view.Entry{}, citron.NotRun(citron.NumberUnknownJob, 0, "job %q is not known; ended jobs are forgotten after a time", id)
+}
+
+// Pending returns the number of jobs of a queue of which nothing has started.
+func (s *Service) Pending(q citron.QueueName) int {
+	return s.View.Pending(q)
+}
+
+// catchUp waits until the view holds every job that the store had acknowledged when it was called.
+func (s *Service) catchUp(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	next, loaded := s.Tail.Next()
+	if !loaded {
+		return citron.ErrUnavailable
+	}
+	batch, err := s.Tail.Store.Read(bounded, s.Tail.Partition, next, 0)
+	if errors.Is(err, citron.ErrLost) {
+		return citron.ErrUnavailable
+	}
+	if err != nil {
+		return err
+	}
+	return s.Tail.Reach(bounded, batch.End)
+}
+
+func refusal(err error) *citron.Refusal {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, citron.ErrNotDone):
+		return citron.NotRun(citron.NumberLogDown, comeBack, "the store takes nothing at the moment")
+	}
+	return citron.Unknown(citron.NumberLost, "the store has not answered; send the same request again")
+}
--- /dev/null
+++ b/citron/intake/writer.go
@@ -0,0 +1,125 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/spawn"
+)
+
+const (
+	// appendTimeout bounds one append.
+	appendTimeout = 500 * time.Millisecond
+	// giveUpAfter bounds all tries of one batch.
+	giveUpAfter = 2 * time.Second
+	// retryPause separates the tries.
+	retryPause = 50 * time.Millisecond
+	// most is the number of records in one append; a record has at most a few kilobytes.
+	most = 200
+)
+
+// Writer appends records and puts those that wait at the same time into one append. Records are keyed, so a repeated
+// append changes nothing, and an append whose answer was lost is simply sent again.
+type Writer struct {
+	Store     citron.Store
+	Partition citron.Partition
+	Timer     citron.Timer
+	// Relay, if set, has another daemon append for this one when it cannot reach the store.
+	Relay func(ctx context.Context, records []citron.Keyed) error
+
+	exchanges spawn.Group
+
+	mu      sync.Mutex
+	waiting []entry
+	busy    bool
+}
+
+type entry struct {
+	record citron.Keyed
+	done   chan error
+}
+
+// Write returns nil once the record is stored, ErrNotDone if it is not and never will be, and ErrUnavailable if that is
+// not known.
+func (w *Writer) Write(ctx context.Context, r citron.Keyed) error {
+	done := make(chan error, 1)
+	w.mu.Lock()
+	w.waiting = append(w.waiting, entry{r, done})
+	start := !w.busy
+	w.busy = true
+	w.mu.Unlock()
+	if start {
+		w.exchanges.Go(func(context.Context) { w.drain() })
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return citron.ErrUnavailable
+	}
+}
+
+// drain appends until nothing waits. Each Write learns the outcome through its channel.
+func (w *Writer) drain() {
+	for {
+		w.mu.Lock()
+		n := min(len(w.waiting), most)
+		batch := w.waiting[:n:n]
+		w.waiting = w.waiting[n:]
+		if n == 0 {
+			w.busy = false
+			w.mu.Unlock()
+			return
+		}
+		w.mu.Unlock()
+		records := make([]citron.Keyed, 0, n)
+		for _, e := range batch {
+			records = append(records, e.record)
+		}
+		err := w.store(records)
+		for _, e := range batch {
+			e.done <- err
+		}
+	}
+}
+
+// store tries until the outcome is known or the time is up.
+func (w *Writer) store(records []citron.Keyed) error {
+	ctx, cancel := context.WithTimeout(context.Background(), giveUpAfter)
+	defer cancel()
+	unknown := false
+	for {
+		err := w.Direct(ctx, records)
+		if err != nil && w.Relay != nil {
+			unknown = unknown || !errors.Is(err, citron.ErrNotDone)
+			err = w.Relay(ctx, records)
+		}
+		if err == nil {
+			return nil
+		}
+		unknown = unknown || !errors.Is(err, citron.ErrNotDone)
+		if !unknown {
+			return citron.ErrNotDone
+		}
+		if ctx.Err() != nil {
+			return citron.ErrUnavailable
+		}
+		due, stop := w.Timer.After(retryPause)
+		select {
+		case <-due:
+		case <-ctx.Done():
+		}
+		stop()
+	}
+}
+
+// Direct appends from this daemon, once.
+func (w *Writer) Direct(ctx context.Context, records []citron.Keyed) error {
+	bounded, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err := w.Store.Append(bounded, w.Partition, records, citron.Condition{})
+	return err
+}
--- /dev/null
+++ b/citron/peers/peers.go
@@ -0,0 +1,275 @@
+// Package peers connects the daemons of a cell that find one another through the store.
+package peers
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/claim"
+	"github.com/citroncross/citroncross/schema/link"
+	"github.com/citroncross/citroncross/schema/work"
+)
+
+const (
+	// PingTimeout bounds one ping.
+	PingTimeout = 350 * time.Millisecond
+	// redialFirst and redialMost are the pauses before a lost connection is dialled again.
+	redialFirst = 30 * time.Millisecond
+	redialMost  = 300 * time.Millisecond
+	// dialTimeout bounds one attempt to connect.
+	dialTimeout = 500 * time.Millisecond
+	// unackedTimeout ends a connection on which sent bytes are not acknowledged.
+	unackedTimeout = time.Second
+	// probeAfter is the silence after which a connection is probed; gRPC allows no less.
+	probeAfter = 10 * time.Second
+	// silentLimit is the number of unanswered calls in a row after which a connection is replaced.
+	silentLimit = 2
+	// liveFor is how long a daemon counts as live after it last answered.
+	liveFor = 1500 * time.Millisecond
+)
+
+// Peers holds the connections to the other daemons. The zero value knows none.
+type Peers struct {
+	Self  citron.Member
+	Timer citron.Timer
+
+	mu    sync.Mutex
+	known map[citron.VMName]*peer
+}
+
+type peer struct {
+	presence *work.Presence
+	conn     *grpc.ClientConn
+	silent   int
+	ping     claim.Ping
+}
+
+// Serve answers other daemons on a listener until the context ends, and reports its end.
+func Serve(ctx context.Context, listener net.Listener, server link.LinkServer) <-chan error {
+	ended := make(chan error, 1)
+	g := grpc.NewServer(grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: probeAfter / 2, PermitWithoutStream: true}))
+	link.RegisterLinkServer(g, server)
+	stop := context.AfterFunc(ctx, g.Stop)
+	go func() {
+		defer stop()
+		ended <- g.Serve(listener)
+	}()
+	return ended
+}
+
+// Know takes in where a daemon can be reached; nil means that it is gone for good.
+func (p *Peers) Know(vm citron.VMName, presence *work.Presence) {
+	if vm == p.Self.VM {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.known == nil {
+		p.known = map[citron.VMName]*peer{}
+	}
+	old := p.known[vm]
+	if old != nil && presence.GetIncarnation() <= old.presence.GetIncarnation() && presence != nil {
+		return
+	}
+	if old != nil && old.conn != nil {
+		_ = old.conn.Close()
+	}
+	delete(p.known, vm)
+	if presence != nil {
+		p.known[vm] = &peer{presence: presence}
+	}
+}
+
+// All lists the known daemons, this one included, by name.
+func (p *Peers) All() []citron.VMName {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := []citron.VMName{p.Self.VM}
+	for vm := range p.known {
+		all = append(all, vm)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// Live lists the daemons that answered lately, by name.
+func (p *Peers) Live() (live []citron.VMName) {
+	now := p.Timer.Now().Boot
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for vm, one := range p.known {
+		if one.ping.Answered > 0 && now-one.ping.Answered < liveFor && !one.ping.Stopping {
+			live = append(live, vm)
+		}
+	}
+	slices.Sort(live)
+	return live
+}
+
+// LastPing returns what the last pings to a daemon gave.
+func (p *Peers) LastPing(vm citron.VMName) claim.Ping {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if one := p.known[vm]; one != nil {
+		return one.ping
+	}
+	return claim.Ping{}
+}
+
+// Ping asks a daemon whether it lives, and notes the answer.
+func (p *Peers) Ping(ctx context.Context, vm citron.VMName) {
+	bounded, cancel := context.WithTimeout(ctx, PingTimeout)
+	defer cancel()
+	var reply *link.PingReply
+	err := p.call(bounded, vm, func(c link.LinkClient) (err error) {
+		reply, err = c.Ping(bounded, &link.PingRequest{VM: string(p.Self.VM), Incarnation: uint64(p.Self.Incarnation)})
+		return err
+	})
+	if ctx.Err() != nil {
+		return
+	}
+	now := p.Timer.Now().Boot
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	one := p.known[vm]
+	if one == nil {
+		return
+	}
+	switch {
+	case err == nil:
+		one.ping = claim.Ping{
+			Answered:    now,
+			Incarnation: citron.Incarnation(reply.GetIncarnation()),
+			StoreAge:    time.Duration(reply.GetStoreAgeMs()) * time.Millisecond,
+			Holds:       citron.Epoch(reply.GetEpoch()),
+			Stopping:    reply.GetStopping(),
+		}
+	case status.Code(err) == codes.Unavailable:
+		if one.ping.RefusedSince == 0 {
+			one.ping.RefusedSince = now
+		}
+	}
+}
+
+// Advise has a daemon put a question to the policy service.
+func (p *Peers) Advise(ctx context.Context, vm citron.VMName, step citron.StepRef, workers []citron.Worker, timeout time.Duration) (permits []citron.Permit, valid time.Duration, err error) {
+	defer func() { err = eris.Wrapf(err, "advise through %s", vm) }()
+	request := &link.AdviseRequest{Step: string(step), TimeoutMs: timeout.Milliseconds()}
+	for _, w := range workers {
+		request.Workers = append(request.Workers, string(w))
+	}
+	var reply *link.AdviseReply
+	if err := p.call(ctx, vm, func(c link.LinkClient) (err error) {
+		reply, err = c.Advise(ctx, request)
+		return err
+	}); err != nil {
+		return nil, 0, err
+	}
+	if reply.GetBusy() {
+		return nil, 0, citron.ErrNotDone
+	}
+	for _, r := range reply.GetPermits() {
+		permits = append(permits, citron.Permit{Worker: citron.Worker(r.GetWorker()), Ticket: r.GetTicket()})
+	}
+	return permits, time.Duration(reply.GetValidMs()) * time.Millisecond, nil
+}
+
+// Outcomes of an append through another daemon, as they stand in link.AppendReply.
+const (
+	Stored    = 1
+	NotStored = 2
+	Unknown   = 3
+)
+
+// Append has a daemon append intake records.
+func (p *Peers) Append(ctx context.Context, vm citron.VMName, records []citron.Keyed) error {
+	request := &link.AppendRequest{}
+	for _, r := range records {
+		request.Records = append(request.Records, &link.Keyed{Key: r.Key, Value: r.Value})
+	}
+	var reply *link.AppendReply
+	err := p.call(ctx, vm, func(c link.LinkClient) (err error) {
+		reply, err = c.Append(ctx, request)
+		return err
+	})
+	switch {
+	case err != nil:
+		return citron.ErrUnavailable
+	case reply.GetOutcome() == Stored:
+		return nil
+	case reply.GetOutcome() == NotStored:
+		return citron.ErrNotDone
+	}
+	return citron.ErrUnavailable
+}
+
+// TakeOver asks a daemon to claim the pool from this one.
+func (p *Peers) TakeOver(ctx context.Context, vm citron.VMName, epoch citron.Epoch) (err error) {
+	defer func() { err = eris.Wrapf(err, "ask %s to take over", vm) }()
+	return p.call(ctx, vm, func(c link.LinkClient) error {
+		_, err := c.TakeOver(ctx, &link.TakeOverRequest{Epoch: uint64(epoch)})
+		return err
+	})
+}
+
+// call runs one exchange and replaces the connection after several that went unanswered, since a connection can fall
+// silent without an error while new ones work.
+func (p *Peers) call(ctx context.Context, vm citron.VMName, f func(link.LinkClient) error) error {
+	conn, err := p.connection(vm)
+	if err != nil {
+		return err
+	}
+	err = f(link.NewLinkClient(conn))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	one := p.known[vm]
+	if one == nil || one.conn != conn {
+		return err
+	}
+	if err == nil {
+		one.silent, one.ping.RefusedSince = 0, 0
+	} else if status.Code(err) == codes.DeadlineExceeded {
+		if one.silent++; one.silent >= silentLimit {
+			_ = conn.Close()
+			one.conn, one.silent = nil, 0
+		}
+	}
+	return err
+}
+
+func (p *Peers) connection(vm citron.VMName) (conn *grpc.ClientConn, err error) {
+	defer func() { err = eris.Wrapf(err, "connect %s", vm) }()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	one := p.known[vm]
+	if one == nil {
+		return nil, citron.ErrUnavailable
+	}
+	if one.conn != nil {
+		return one.conn, nil
+	}
+	one.conn, err = grpc.NewClient("passthrough:///"+one.presence.GetPeerAddress(),
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: redialFirst, Multiplier: 1.6, Jitter: 0.2, MaxDelay: redialMost},
+			MinConnectTimeout: dialTimeout,
+		}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: probeAfter, Timeout: unackedTimeout, PermitWithoutStream: true}),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
+		grpc.WithNoProxy(),
+	)
+	return one.conn, err
+}
--- /dev/null
+++ b/citron/pool/pool.go
@@ -0,0 +1,286 @@
+// Package pool decides what runs where: it orders the tasks of accepted jobs, places them on workers and follows
+// their runs. It has no goroutines, sockets or clocks of its own.
+//
+// The holder of a pool feeds it with events and carries out the Effects that Plan returns. No start may leave before
+// the records of the same Effects are stored.
+package pool
+
+import (
+	"sync"
+	"time"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/advice"
+	"github.com/citroncross/citroncross/schema/work"
+)
+
+// Options are the time limits of a pool, from the bounds of the platform.
+type Options struct {
+	// Lease is how long a worker runs on without hearing from the holder.
+	Lease time.Duration
+	// StartWithin is how late a start order may arrive.
+	StartWithin time.Duration
+	// ClockDrift is how much slower a worker's clock may run, as a share.
+	ClockDrift float64
+	// StopWithin is the longest time that a worker takes to stop a task.
+	StopWithin time.Duration
+	// Silence is the time without an answer after which a worker's lease is no longer renewed.
+	Silence time.Duration
+	// Early is how long before its time an occurrence may begin.
+	Early time.Duration
+	// Keep is how long the state of an ended job is kept.
+	Keep time.Duration
+}
+
+// Pool is the state of one pool in one epoch of its holder.
+type Pool struct {
+	Options Options
+	// Epoch is the fencing token of every order.
+	Epoch citron.Epoch
+	// Advisers assigns questions to the policy service to daemons.
+	Advisers *advice.Desk
+	// Observe, if set, is called with every decision, under the lock of the pool.
+	Observe func(Decision)
+
+	mu      sync.Mutex
+	jobs    map[citron.JobID]*job
+	workers map[citron.Worker]*worker
+	steps   map[citron.StepRef]*step
+	// waiting lists the steps that may have tasks to place.
+	waiting  []*step
+	dirty    map[*job]bool
+	stops    []Stop
+	ended    map[citron.JobID]endedJob
+	learnt   durations
+	fenced   bool
+	lastPlan Plan
+}
+
+// DecisionKind says what was decided.
+type DecisionKind int
+
+// Kinds of decisions.
+const (
+	DecidedStart DecisionKind = iota
+	DecidedEnd
+	DecidedRestart
+	DecidedJobEnd
+	DecidedAsk
+	DecidedQuarantine
+	DecidedWorkerLost
+)
+
+// Decision is one decision with the inputs that led to it.
+type Decision struct {
+	Kind   DecisionKind
+	Job    citron.JobID
+	Task   citron.TaskRef
+	Run    int32
+	Worker citron.Worker
+	// Outcome and Reason say what came out and why.
+	Outcome string
+	Reason  string
+	// Age is how long the subject had waited or run.
+	Age time.Duration
+}
+
+// Start is an order to start a run and where it goes.
+type Start struct {
+	Worker citron.WorkerEntry
+	Order  citron.StartOrder
+}
+
+// Stop is an order to end a run and where it goes.
+type Stop struct {
+	Worker citron.WorkerEntry
+	Order  citron.StopOrder
+}
+
+// Ask is a question to the policy service and the daemon that puts it.
+type Ask struct {
+	Step    citron.StepRef
+	Workers []citron.Worker
+	VM      citron.VMName
+	Cost    time.Duration
+}
+
+// Effects are what one Plan wants done.
+type Effects struct {
+	// Records must be stored before Starts leave.
+	Records []citron.Keyed
+	Starts  []Start
+	Stops   []Stop
+	Asks    []Ask
+	// Acks are the ends that Records cover, by worker.
+	Acks map[citron.Worker]int64
+	// Ended lists jobs that ended, for the record of what callers waited.
+	Ended []citron.JobID
+}
+
+// Empty reports whether nothing is to be done.
+func (e *Effects) Empty() bool {
+	return len(e.Records) == 0 && len(e.Starts) == 0 && len(e.Stops) == 0 && len(e.Asks) == 0 && len(e.Acks) == 0
+}
+
+// Plan sums up the last planning for metrics and tests.
+type Plan struct {
+	WaitingSteps int
+	WaitingTasks int
+	RunningTasks int
+}
+
+type endedJob struct {
+	at time.Duration
+}
+
+// job is an accepted job that has not ended.
+type job struct {
+	id       citron.JobID
+	spec     *work.Job
+	accepted time.Duration
+	state    work.State
+	next     int32
+	open     []*occurrence
+	// terminal is set once the end of the job is decided.
+	terminal bool
+}
+
+type occurrence struct {
+	job    *job
+	number int32
+	steps  []*step
+}
+
+// step is one step of one occurrence.
+type step struct {
+	ref   citron.StepRef
+	job   *job
+	occ   *occurrence
+	index int
+	spec  *work.Step
+	tasks []*task
+	need  citron.Capacity
+	left  int
+	// ready is set once every earlier step is done.
+	ready   bool
+	readyAt time.Duration
+	// deadline is when the step should have ended for the job to meet its objective.
+	deadline time.Duration
+	permits  map[citron.Worker]permit
+	// eligible holds every answer of the policy service so far; it never changes.
+	eligible map[citron.Worker]bool
+	asking   bool
+	askAfter time.Duration
+	// backoff is when the step may be placed again after a refusal.
+	backoff time.Duration
+	// gangRun is the run number that all members share.
+	gangRun int32
+}
+
+type permit struct {
+	ticket string
+	until  time.Duration
+}
+
+type taskState int
+
+const (
+	taskWaiting taskState = iota
+	// taskOrdered: recorded or about to be, the worker has not answered.
+	taskOrdered
+	// taskUnsure: the order was not answered.
+	taskUnsure
+	taskRunning
+	// taskStopping: a stop was ordered, the end is not listed yet.
+	taskStopping
+	// taskLeaving: done through another member of its gang; its own worker has not listed the end yet.
+	taskLeaving
+	taskDone
+)
+
+type task struct {
+	ref        citron.TaskRef
+	step       *step
+	index      int
+	state      taskState
+	run        int32
+	worker     *worker
+	failures   int
+	checkpoint string
+	since      time.Duration
+	startedAt  time.Duration
+	waitedFrom time.Duration
+	stopAsked  time.Duration
+	stopAcked  time.Duration
+	percent    int
+	// failedOn lists workers on which the task failed.
+	failedOn map[citron.Worker]bool
+}
+
+// worker is one life of a worker.
+type worker struct {
+	entry citron.WorkerEntry
+	used  citron.Capacity
+	tasks map[citron.TaskRef]*task
+	// listed is false once the platform no longer lists the worker.
+	listed bool
+	// dead is set once the life is known to be over.
+	dead bool
+	// seenAnswer is set after the first answer in this epoch, until the worker's lease has lapsed unheard.
+	seenAnswer bool
+	lastAnswer time.Duration
+	// clockAhead is the worker's clock less the boot clock of this daemon.
+	clockAhead time.Duration
+	leaseUntil time.Duration
+	processed  int64
+	acked      int64
+	// blockedUntil is when the worker may take tasks again.
+	blockedUntil time.Duration
+	// leaves is when a draining worker may leave.
+	leaves time.Duration
+	fails  streak
+}
+
+func (w *worker) free() citron.Capacity {
+	return w.entry.Capacity.Sub(w.used)
+}
+
+// usable reports whether new tasks may go to the worker.
+func (w *worker) usable(now time.Duration) bool {
+	return w.listed && !w.dead && !w.entry.Draining && w.seenAnswer && now >= w.blockedUntil
+}
+
+// New returns the pool of one epoch.
+func New(o Options, epoch citron.Epoch, advisers *advice.Desk) *Pool {
+	return &Pool{
+		Options:  o,
+		Epoch:    epoch,
+		Advisers: advisers,
+		jobs:     map[citron.JobID]*job{},
+		workers:  map[citron.Worker]*worker{},
+		steps:    map[citron.StepRef]*step{},
+		dirty:    map[*job]bool{},
+		ended:    map[citron.JobID]endedJob{},
+		learnt:   durations{},
+	}
+}
+
+// Fenced reports whether a worker has seen a higher epoch.
+func (p *Pool) Fenced() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fenced
+}
+
+// LastPlan sums up the last planning.
+func (p *Pool) LastPlan() Plan {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lastPlan
+}
+
+func (p *Pool) observe(d Decision) {
+	if p.Observe != nil {
+		p.Observe(d)
+	}
+}
--- /dev/null
+++ b/citron/pool/record.go
@@ -0,0 +1,112 @@
+package pool
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/schema/work"
+)
+
+// Keys of a pool's records.
+const (
+	// JobKey precedes the id of an accepted job.
+	JobKey = "job/"
+	// CancelKey precedes the id of a job that its caller cancelled.
+	CancelKey = "cancel/"
+	// ProgressKey precedes the id of a job in the holder's records.
+	ProgressKey = "progress/"
+)
+
+// records returns the progress of all jobs that changed and forgets those that ended.
+func (p *Pool) records(now citron.Instant, e *Effects) (err error) {
+	for j := range p.dirty {
+		r := j.progress()
+		if j.terminal && len(r.GetOpen()) == 0 {
+			r.EndedMs = now.Wall.UnixMilli()
+		}
+		value, err := proto.Marshal(r)
+		if err != nil {
+			return err
+		}
+		e.Records = append(e.Records, citron.Keyed{Key: ProgressKey + string(j.id), Value: value})
+		delete(p.dirty, j)
+		if j.terminal {
+			e.Ended = append(e.Ended, j.id)
+		}
+		if j.terminal && len(r.GetOpen()) == 0 {
+			p.forget(now.Boot, j)
+		}
+	}
+	return nil
+}
+
+// progress is the record of a job. An ended job keeps an occurrence only while runs of it are being stopped.
+func (j *job) progress() *work.Progress {
+	r := &work.Progress{JobID: string(j.id), State: j.state, NextOccurrence: j.next}
+	for _, o := range j.open {
+		if j.terminal && !o.busy() {
+			continue
+		}
+		r.Open = append(r.Open, o.record())
+	}
+	return r
+}
+
+// busy reports whether a run of the occurrence may be on a worker.
+func (o *occurrence) busy() bool {
+	for _, s := range o.steps {
+		for _, t := range s.tasks {
+			if t.worker != nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (o *occurrence) record() *work.Occurrence {
+	r := &work.Occurrence{Number: o.number}
+	for _, s := range o.steps {
+		for _, t := range s.tasks {
+			if t.run == 0 {
+				continue
+			}
+			r.Tasks = append(r.Tasks, t.record())
+		}
+	}
+	return r
+}
+
+func (t *task) record() *work.Task {
+	r := &work.Task{
+		Step:       int32(t.step.index),
+		Index:      int32(t.index),
+		Run:        t.run,
+		Failures:   int32(t.failures),
+		Checkpoint: t.checkpoint,
+	}
+	switch {
+	case t.worker != nil && t.state != taskLeaving:
+		r.State, r.Worker = work.TaskState_TASK_STATE_STARTED, string(t.worker.entry.ID)
+	case t.state == taskDone || t.state == taskLeaving:
+		r.State = work.TaskState_TASK_STATE_DONE
+	}
+	return r
+}
+
+// forget drops a job that has ended and of which nothing runs.
+func (p *Pool) forget(now time.Duration, j *job) {
+	delete(p.jobs, j.id)
+	p.ended[j.id] = endedJob{at: now}
+	for _, o := range j.open {
+		p.dropSteps(o)
+	}
+}
+
+func (p *Pool) dropSteps(o *occurrence) {
+	for _, s := range o.steps {
+		delete(p.steps, s.ref)
+	}
+}
--- /dev/null
+++ b/citron/tail/tail.go
@@ -0,0 +1,180 @@
+// Package tail follows partitions of the store: first the newest record of each key, then every later record.
+package tail
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/citroncross/citroncross/citron"
+)
+
+const (
+	// readWait is how long the store may hold an answer back; it bounds how long a silenced connection goes unnoticed.
+	readWait = 600 * time.Millisecond
+	// readTimeout bounds one read with its wait.
+	readTimeout = readWait + 500*time.Millisecond
+	// newestTimeout bounds the reading of all newest records.
+	newestTimeout = 5 * time.Second
+	// retryFirst and retryMost are the pauses after failed reads.
+	retryFirst = 30 * time.Millisecond
+	retryMost  = 300 * time.Millisecond
+)
+
+// Tail follows one partition.
+type Tail struct {
+	Store     citron.Store
+	Partition citron.Partition
+	Timer     citron.Timer
+	// Apply takes in records in order. Fresh is set where the batch holds the newest record of every key that exists.
+	Apply func(batch citron.KeyedBatch, fresh bool)
+	// Changed, if set, is called when reading begins to fail or to succeed.
+	Changed func(err error)
+	// Pause is the least time between two reads; it bounds the number of reads under load.
+	Pause time.Duration
+
+	mu      sync.Mutex
+	next    citron.Offset
+	loaded  bool
+	lastOK  time.Duration
+	failing bool
+	waiters []waiter
+}
+
+type waiter struct {
+	offset citron.Offset
+	done   chan struct{}
+}
+
+// Run follows until the context ends and reports its end.
+func (t *Tail) Run(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		pause := retryFirst
+		for ctx.Err() == nil {
+			err := t.step(ctx)
+			t.note(err)
+			wait := t.Pause
+			if err != nil {
+				wait, pause = pause, min(2*pause, retryMost)
+			} else {
+				pause = retryFirst
+			}
+			t.rest(ctx, wait)
+		}
+		ended <- nil
+	}()
+	return ended
+}
+
+func (t *Tail) rest(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	due, stop := t.Timer.After(d)
+	defer stop()
+	select {
+	case <-due:
+	case <-ctx.Done():
+	}
+}
+
+// step reads once.
+func (t *Tail) step(ctx context.Context) error {
+	t.mu.Lock()
+	next, loaded := t.next, t.loaded
+	t.mu.Unlock()
+	if !loaded {
+		bounded, cancel := context.WithTimeout(ctx, newestTimeout)
+		defer cancel()
+		batch, err := t.Store.Newest(bounded, t.Partition)
+		if err != nil {
+			return err
+		}
+		t.Apply(batch, true)
+		t.advance(batch.End, true)
+		return nil
+	}
+	bounded, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	batch, err := t.Store.Read(bounded, t.Partition, next, readWait)
+	if errors.Is(err, citron.ErrLost) {
+		t.advance(next, false)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if len(batch.Records) > 0 {
+		t.Apply(batch, false)
+	}
+	t.advance(batch.Start+citron.Offset(len(batch.Records)), true)
+	return nil
+}
+
+func (t *Tail) advance(next citron.Offset, loaded bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.next, t.loaded = next, loaded
+	if !loaded {
+		return
+	}
+	kept := t.waiters[:0]
+	for _, w := range t.waiters {
+		if w.offset <= next {
+			close(w.done)
+		} else {
+			kept = append(kept, w)
+		}
+	}
+	t.waiters = kept
+}
+
+func (t *Tail) note(err error) {
+	t.mu.Lock()
+	changed := t.failing != (err != nil)
+	t.failing = err != nil
+	if err == nil {
+		t.lastOK = t.Timer.Now().Boot
+	}
+	t.mu.Unlock()
+	if changed && t.Changed != nil {
+		t.Changed(err)
+	}
+}
+
+// Next returns the offset of the first record that has not been applied, and whether any reading has succeeded yet.
+func (t *Tail) Next() (next citron.Offset, loaded bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.next, t.loaded
+}
+
+// Age is how long ago the store last answered.
+func (t *Tail) Age() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.lastOK == 0 {
+		return 1 << 62
+	}
+	return t.Timer.Now().Boot - t.lastOK
+}
+
+// Reach waits until every record before an offset has been applied.
+func (t *Tail) Reach(ctx context.Context, offset citron.Offset) error {
+	t.mu.Lock()
+	if t.loaded && t.next >= offset {
+		t.mu.Unlock()
+		return nil
+	}
+	done := make(chan struct{})
+	t.waiters = append(t.waiters, waiter{offset, done})
+	t.mu.Unlock()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/citrond/main.go
+++ b/citrond/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/citroncross/citroncross/citron/conf"
 	"github.com/citroncross/citroncross/citron/daemon"
+	"github.com/citroncross/citroncross/platform"
 	"github.com/citroncross/citroncross/schema/prefs"
 )
 
@@ -27,9 +28,12 @@
 	runFile := run.Arg("settings", "TOML settings file.").Required().String()
 	check := app.Command("check", "Check a settings file and report every problem.")
 	checkFile := check.Arg("settings", "TOML settings file.").Required().String()
+	onPlatform := app.Command("platform", "Run the daemon on the users' platform, which names its settings file in "+platform.SettingsVariable+".")
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case run.FullCommand():
 		os.Exit(runDaemon(*runFile))
+	case onPlatform.FullCommand():
+		os.Exit(runOnPlatform(os.Getenv(platform.SettingsVariable)))
 	case check.FullCommand():
 		_, code := read(*checkFile)
 		if code == exitOK {
@@ -77,3 +81,24 @@
 	}
 	return exitOK
 }
+
+// runOnPlatform runs until SIGTERM. SIGHUP tells that the settings file has changed; nothing in it that this program
+// uses can change while it runs.
+func runOnPlatform(file string) int {
+	settings, err := platform.ReadSettings(file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	signal.Ignore(syscall.SIGHUP)
+	d := platform.New(settings, os.Stdout)
+	if err := d.Start(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	<-signals
+	d.Stop()
+	return exitOK
+}
