--- a/citron/entry/claims.go
+++ b/citron/entry/claims.go
@@ -112,6 +112,8 @@
 		Timer:     d.Timer,
 		View:      &d.view,
 		Progress:  d.progress,
+		Jobs:      d.jobs,
+		Published: d.publish,
 		Pool:      p,
 		Advise:    d.advise,
 		Observed:  d.exchangeFailed,
--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -39,8 +39,8 @@
 	// claimKey and peerKey begin the keys of the cell's records.
 	claimKey = "claim/0"
 	peerKey  = "peer/"
-	// readPause bounds the reads of a partition to fifty a second.
-	readPause = 20 * time.Millisecond
+	// readPause separates two reads of a partition whose records also come from the other daemons.
+	readPause = 400 * time.Millisecond
 	// readyAge is how long the store may be silent before this daemon asks for no more callers.
 	readyAge = 2500 * time.Millisecond
 )
@@ -73,6 +73,7 @@
 	jobs     *tail.Tail
 	progress *tail.Tail
 	desk     advice.Desk
+	outbox   outbox
 	calls    spawn.Group
 	parts    []<-chan error
 	hurry    chan struct{}
@@ -121,7 +122,7 @@
 	d.jobs = d.tail(jobsPartition, d.view.Apply, readPause)
 	d.progress = d.tail(progressPartition, d.view.Apply, readPause)
 	writer := &intake.Writer{Store: d.Store, Partition: jobsPartition, Timer: d.Timer, Relay: d.relay}
-	d.Intake = &intake.Service{View: &d.view, Writer: writer, Tail: d.jobs, Timer: d.Timer}
+	d.Intake = &intake.Service{View: &d.view, Writer: writer, Tail: d.jobs, Timer: d.Timer, Stored: d.accepted}
 	d.Log.Emit(event.DaemonStarted, event.Fields{"Incarnation": d.self.Incarnation, "Peer": d.Settings.PeerAddress})
 	d.parts = append(d.parts,
 		peers.Serve(d.run, listener, &server{d: d}),
--- /dev/null
+++ b/citron/entry/notify.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/event"
+)
+
+const (
+	// notifyPause collects the records for one message to a daemon.
+	notifyPause = 25 * time.Millisecond
+	// notifyTimeout bounds one message; the daemon reads what it missed from the store.
+	notifyTimeout = 500 * time.Millisecond
+	// notifyMost is the number of records that may wait for one daemon.
+	notifyMost = 2000
+)
+
+// outbox holds the records that wait for each daemon. The zero value works.
+type outbox struct {
+	mu      sync.Mutex
+	waiting map[citron.VMName][]citron.Keyed
+	sending map[citron.VMName]bool
+}
+
+// add queues a record and reports whether a sender has to be started.
+func (o *outbox) add(vm citron.VMName, r citron.Keyed) (start bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.waiting == nil {
+		o.waiting, o.sending = map[citron.VMName][]citron.Keyed{}, map[citron.VMName]bool{}
+	}
+	if len(o.waiting[vm]) < notifyMost {
+		o.waiting[vm] = append(o.waiting[vm], r)
+	}
+	start = !o.sending[vm]
+	o.sending[vm] = true
+	return start
+}
+
+// take returns what waits; a sender that gets nothing ends.
+func (o *outbox) take(vm citron.VMName) []citron.Keyed {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	records := o.waiting[vm]
+	delete(o.waiting, vm)
+	if len(records) == 0 {
+		o.sending[vm] = false
+	}
+	return records
+}
+
+// accepted passes a stored job or cancellation on to the holder.
+func (d *Daemon) accepted(r citron.Keyed) {
+	d.view.Apply(citron.KeyedBatch{Records: []citron.Keyed{r}}, false)
+	if holder := d.newest().Holder.VM; holder != d.self.VM && holder != "" {
+		d.notify(holder, r, 0)
+	}
+}
+
+// publish passes a holder's stored record on to all daemons.
+func (d *Daemon) publish(r citron.Keyed) {
+	d.view.Apply(citron.KeyedBatch{Records: []citron.Keyed{r}}, false)
+	for _, vm := range d.peers.Live() {
+		d.notify(vm, r, notifyPause)
+	}
+}
+
+// notify queues a record for a daemon.
+func (d *Daemon) notify(vm citron.VMName, r citron.Keyed, collect time.Duration) {
+	if !d.outbox.add(vm, r) {
+		return
+	}
+	d.calls.Go(func(ctx context.Context) {
+		for {
+			if collect > 0 {
+				d.pause(ctx, collect)
+			}
+			records := d.outbox.take(vm)
+			if len(records) == 0 {
+				return
+			}
+			bounded, cancel := context.WithTimeout(ctx, notifyTimeout)
+			err := d.peers.Notify(bounded, vm, records)
+			cancel()
+			if err != nil && ctx.Err() == nil {
+				d.Log.Emit(event.ExchangeFailed, event.Fields{"Exchange": "notify", "VM": vm, "Error": err})
+			}
+		}
+	})
+}
--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -57,11 +57,7 @@
 
 // Append stores intake records for a daemon that does not reach the store.
 func (s *server) Append(ctx context.Context, r *link.AppendRequest) (*link.AppendReply, error) {
-	records := make([]citron.Keyed, 0, len(r.GetRecords()))
-	for _, one := range r.GetRecords() {
-		records = append(records, citron.Keyed{Key: one.GetKey(), Value: one.GetValue()})
-	}
-	err := s.d.Intake.Writer.Direct(ctx, records)
+	err := s.d.Intake.Writer.Direct(ctx, peers.Decode(r.GetRecords()))
 	switch {
 	case err == nil:
 		return &link.AppendReply{Outcome: peers.Stored}, nil
@@ -71,6 +67,12 @@
 	return &link.AppendReply{Outcome: peers.Unknown}, nil
 }
 
+// Notify takes in stored records before they are read from the store.
+func (s *server) Notify(_ context.Context, r *link.NotifyRequest) (*link.NotifyReply, error) {
+	s.d.view.Apply(citron.KeyedBatch{Records: peers.Decode(r.GetRecords())}, false)
+	return &link.NotifyReply{}, nil
+}
+
 // TakeOver makes this daemon claim the pool.
 func (s *server) TakeOver(_ context.Context, r *link.TakeOverRequest) (*link.TakeOverReply, error) {
 	d := s.d
--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -39,11 +39,14 @@
 	Workers  citron.Workers
 	Timer    citron.Timer
 	View     *view.View
-	// Progress follows Partition.
+	// Progress follows Partition, Jobs the accepted jobs.
 	Progress *tail.Tail
+	Jobs     *tail.Tail
 	Pool     *pool.Pool
 	// Advise puts a question to the policy service from a given daemon.
 	Advise func(ctx context.Context, a pool.Ask) ([]citron.Permit, time.Duration, error)
+	// Published is called with each stored record that changes what callers see.
+	Published func(citron.Keyed)
 	// Observed, if set, is called for each exchange with a worker or the store that failed.
 	Observed func(what string, err error)
 
@@ -75,6 +78,14 @@
 	if err := h.Progress.Reach(run, end); err != nil {
 		return err
 	}
+	// Every job that a former holder has started was accepted before its last record. A worker's ends must not be
+	// taken in before the jobs that they belong to.
+	for h.Jobs.CatchUp(run) != nil {
+		if run.Err() != nil {
+			return run.Err()
+		}
+		h.pause(run, appendRetry)
+	}
 	h.View.Listen(h.jobChanged)
 	defer h.View.Listen(nil)
 	ready()
@@ -117,12 +128,7 @@
 			return ctx.Err()
 		}
 		stop()
-		pause, stopPause := h.Timer.After(planPause)
-		select {
-		case <-pause:
-		case <-ctx.Done():
-		}
-		stopPause()
+		h.pause(ctx, planPause)
 	}
 }
 
@@ -142,9 +148,11 @@
 		h.calls.Go(func(ctx context.Context) { h.ask(ctx, a) })
 	}
 	if len(e.Records) > 0 {
-		if _, err := h.append(ctx, e.Records); err != nil {
+		end, err := h.append(ctx, e.Records)
+		if err != nil {
 			return err
 		}
+		h.publish(e, end)
 	}
 	h.Pool.Committed(e)
 	for _, s := range e.Starts {
@@ -178,12 +186,27 @@
 			h.sequence = sequence.Expected
 		}
 		h.failed("append", err)
-		due, stop := h.Timer.After(appendRetry)
-		select {
-		case <-due:
-		case <-ctx.Done():
+		h.pause(ctx, appendRetry)
+	}
+}
+
+func (h *Holder) pause(ctx context.Context, d time.Duration) {
+	due, stop := h.Timer.After(d)
+	defer stop()
+	select {
+	case <-due:
+	case <-ctx.Done():
+	}
+}
+
+// publish passes on the records that change what callers see.
+func (h *Holder) publish(e pool.Effects, end citron.Offset) {
+	first := end - citron.Offset(len(e.Records))
+	for n := range e.Records {
+		e.Records[n].Offset = first + citron.Offset(n)
+		if e.Visible[n] {
+			h.Published(e.Records[n])
 		}
-		stop()
 	}
 }
 
--- a/citron/intake/intake.go
+++ b/citron/intake/intake.go
@@ -30,6 +30,8 @@
 	// Tail follows the partition that Writer appends to.
 	Tail  *tail.Tail
 	Timer citron.Timer
+	// Stored, if set, is called with each record that the store has acknowledged.
+	Stored func(citron.Keyed)
 }
 
 // Submit stores a job. Submitting the same job again is harmless.
@@ -41,7 +43,7 @@
 	if err != nil {
 		return citron.NotRun(citron.NumberBadBody, 0, "the job cannot be stored: %v", err)
 	}
-	return refusal(s.Writer.Write(ctx, citron.Keyed{Key: pool.JobKey + job.GetID(), Value: value}))
+	return s.write(ctx, citron.Keyed{Key: pool.JobKey + job.GetID(), Value: value})
 }
 
 // Cancel ends a job. Cancelling an ended job changes nothing.
@@ -53,7 +55,7 @@
 	if pool.Ended(e.State()) {
 		return nil
 	}
-	return refusal(s.Writer.Write(ctx, citron.Keyed{Key: pool.CancelKey + string(id), Value: []byte{1}}))
+	return s.write(ctx, citron.Keyed{Key: pool.CancelKey + string(id), Value: []byte{1}})
 }
 
 // Status returns what is known of a job. A job that is not known here is looked up in the store before it is denied.
@@ -61,7 +63,9 @@
 	if e, ok := s.View.Get(id); ok {
 		return e, nil
 	}
-	if err := s.catchUp(ctx); err != nil {
+	bounded, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if err := s.Tail.CatchUp(bounded); err != nil {
 		return view.Entry{}, citron.NotRun(citron.NumberLogDown, comeBack, "the store does not answer, so it is not known whether job %q exists", id)
 	}
 	if e, ok := s.View.Get(id); ok {
@@ -75,22 +79,13 @@
 	return s.View.Pending(q)
 }
 
-// catchUp waits until the view holds every job that the store had acknowledged when it was called.
-func (s *Service) catchUp(ctx context.Context) error {
-	bounded, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	next, loaded := s.Tail.Next()
-	if !loaded {
-		return citron.ErrUnavailable
-	}
-	batch, err := s.Tail.Store.Read(bounded, s.Tail.Partition, next, 0)
-	if errors.Is(err, citron.ErrLost) {
-		return citron.ErrUnavailable
-	}
-	if err != nil {
-		return err
+// write stores a record and passes it on.
+func (s *Service) write(ctx context.Context, r citron.Keyed) *citron.Refusal {
+	err := s.Writer.Write(ctx, r)
+	if err == nil && s.Stored != nil {
+		s.Stored(r)
 	}
-	return s.Tail.Reach(bounded, batch.End)
+	return refusal(err)
 }
 
 func refusal(err error) *citron.Refusal {
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -195,10 +195,7 @@
 
 // Append has a daemon append intake records.
 func (p *Peers) Append(ctx context.Context, vm citron.VMName, records []citron.Keyed) error {
-	request := &link.AppendRequest{}
-	for _, r := range records {
-		request.Records = append(request.Records, &link.Keyed{Key: r.Key, Value: r.Value})
-	}
+	request := &link.AppendRequest{Records: encode(records)}
 	var reply *link.AppendReply
 	err := p.call(ctx, vm, func(c link.LinkClient) (err error) {
 		reply, err = c.Append(ctx, request)
@@ -215,6 +212,30 @@
 	return citron.ErrUnavailable
 }
 
+func encode(records []citron.Keyed) (encoded []*link.Keyed) {
+	for _, r := range records {
+		encoded = append(encoded, &link.Keyed{Key: r.Key, Value: r.Value, Offset: int64(r.Offset)})
+	}
+	return encoded
+}
+
+// Decode returns the records of a message.
+func Decode(records []*link.Keyed) (decoded []citron.Keyed) {
+	for _, r := range records {
+		decoded = append(decoded, citron.Keyed{Key: r.GetKey(), Value: r.GetValue(), Offset: citron.Offset(r.GetOffset())})
+	}
+	return decoded
+}
+
+// Notify passes stored records on to a daemon.
+func (p *Peers) Notify(ctx context.Context, vm citron.VMName, records []citron.Keyed) (err error) {
+	defer func() { err = eris.Wrapf(err, "notify %s", vm) }()
+	return p.call(ctx, vm, func(c link.LinkClient) error {
+		_, err := c.Notify(ctx, &link.NotifyRequest{Records: encode(records)})
+		return err
+	})
+}
+
 // TakeOver asks a daemon to claim the pool from this one.
 func (p *Peers) TakeOver(ctx context.Context, vm citron.VMName, epoch citron.Epoch) (err error) {
 	defer func() { err = eris.Wrapf(err, "ask %s to take over", vm) }()
--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -26,7 +26,7 @@
 		return
 	}
 	waited := max(now.Wall.Sub(time.UnixMilli(spec.GetAcceptedMs())), 0)
-	j := &job{id: id, spec: spec, accepted: now.Boot - waited, state: progress.GetState(), next: progress.GetNextOccurrence()}
+	j := &job{id: id, spec: spec, accepted: now.Boot - waited, state: progress.GetState(), recorded: progress.GetState(), next: progress.GetNextOccurrence()}
 	p.jobs[id] = j
 	for _, o := range progress.GetOpen() {
 		p.restore(now.Boot, j, o)
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -108,6 +108,8 @@
 type Effects struct {
 	// Records must be stored before Starts leave.
 	Records []citron.Keyed
+	// Visible tells for each record whether it changes what callers see.
+	Visible []bool
 	Starts  []Start
 	Stops   []Stop
 	Asks    []Ask
@@ -139,6 +141,8 @@
 	spec     *work.Job
 	accepted time.Duration
 	state    work.State
+	// recorded is the state of the last record.
+	recorded work.State
 	next     int32
 	open     []*occurrence
 	// terminal is set once the end of the job is decided.
--- a/citron/pool/record.go
+++ b/citron/pool/record.go
@@ -31,6 +31,8 @@
 			return err
 		}
 		e.Records = append(e.Records, citron.Keyed{Key: ProgressKey + string(j.id), Value: value})
+		e.Visible = append(e.Visible, j.state != j.recorded)
+		j.recorded = j.state
 		delete(p.dirty, j)
 		if j.terminal {
 			e.Ended = append(e.Ended, j.id)
--- a/citron/tail/tail.go
+++ b/citron/tail/tail.go
@@ -37,6 +37,7 @@
 	mu      sync.Mutex
 	next    citron.Offset
 	loaded  bool
+	hurry   chan struct{}
 	lastOK  time.Duration
 	failing bool
 	waiters []waiter
@@ -50,6 +51,7 @@
 // Run follows until the context ends and reports its end.
 func (t *Tail) Run(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
+	hurry := t.hurried()
 	go func() {
 		pause := retryFirst
 		for ctx.Err() == nil {
@@ -61,14 +63,24 @@
 			} else {
 				pause = retryFirst
 			}
-			t.rest(ctx, wait)
+			t.rest(ctx, wait, hurry)
 		}
 		ended <- nil
 	}()
 	return ended
 }
 
-func (t *Tail) rest(ctx context.Context, d time.Duration) {
+// hurried returns the channel that cuts pauses short.
+func (t *Tail) hurried() chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.hurry == nil {
+		t.hurry = make(chan struct{}, 1)
+	}
+	return t.hurry
+}
+
+func (t *Tail) rest(ctx context.Context, d time.Duration, hurry <-chan struct{}) {
 	if d <= 0 {
 		return
 	}
@@ -76,6 +88,7 @@
 	defer stop()
 	select {
 	case <-due:
+	case <-hurry:
 	case <-ctx.Done():
 	}
 }
@@ -172,9 +185,29 @@
 	t.waiters = append(t.waiters, waiter{offset, done})
 	t.mu.Unlock()
 	select {
+	case t.hurried() <- struct{}{}:
+	default:
+	}
+	select {
 	case <-done:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
+
+// CatchUp waits until every record that the store had acknowledged when it was called has been applied.
+func (t *Tail) CatchUp(ctx context.Context) error {
+	next, loaded := t.Next()
+	if !loaded {
+		return citron.ErrUnavailable
+	}
+	batch, err := t.Store.Read(ctx, t.Partition, next, 0)
+	if errors.Is(err, citron.ErrLost) {
+		return citron.ErrUnavailable
+	}
+	if err != nil {
+		return err
+	}
+	return t.Reach(ctx, batch.End)
+}
--- a/citron/view/view.go
+++ b/citron/view/view.go
@@ -21,6 +21,8 @@
 	Spec      *work.Job
 	Progress  *work.Progress
 	Cancelled bool
+	// progressAt is the offset of Progress.
+	progressAt citron.Offset
 }
 
 // State is what callers see.
@@ -150,7 +152,12 @@
 		v.unreadable(r.Key, err)
 		return
 	}
-	v.change(id, func(e *Entry) { e.Progress = &progress })
+	v.change(id, func(e *Entry) {
+		// The same records come from the store and, sooner, from the holder.
+		if e.Progress == nil || r.Offset >= e.progressAt {
+			e.Progress, e.progressAt = &progress, r.Offset
+		}
+	})
 }
 
 func (v *View) unreadable(key string, err error) {
