Ask the policy service about every listed worker, and again where those allowed cannot hold the step

Cause of LOST after a change of holder: the first question of a step named only the few workers that had answered the new holder by then; as one of them was allowed, the others were never asked about (seen in the new 'step waits' line: 'workers usable 45, allowed now 1, policy answers 4').

--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -126,6 +126,7 @@
 	pool.DecidedAsk:        event.AdviceAsked,
 	pool.DecidedQuarantine: event.WorkerQuarantined,
 	pool.DecidedWorkerLost: event.WorkerLost,
+	pool.DecidedWait:       event.StepWaits,
 }
 
 func (d *Daemon) exchangeFailed(what string, err error) {
--- a/citron/event/catalog.go
+++ b/citron/event/catalog.go
@@ -71,6 +71,7 @@
 	JobCancelled      = add(610, logrus.InfoLevel, "job cancelled")
 	AdviceAsked       = add(611, logrus.DebugLevel, "policy service asked")
 	WorkerLost        = add(612, logrus.WarnLevel, "worker lost")
+	StepWaits         = add(614, logrus.InfoLevel, "step waits")
 	ExchangeFailed    = add(613, logrus.WarnLevel, "exchange failed")
 )
 
--- a/citron/pool/ask.go
+++ b/citron/pool/ask.go
@@ -31,15 +31,15 @@
 		return
 	}
 	a := s.job.spec.GetTerms().GetAdvice()
-	workers := b.unasked(s)
-	if len(workers) == 0 {
-		workers = b.renewable(s)
-	}
+	known, unknown, seats := b.sorted(s)
+	workers := append(known, unknown...)
+	workers = workers[:min(len(workers), askMost)]
 	if len(workers) == 0 {
 		return
 	}
 	cost := time.Duration(a.GetDecideUs()+a.GetPerWorkerUs()*int64(len(workers))) * time.Microsecond
-	if len(s.eligible) > 0 && b.soonestEnd(s) > b.now+cost+renewSpare {
+	enough := seats >= len(s.tasks) || len(unknown) == 0
+	if enough && b.soonestEnd(s) > b.now+cost+renewSpare {
 		return
 	}
 	vm, ok := b.p.Advisers.Assign(b.now, cost)
@@ -51,34 +51,27 @@
 	b.p.observe(Decision{Kind: DecidedAsk, Job: s.job.id, Task: citron.TaskRef(s.ref), Outcome: string(vm), Age: b.now - s.readyAt})
 }
 
-// unasked lists the workers that the policy service has not been asked about, those with the most room first. Once
-// there are answers, only a lack of workers is a reason to ask about more.
-func (b *board) unasked(s *step) (ids []citron.Worker) {
-	if slices.ContainsFunc(b.candidates(s), func(w *worker) bool { return s.eligible[w.entry.ID] }) {
-		return nil
-	}
-	for _, w := range b.candidates(s) {
-		if _, known := s.eligible[w.entry.ID]; !known && len(ids) < askMost {
-			ids = append(ids, w.entry.ID)
-		}
-	}
-	return ids
-}
-
-// renewable lists the workers that may run the step.
-func (b *board) renewable(s *step) (ids []citron.Worker) {
+// sorted lists the workers that may run the step and those of which that is not known yet, most room first. Seats is
+// how many tasks the former could run if they were empty.
+func (b *board) sorted(s *step) (known, unknown []citron.Worker, seats int) {
 	for _, w := range b.candidates(s) {
-		if s.eligible[w.entry.ID] && len(ids) < askMost {
-			ids = append(ids, w.entry.ID)
+		allowed, asked := s.eligible[w.entry.ID]
+		switch {
+		case !asked:
+			unknown = append(unknown, w.entry.ID)
+		case allowed:
+			known = append(known, w.entry.ID)
+			seats += w.entry.Capacity.Times(s.need)
 		}
 	}
-	return ids
+	return known, unknown, seats
 }
 
-// candidates lists the workers that could take tasks of the step if they were allowed to, most room first.
+// candidates lists the workers that could take tasks of the step if they were allowed to, most room first. Workers
+// that have not answered yet are among them: they will have by the time they are needed.
 func (b *board) candidates(s *step) (list []*worker) {
 	for _, w := range b.p.workers {
-		if w.usable(b.now) && w.entry.Service == citron.Service(s.job.spec.GetTerms().GetService()) &&
+		if w.listed && !w.dead && !w.entry.Draining && w.entry.Service == citron.Service(s.job.spec.GetTerms().GetService()) &&
 			w.entry.HasLabel(s.spec.GetRequires()) && w.entry.Capacity.Fits(s.need) {
 			list = append(list, w)
 		}
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -121,6 +122,7 @@
 	for _, s := range p.waiting {
 		p.lastPlan.WaitingSteps++
 		b.step(s)
+		b.explain(s)
 		p.lastPlan.WaitingTasks += s.waitingTasks()
 	}
 	for _, w := range p.workers {
@@ -128,6 +130,34 @@
 	}
 }
 
+// explainAfter and explainEvery say when it is told why a step waits.
+const (
+	explainAfter = 3 * time.Second
+	explainEvery = 3 * time.Second
+)
+
+// explain tells why a step has been waiting for long.
+func (b *board) explain(s *step) {
+	waiting := s.waitingTasks()
+	if waiting == 0 || b.now-s.readyAt < explainAfter || b.now-s.explained < explainEvery {
+		return
+	}
+	s.explained = b.now
+	usable, allowed, seats := 0, 0, 0
+	for _, w := range b.candidates(s) {
+		usable++
+		if b.allowed(s, w) {
+			allowed++
+			seats += b.room(s, w).Times(s.need)
+		}
+	}
+	b.p.observe(Decision{
+		Kind: DecidedWait, Job: s.job.id, Task: citron.TaskRef(s.ref), Age: b.now - s.readyAt,
+		Reason: fmt.Sprintf("%d of %d tasks wait; workers usable %d, allowed now %d with room for %d; policy answers %d, tickets %d, asking %t",
+			waiting, len(s.tasks), usable, allowed, seats, len(s.eligible), len(s.permits), s.asking),
+	})
+}
+
 func (s *step) waitingTasks() (n int) {
 	for _, t := range s.tasks {
 		if t.state == taskWaiting {
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -68,6 +68,7 @@
 	DecidedAsk
 	DecidedQuarantine
 	DecidedWorkerLost
+	DecidedWait
 )
 
 // Decision is one decision with the inputs that led to it.
@@ -177,6 +178,8 @@
 	askAfter time.Duration
 	// backoff is when the step may be placed again after a refusal.
 	backoff time.Duration
+	// explained is when it was last told why the step waits.
+	explained time.Duration
 	// gangRun is the run number that all members share.
 	gangRun int32
 }
