Runs of ended jobs and leaving gang members keep their room over a change of holder

Change: both are recorded and booked until their worker lists the end; a worker that shows a run nobody recorded takes nothing meanwhile.

--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -21,7 +21,8 @@
 	if _, over := p.ended[id]; over {
 		return
 	}
-	if Ended(progress.GetState()) {
+	over := Ended(progress.GetState())
+	if over && len(progress.GetOpen()) == 0 {
 		p.ended[id] = endedJob{at: now.Boot}
 		return
 	}
@@ -31,6 +32,13 @@
 	for _, o := range progress.GetOpen() {
 		p.restore(now.Boot, j, o)
 	}
+	if over {
+		// Its runs take room until their workers list their ends.
+		j.terminal = true
+		p.haltAll(now.Boot, j)
+		p.dirty[j] = true
+		return
+	}
 	if spec.GetSchedule().GetRepeats() == 0 && j.next == 0 {
 		p.openOccurrence(now.Boot, j, 0, j.accepted)
 		j.next = 1
@@ -129,15 +137,23 @@
 			t.state = taskDone
 			s.left--
 		case work.TaskState_TASK_STATE_STARTED:
-			w := p.worker(now, citron.Worker(r.GetWorker()))
-			t.state, t.worker, t.since, t.startedAt = taskUnsure, w, now, now
-			w.tasks[t.ref] = t
-			w.used = w.used.Add(s.need)
+			p.adopt(now, t, citron.Worker(r.GetWorker()), taskUnsure)
+		case work.TaskState_TASK_STATE_LEAVING:
+			p.adopt(now, t, citron.Worker(r.GetWorker()), taskLeaving)
+			s.left--
 		}
 	}
 	p.release(now, o)
 }
 
+// adopt books the room of a run that a former holder has started.
+func (p *Pool) adopt(now time.Duration, t *task, id citron.Worker, state taskState) {
+	w := p.worker(now, id)
+	t.state, t.worker, t.since, t.startedAt = state, w, now, now
+	w.tasks[t.ref] = t
+	w.used = w.used.Add(t.step.need)
+}
+
 // worker returns a worker, known to the platform or not.
 func (p *Pool) worker(now time.Duration, id citron.Worker) *worker {
 	w, ok := p.workers[id]
@@ -188,6 +204,11 @@
 	j.state, j.terminal = state, true
 	p.dirty[j] = true
 	p.observe(Decision{Kind: DecidedJobEnd, Job: j.id, Outcome: state.String(), Reason: reason, Age: now - j.accepted})
+	p.haltAll(now, j)
+}
+
+// haltAll stops every task of a job.
+func (p *Pool) haltAll(now time.Duration, j *job) {
 	for _, o := range j.open {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
--- a/citron/pool/record.go
+++ b/citron/pool/record.go
@@ -89,10 +89,15 @@
 		Failures:   int32(t.failures),
 		Checkpoint: t.checkpoint,
 	}
+	if t.worker != nil {
+		r.Worker = string(t.worker.entry.ID)
+	}
 	switch {
-	case t.worker != nil && t.state != taskLeaving:
-		r.State, r.Worker = work.TaskState_TASK_STATE_STARTED, string(t.worker.entry.ID)
-	case t.state == taskDone || t.state == taskLeaving:
+	case t.state == taskLeaving:
+		r.State = work.TaskState_TASK_STATE_LEAVING
+	case t.worker != nil:
+		r.State = work.TaskState_TASK_STATE_STARTED
+	case t.state == taskDone:
 		r.State = work.TaskState_TASK_STATE_DONE
 	}
 	return r
--- a/citron/pool/report.go
+++ b/citron/pool/report.go
@@ -13,6 +13,8 @@
 	unhealthyPause = time.Second
 	// noRoomPause is how long a worker that had less room than known takes no task.
 	noRoomPause = 300 * time.Millisecond
+	// strangerPause is how long a worker with a run that is not recorded takes no task; each report renews it.
+	strangerPause = 600 * time.Millisecond
 	// stepPause is how long a step waits after one of its starts was refused.
 	stepPause = 20 * time.Millisecond
 	// stopRetry is when an unanswered stop is sent again.
@@ -170,7 +172,8 @@
 	t := w.tasks[run.Task]
 	if t == nil || t.run != run.Run {
 		// Nothing is recorded of this run here: it belongs to a job that is over, or was started by an order that
-		// arrived after the task had been given up on.
+		// arrived after the task had been given up on. How much room it takes is not known.
+		w.blockedUntil = max(w.blockedUntil, now+strangerPause)
 		p.stops = append(p.stops, Stop{Worker: w.entry, Order: citron.StopOrder{Task: run.Task, Run: run.Run, Epoch: p.Epoch}})
 		return
 	}
