Three partitions each for jobs and progress; fewer reads of the store

Cause: while the store did not answer for the one partition, nothing was accepted or started; most of the price was for reads that each heartbeat of each worker caused. Change: records carry epoch and number, so they may lie in any partition; holder and intake go on with another one.

--- a/citron/claim/claim.go
+++ b/citron/claim/claim.go
@@ -14,7 +14,7 @@
 	// SilentAfter is how long a holder may leave pings unanswered.
 	SilentAfter = 700 * time.Millisecond
 	// StoreLostAfter is how long a holder may be without the store while this daemon has it.
-	StoreLostAfter = 1500 * time.Millisecond
+	StoreLostAfter = 2500 * time.Millisecond
 	// storeFresh is how recent this daemon's own word from the store must be.
 	storeFresh = 900 * time.Millisecond
 	// AdoptWithin is how long a daemon may take from being named to holding the pool.
--- a/citron/entry/claims.go
+++ b/citron/entry/claims.go
@@ -106,7 +106,6 @@
 	ended := make(chan error, 1)
 	h := &holding{epoch: epoch, cancel: cancel, ended: ended, holder: &holder.Holder{
 		Store:     d.Store,
-		Partition: progressPartition,
 		Producer:  producer,
 		Workers:   d.Workers,
 		Timer:     d.Timer,
@@ -145,7 +144,7 @@
 	newest := d.newest()
 	ping := d.peers.LastPing(newest.Holder.VM)
 	rank := slices.Index(d.peers.All(), d.self.VM)
-	age := d.cell.Age()
+	age := d.storeAge()
 	d.mu.Lock()
 	reason, ok := d.watch.Should(now, d.self, rank, age, ping)
 	if d.takeOver && newest.Holder != d.self {
--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -27,10 +27,14 @@
 )
 
 // The product's partitions in the store.
-var (
-	cellPartition     = citron.Partition{Topic: "citron.cell"}
-	jobsPartition     = citron.Partition{Topic: "citron.jobs"}
-	progressPartition = citron.Partition{Topic: "citron.progress"}
+var cellPartition = citron.Partition{Topic: "citron.cell"}
+
+const (
+	jobsTopic     citron.Topic = "citron.jobs"
+	progressTopic citron.Topic = "citron.progress"
+	// spread is the number of partitions of these topics. One takes all records; the others replace it while the store
+	// does not answer for it.
+	spread = 3
 )
 
 const (
@@ -70,8 +74,8 @@
 	peers    peers.Peers
 	view     view.View
 	cell     *tail.Tail
-	jobs     *tail.Tail
-	progress *tail.Tail
+	jobs     []*tail.Tail
+	progress []*tail.Tail
 	desk     advice.Desk
 	outbox   outbox
 	calls    spawn.Group
@@ -119,15 +123,20 @@
 		d.Log.Emit(event.RecordUnreadable, event.Fields{"Key": key, "Error": err})
 	}
 	d.cell = d.tail(cellPartition, d.applyCell, 0)
-	d.jobs = d.tail(jobsPartition, d.view.Apply, readPause)
-	d.progress = d.tail(progressPartition, d.view.Apply, readPause)
-	writer := &intake.Writer{Store: d.Store, Partition: jobsPartition, Timer: d.Timer, Relay: d.relay}
-	d.Intake = &intake.Service{View: &d.view, Writer: writer, Tail: d.jobs, Timer: d.Timer, Stored: d.accepted}
+	writer := &intake.Writer{Store: d.Store, Timer: d.Timer, Relay: d.relay}
+	for n := range spread {
+		writer.Partitions = append(writer.Partitions, citron.Partition{Topic: jobsTopic, Number: n})
+		d.jobs = append(d.jobs, d.tail(writer.Partitions[n], d.view.Apply, readPause))
+		d.progress = append(d.progress, d.tail(citron.Partition{Topic: progressTopic, Number: n}, d.view.Apply, readPause))
+	}
+	d.Intake = &intake.Service{View: &d.view, Writer: writer, Tails: d.jobs, Timer: d.Timer, Stored: d.accepted}
 	d.Log.Emit(event.DaemonStarted, event.Fields{"Incarnation": d.self.Incarnation, "Peer": d.Settings.PeerAddress})
 	d.parts = append(d.parts,
 		peers.Serve(d.run, listener, &server{d: d}),
-		d.cell.Run(d.run), d.jobs.Run(d.run), d.progress.Run(d.run),
-		d.runClaims(), d.runPings())
+		d.cell.Run(d.run), d.runClaims(), d.runPings())
+	for n := range spread {
+		d.parts = append(d.parts, d.jobs[n].Run(d.run), d.progress[n].Run(d.run))
+	}
 	d.calls.Go(d.announce)
 	return nil
 }
@@ -135,10 +144,10 @@
 func (d *Daemon) tail(p citron.Partition, apply func(citron.KeyedBatch, bool), pause time.Duration) *tail.Tail {
 	return &tail.Tail{Store: d.Store, Partition: p, Timer: d.Timer, Apply: apply, Pause: pause, Changed: func(err error) {
 		if err != nil {
-			d.Log.Emit(event.LogReadFailed, event.Fields{"Topic": p.Topic, "Error": err})
+			d.Log.Emit(event.LogReadFailed, event.Fields{"Topic": p.Topic, "Partition": p.Number, "Error": err})
 			return
 		}
-		d.Log.Emit(event.StoreAnswers, event.Fields{"Topic": p.Topic})
+		d.Log.Emit(event.StoreAnswers, event.Fields{"Topic": p.Topic, "Partition": p.Number})
 	}}
 }
 
@@ -211,7 +220,11 @@
 
 // storeAge is how long ago the store last answered anything.
 func (d *Daemon) storeAge() time.Duration {
-	return min(d.cell.Age(), d.jobs.Age(), d.progress.Age())
+	age := d.cell.Age()
+	for n := range spread {
+		age = min(age, d.jobs[n].Age(), d.progress[n].Age())
+	}
+	return age
 }
 
 // applyCell takes in claims and presences.
--- a/citron/estate.go
+++ b/citron/estate.go
@@ -162,8 +162,6 @@
 type Keyed struct {
 	Key   string
 	Value []byte
-	// Offset is the place of a record that has been read.
-	Offset Offset
 }
 
 // Condition restricts an append. The zero value restricts nothing.
--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -17,10 +17,6 @@
 )
 
 const (
-	// appendTimeout bounds one append.
-	appendTimeout = 600 * time.Millisecond
-	// appendRetry separates the tries of one append.
-	appendRetry = 30 * time.Millisecond
 	// orderTimeout bounds one start or stop.
 	orderTimeout = 700 * time.Millisecond
 	// planEvery is the longest time between two plannings: leases and due times are looked at this often.
@@ -32,16 +28,14 @@
 // Holder runs one pool in one epoch.
 type Holder struct {
 	Store citron.Store
-	// Partition holds the progress of the pool's jobs.
-	Partition citron.Partition
 	// Producer names the pool towards the store.
 	Producer string
 	Workers  citron.Workers
 	Timer    citron.Timer
 	View     *view.View
-	// Progress follows Partition, Jobs the accepted jobs.
-	Progress *tail.Tail
-	Jobs     *tail.Tail
+	// Progress follow the partitions with the progress of the pool's jobs, Jobs those with the accepted jobs.
+	Progress []*tail.Tail
+	Jobs     []*tail.Tail
 	Pool     *pool.Pool
 	// Advise puts a question to the policy service from a given daemon.
 	Advise func(ctx context.Context, a pool.Ask) ([]citron.Permit, time.Duration, error)
@@ -50,13 +44,11 @@
 	// Observed, if set, is called for each exchange with a worker or the store that failed.
 	Observed func(what string, err error)
 
-	kick     chan struct{}
-	sequence int64
-	// numbered is set once an append of this epoch has been answered, so the next number is known.
-	numbered bool
-	calls    spawn.Group
-	mu       sync.Mutex
-	polls    map[citron.Worker]*poll
+	kick   chan struct{}
+	ledger []*ledger
+	calls  spawn.Group
+	mu     sync.Mutex
+	polls  map[citron.Worker]*poll
 }
 
 // Run claims the pool's records and runs the pool until the context ends or another daemon has taken over; then it
@@ -71,21 +63,9 @@
 	h.kick = make(chan struct{}, 1)
 	h.polls = map[citron.Worker]*poll{}
 	h.calls.Bind(run)
-	end, err := h.append(run, nil)
-	if err != nil {
-		return err
-	}
-	if err := h.Progress.Reach(run, end); err != nil {
+	if err := h.fence(run); err != nil {
 		return err
 	}
-	// Every job that a former holder has started was accepted before its last record. A worker's ends must not be
-	// taken in before the jobs that they belong to.
-	for h.Jobs.CatchUp(run) != nil {
-		if run.Err() != nil {
-			return run.Err()
-		}
-		h.pause(run, appendRetry)
-	}
 	h.View.Listen(h.jobChanged)
 	defer h.View.Listen(nil)
 	ready()
@@ -148,11 +128,10 @@
 		h.calls.Go(func(ctx context.Context) { h.ask(ctx, a) })
 	}
 	if len(e.Records) > 0 {
-		end, err := h.append(ctx, e.Records)
-		if err != nil {
+		if err := h.append(ctx, e.Records); err != nil {
 			return err
 		}
-		h.publish(e, end)
+		h.publish(e)
 	}
 	h.Pool.Committed(e)
 	for _, s := range e.Starts {
@@ -162,34 +141,6 @@
 	return nil
 }
 
-// append stores records under the pool's epoch. It repeats an append with the same number until the store answers, so
-// that it lands exactly once.
-func (h *Holder) append(ctx context.Context, records []citron.Keyed) (end citron.Offset, err error) {
-	for {
-		c := citron.Condition{Producer: h.Producer, Epoch: h.Pool.Epoch, Sequence: h.sequence}
-		bounded, cancel := context.WithTimeout(ctx, appendTimeout)
-		end, err = h.Store.Append(bounded, h.Partition, records, c)
-		cancel()
-		if err == nil {
-			h.sequence++
-			h.numbered = len(records) > 0
-			return end, nil
-		}
-		var sequence *citron.SequenceError
-		switch {
-		case ctx.Err() != nil || errors.Is(err, citron.ErrFenced):
-			return 0, err
-		case errors.As(err, &sequence):
-			if h.numbered {
-				return 0, err
-			}
-			h.sequence = sequence.Expected
-		}
-		h.failed("append", err)
-		h.pause(ctx, appendRetry)
-	}
-}
-
 func (h *Holder) pause(ctx context.Context, d time.Duration) {
 	due, stop := h.Timer.After(d)
 	defer stop()
@@ -200,12 +151,10 @@
 }
 
 // publish passes on the records that change what callers see.
-func (h *Holder) publish(e pool.Effects, end citron.Offset) {
-	first := end - citron.Offset(len(e.Records))
-	for n := range e.Records {
-		e.Records[n].Offset = first + citron.Offset(n)
+func (h *Holder) publish(e pool.Effects) {
+	for n, r := range e.Records {
 		if e.Visible[n] {
-			h.Published(e.Records[n])
+			h.Published(r)
 		}
 	}
 }
--- a/citron/intake/intake.go
+++ b/citron/intake/intake.go
@@ -27,8 +27,8 @@
 type Service struct {
 	View   *view.View
 	Writer *Writer
-	// Tail follows the partition that Writer appends to.
-	Tail  *tail.Tail
+	// Tails follow the partitions that Writer appends to.
+	Tails []*tail.Tail
 	Timer citron.Timer
 	// Stored, if set, is called with each record that the store has acknowledged.
 	Stored func(citron.Keyed)
@@ -65,7 +65,7 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	if err := s.Tail.CatchUp(bounded); err != nil {
+	if err := s.catchUp(bounded); err != nil {
 		return view.Entry{}, citron.NotRun(citron.NumberLogDown, comeBack, "the store does not answer, so it is not known whether job %q exists", id)
 	}
 	if e, ok := s.View.Get(id); ok {
@@ -74,6 +74,15 @@
 	return view.Entry{}, citron.NotRun(citron.NumberUnknownJob, 0, "job %q is not known; ended jobs are forgotten after a time", id)
 }
 
+func (s *Service) catchUp(ctx context.Context) error {
+	for _, t := range s.Tails {
+		if err := t.CatchUp(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Pending returns the number of jobs of a queue of which nothing has started.
 func (s *Service) Pending(q citron.QueueName) int {
 	return s.View.Pending(q)
--- a/citron/intake/writer.go
+++ b/citron/intake/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/citroncross/citroncross/citron"
@@ -14,7 +15,7 @@
 	// appendTimeout bounds one append.
 	appendTimeout = 500 * time.Millisecond
 	// giveUpAfter bounds all tries of one batch.
-	giveUpAfter = 2 * time.Second
+	giveUpAfter = 2500 * time.Millisecond
 	// retryPause separates the tries.
 	retryPause = 50 * time.Millisecond
 	// most is the number of records in one append; a record has at most a few kilobytes.
@@ -24,13 +25,16 @@
 // Writer appends records and puts those that wait at the same time into one append. Records are keyed, so a repeated
 // append changes nothing, and an append whose answer was lost is simply sent again.
 type Writer struct {
-	Store     citron.Store
-	Partition citron.Partition
-	Timer     citron.Timer
+	Store citron.Store
+	// Partitions are tried in turn; a record may lie in any of them, or in several.
+	Partitions []citron.Partition
+	Timer      citron.Timer
 	// Relay, if set, has another daemon append for this one when it cannot reach the store.
 	Relay func(ctx context.Context, records []citron.Keyed) error
 
 	exchanges spawn.Group
+	// prefer is the partition that took the last records.
+	prefer atomic.Int64
 
 	mu      sync.Mutex
 	waiting []entry
@@ -116,10 +120,21 @@
 	}
 }
 
-// Direct appends from this daemon, once.
+// Direct appends from this daemon, trying each partition once.
 func (w *Writer) Direct(ctx context.Context, records []citron.Keyed) error {
-	bounded, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	_, err := w.Store.Append(bounded, w.Partition, records, citron.Condition{})
-	return err
+	result := citron.ErrNotDone
+	for range w.Partitions {
+		n := int(w.prefer.Load()) % len(w.Partitions)
+		bounded, cancel := context.WithTimeout(ctx, appendTimeout)
+		_, err := w.Store.Append(bounded, w.Partitions[n], records, citron.Condition{})
+		cancel()
+		if err == nil {
+			return nil
+		}
+		if !errors.Is(err, citron.ErrNotDone) {
+			result = citron.ErrUnavailable
+		}
+		w.prefer.CompareAndSwap(int64(n), int64(n+1)%int64(len(w.Partitions)))
+	}
+	return result
 }
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -214,7 +214,7 @@
 
 func encode(records []citron.Keyed) (encoded []*link.Keyed) {
 	for _, r := range records {
-		encoded = append(encoded, &link.Keyed{Key: r.Key, Value: r.Value, Offset: int64(r.Offset)})
+		encoded = append(encoded, &link.Keyed{Key: r.Key, Value: r.Value})
 	}
 	return encoded
 }
@@ -222,7 +222,7 @@
 // Decode returns the records of a message.
 func Decode(records []*link.Keyed) (decoded []citron.Keyed) {
 	for _, r := range records {
-		decoded = append(decoded, citron.Keyed{Key: r.GetKey(), Value: r.GetValue(), Offset: citron.Offset(r.GetOffset())})
+		decoded = append(decoded, citron.Keyed{Key: r.GetKey(), Value: r.GetValue()})
 	}
 	return decoded
 }
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -47,12 +47,14 @@
 	workers map[citron.Worker]*worker
 	steps   map[citron.StepRef]*step
 	// waiting lists the steps that may have tasks to place.
-	waiting  []*step
-	dirty    map[*job]bool
-	stops    []Stop
-	ended    map[citron.JobID]endedJob
-	learnt   durations
-	fenced   bool
+	waiting []*step
+	dirty   map[*job]bool
+	stops   []Stop
+	ended   map[citron.JobID]endedJob
+	learnt  durations
+	fenced  bool
+	// number counts the records of this epoch.
+	number   uint64
 	lastPlan Plan
 }
 
--- a/citron/pool/record.go
+++ b/citron/pool/record.go
@@ -22,7 +22,9 @@
 // records returns the progress of all jobs that changed and forgets those that ended.
 func (p *Pool) records(now citron.Instant, e *Effects) (err error) {
 	for j := range p.dirty {
+		p.number++
 		r := j.progress()
+		r.Epoch, r.Number = uint64(p.Epoch), p.number
 		if j.terminal && len(r.GetOpen()) == 0 {
 			r.EndedMs = now.Wall.UnixMilli()
 		}
--- a/citron/tail/tail.go
+++ b/citron/tail/tail.go
@@ -12,7 +12,7 @@
 
 const (
 	// readWait is how long the store may hold an answer back; it bounds how long a silenced connection goes unnoticed.
-	readWait = 600 * time.Millisecond
+	readWait = 1500 * time.Millisecond
 	// readTimeout bounds one read with its wait.
 	readTimeout = readWait + 500*time.Millisecond
 	// newestTimeout bounds the reading of all newest records.
--- a/citron/view/view.go
+++ b/citron/view/view.go
@@ -2,6 +2,7 @@
 package view
 
 import (
+	"cmp"
 	"strings"
 	"sync"
 
@@ -21,8 +22,6 @@
 	Spec      *work.Job
 	Progress  *work.Progress
 	Cancelled bool
-	// progressAt is the offset of Progress.
-	progressAt citron.Offset
 }
 
 // State is what callers see.
@@ -153,13 +152,17 @@
 		return
 	}
 	v.change(id, func(e *Entry) {
-		// The same records come from the store and, sooner, from the holder.
-		if e.Progress == nil || r.Offset >= e.progressAt {
-			e.Progress, e.progressAt = &progress, r.Offset
+		// The same records come from the store and, sooner, from the holder; and they may lie in several partitions.
+		if e.Progress == nil || newer(&progress, e.Progress) {
+			e.Progress = &progress
 		}
 	})
 }
 
+func newer(a, b *work.Progress) bool {
+	return cmp.Or(cmp.Compare(a.GetEpoch(), b.GetEpoch()), cmp.Compare(a.GetNumber(), b.GetNumber())) > 0
+}
+
 func (v *View) unreadable(key string, err error) {
 	if v.Unreadable != nil {
 		v.Unreadable(key, err)
