The claim names the partitions of the pool's records; a new holder waits for no others

Cause: with partitions of the store silent (platform_down with a share), a new holder waited for all of them, and intake stood while its three were among them. Also, a holder that the store turned away was missed late.

--- a/citron/claim/claim.go
+++ b/citron/claim/claim.go
@@ -14,9 +14,7 @@
 	// SilentAfter is how long a holder may leave pings unanswered.
 	SilentAfter = 700 * time.Millisecond
 	// StoreLostAfter is how long a holder may be without the store while this daemon has it.
-	StoreLostAfter = 2500 * time.Millisecond
-	// storeFresh is how recent this daemon's own word from the store must be.
-	storeFresh = 900 * time.Millisecond
+	StoreLostAfter = 700 * time.Millisecond
 	// AdoptWithin is how long a daemon may take from being named to holding the pool.
 	AdoptWithin = 3 * time.Second
 	// rankPause separates the claims of several daemons that miss the same holder.
@@ -40,8 +38,8 @@
 	RefusedSince time.Duration
 	// Incarnation is the run of the daemon that answered.
 	Incarnation citron.Incarnation
-	// StoreAge is how long ago the store had answered the holder.
-	StoreAge time.Duration
+	// StoreLost is how long the store had not taken the holder's records.
+	StoreLost time.Duration
 	// Holds is the epoch in which the daemon says that it holds the pool.
 	Holds citron.Epoch
 	// Stopping is set where the daemon is about to stop.
@@ -75,11 +73,11 @@
 }
 
 // Should reports whether self should claim now, and why. Rank is the place of self among the live daemons.
-func (w *Watch) Should(now time.Duration, self citron.Member, rank int, storeAge time.Duration, p Ping) (reason string, ok bool) {
+func (w *Watch) Should(now time.Duration, self citron.Member, rank int, storeWell bool, p Ping) (reason string, ok bool) {
 	if w.started == 0 {
 		w.started = now
 	}
-	if storeAge > storeFresh || w.newest.Holder == self {
+	if !storeWell || w.newest.Holder == self {
 		return "", false
 	}
 	if w.newest.Holder.IsZero() {
@@ -104,7 +102,7 @@
 		return "the holder refuses connections", true
 	case now-since >= SilentAfter+pause:
 		return "the holder does not answer", true
-	case p.Answered > w.seen && p.StoreAge >= StoreLostAfter+pause:
+	case p.Answered > w.seen && p.StoreLost >= StoreLostAfter+pause:
 		return "the holder does not reach the store", true
 	case p.Answered > w.seen+AdoptWithin+pause && p.Holds < w.newest.Epoch:
 		return "the holder has given up", true
--- a/citron/entry/claims.go
+++ b/citron/entry/claims.go
@@ -112,6 +112,7 @@
 		View:      &d.view,
 		Progress:  d.progress,
 		Jobs:      d.jobs,
+		Extend:    d.extend,
 		Published: d.publish,
 		Pool:      p,
 		Advise:    d.advise,
@@ -119,6 +120,11 @@
 	}}
 	d.mu.Lock()
 	d.holding = h
+	for _, n := range d.partitions {
+		if int(n) < len(d.progress) {
+			h.holder.Partitions = append(h.holder.Partitions, int(n))
+		}
+	}
 	d.mu.Unlock()
 	d.Log.Emit(event.PoolClaimed, event.Fields{"Epoch": epoch})
 	d.desk.Daemons(append(d.peers.Live(), d.self.VM))
@@ -144,9 +150,9 @@
 	newest := d.newest()
 	ping := d.peers.LastPing(newest.Holder.VM)
 	rank := slices.Index(d.peers.All(), d.self.VM)
-	age := d.storeAge()
+	well := !d.cell.Failing()
 	d.mu.Lock()
-	reason, ok := d.watch.Should(now, d.self, rank, age, ping)
+	reason, ok := d.watch.Should(now, d.self, rank, well, ping)
 	if d.takeOver && newest.Holder != d.self {
 		reason, ok = "the holder is about to stop", true
 	}
@@ -166,14 +172,14 @@
 		return
 	}
 	epoch := newest.Epoch + 1
-	value, err := proto.Marshal(&work.Claim{VM: string(d.self.VM), Incarnation: uint64(d.self.Incarnation), Epoch: uint64(epoch)})
-	if err != nil {
-		d.Log.Emit(event.LogAppendFailed, event.Fields{"Error": err})
-		return
+	d.mu.Lock()
+	partitions := d.partitions
+	d.mu.Unlock()
+	if len(partitions) == 0 {
+		partitions = []int32{0}
 	}
 	d.Log.Emit(event.ClaimSent, event.Fields{"Epoch": epoch, "Former": newest.Holder.VM, "Reason": reason})
-	err = d.appendCell(d.run, citron.Keyed{Key: claimKey, Value: value}, citron.Condition{At: &next})
-	if err != nil && !errors.Is(err, citron.ErrConflict) {
+	if err := d.appendClaim(d.run, epoch, partitions, next); err != nil && !errors.Is(err, citron.ErrConflict) {
 		d.Log.Emit(event.LogAppendFailed, event.Fields{"Topic": cellPartition.Topic, "Error": err})
 	}
 	// Whether it landed, the cell's records will show.
@@ -185,6 +191,49 @@
 	d.follow()
 }
 
+// appendClaim names this daemon as holder if the cell's records end at an offset.
+func (d *Daemon) appendClaim(ctx context.Context, epoch citron.Epoch, partitions []int32, at citron.Offset) error {
+	value, err := proto.Marshal(&work.Claim{
+		VM:          string(d.self.VM),
+		Incarnation: uint64(d.self.Incarnation),
+		Epoch:       uint64(epoch),
+		Partitions:  partitions,
+	})
+	if err != nil {
+		return err
+	}
+	return d.appendCell(ctx, citron.Keyed{Key: claimKey, Value: value}, citron.Condition{At: &at})
+}
+
+// extend names one more partition in this daemon's claim. It fails where another daemon has claimed the pool.
+func (d *Daemon) extend(ctx context.Context, partition int) error {
+	next, _ := d.cell.Next()
+	d.mu.Lock()
+	newest, partitions := d.watch.Newest(), d.partitions
+	d.mu.Unlock()
+	if newest.Holder != d.self {
+		return citron.ErrFenced
+	}
+	if slices.Contains(partitions, int32(partition)) {
+		return nil
+	}
+	err := d.appendClaim(ctx, newest.Epoch, append(slices.Clone(partitions), int32(partition)), next)
+	if err != nil && !errors.Is(err, citron.ErrConflict) && !errors.Is(err, citron.ErrUnavailable) {
+		return err
+	}
+	bounded, cancel := context.WithTimeout(ctx, claimSettle)
+	defer cancel()
+	if err := d.cell.Reach(bounded, next+1); err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.watch.Newest() != newest || !slices.Contains(d.partitions, int32(partition)) {
+		return citron.ErrConflict
+	}
+	return nil
+}
+
 // claimSettle is how long a daemon waits for its claim, or another one, to be read back.
 const claimSettle = 300 * time.Millisecond
 
--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -34,7 +34,7 @@
 	progressTopic citron.Topic = "citron.progress"
 	// spread is the number of partitions of these topics. One takes all records; the others replace it while the store
 	// does not answer for it.
-	spread = 3
+	spread = 6
 )
 
 const (
@@ -45,6 +45,8 @@
 	peerKey  = "peer/"
 	// readPause separates two reads of a partition whose records also come from the other daemons.
 	readPause = 400 * time.Millisecond
+	// spareWait is how long a read of a partition may wait that takes records only while another one fails.
+	spareWait = 8 * time.Second
 	// readyAge is how long the store may be silent before this daemon asks for no more callers.
 	readyAge = 2500 * time.Millisecond
 )
@@ -92,7 +94,9 @@
 	watch    claim.Watch
 	holding  *holding
 	takeOver bool
-	entries  []citron.WorkerEntry
+	// partitions are those of the pool's records that the newest claim names.
+	partitions []int32
+	entries    []citron.WorkerEntry
 	// resigned is the epoch that this daemon gave up by itself, and when.
 	resigned   citron.Epoch
 	resignedAt time.Duration
@@ -128,6 +132,9 @@
 		writer.Partitions = append(writer.Partitions, citron.Partition{Topic: jobsTopic, Number: n})
 		d.jobs = append(d.jobs, d.tail(writer.Partitions[n], d.view.Apply, readPause))
 		d.progress = append(d.progress, d.tail(citron.Partition{Topic: progressTopic, Number: n}, d.view.Apply, readPause))
+		if n > 0 {
+			d.jobs[n].Wait, d.progress[n].Wait = spareWait, spareWait
+		}
 	}
 	d.Intake = &intake.Service{View: &d.view, Writer: writer, Tails: d.jobs, Timer: d.Timer, Stored: d.accepted}
 	d.Log.Emit(event.DaemonStarted, event.Fields{"Incarnation": d.self.Incarnation, "Peer": d.Settings.PeerAddress})
@@ -254,6 +261,9 @@
 		d.watch.Seen(d.Timer.Now().Boot, newest)
 		d.takeOver = false
 	}
+	if newest == d.watch.Newest() {
+		d.partitions = c.GetPartitions()
+	}
 	d.mu.Unlock()
 	d.Log.Emit(event.ClaimSeen, event.Fields{"Holder": c.GetVM(), "Epoch": c.GetEpoch()})
 	d.hurryClaims()
--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -24,12 +24,12 @@
 	reply := &link.PingReply{
 		VM:          string(d.self.VM),
 		Incarnation: uint64(d.self.Incarnation),
-		StoreAgeMs:  d.storeAge().Milliseconds(),
 		Stopping:    d.stopping.Load(),
 	}
 	d.mu.Lock()
 	if d.holding != nil {
 		reply.Epoch = uint64(d.holding.epoch)
+		reply.StoreLostMs = d.holding.holder.StoreLost().Milliseconds()
 	}
 	d.mu.Unlock()
 	return reply, nil
--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -44,11 +45,18 @@
 	// Observed, if set, is called for each exchange with a worker or the store that failed.
 	Observed func(what string, err error)
 
+	// Partitions are those of Progress that former holders may have used.
+	Partitions []int
+	// Extend names one more partition in the pool's claim; after a nil error it may be used.
+	Extend func(ctx context.Context, partition int) error
+
 	kick   chan struct{}
 	ledger []*ledger
-	calls  spawn.Group
-	mu     sync.Mutex
-	polls  map[citron.Worker]*poll
+	// lostSince is when the store began to take no records; zero while it takes them.
+	lostSince atomic.Int64
+	calls     spawn.Group
+	mu        sync.Mutex
+	polls     map[citron.Worker]*poll
 }
 
 // Run claims the pool's records and runs the pool until the context ends or another daemon has taken over; then it
@@ -68,10 +76,38 @@
 	}
 	h.View.Listen(h.jobChanged)
 	defer h.View.Listen(nil)
+	h.calls.Go(h.complete)
 	ready()
 	return h.loop(run)
 }
 
+// complete waits until every job is known that a former holder can have started: all of them were accepted before its
+// last record.
+func (h *Holder) complete(ctx context.Context) {
+	for _, t := range h.Jobs {
+		for t.CatchUp(ctx) != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			h.pause(ctx, catchUpRetry)
+		}
+	}
+	h.Pool.Complete()
+	h.wake()
+}
+
+// catchUpRetry separates the tries to read the accepted jobs.
+const catchUpRetry = 100 * time.Millisecond
+
+// StoreLost is how long the store has taken no records of this holder.
+func (h *Holder) StoreLost() time.Duration {
+	since := time.Duration(h.lostSince.Load())
+	if since == 0 {
+		return 0
+	}
+	return h.Timer.Now().Boot - since
+}
+
 // Listed takes in the platform's list of workers.
 func (h *Holder) Listed(entries []citron.WorkerEntry) {
 	h.Pool.Listed(h.Timer.Now(), entries)
--- a/citron/holder/ledger.go
+++ b/citron/holder/ledger.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -11,7 +12,7 @@
 
 const (
 	// appendTimeout bounds one append.
-	appendTimeout = 500 * time.Millisecond
+	appendTimeout = 400 * time.Millisecond
 	// appendRetry separates the rounds of tries.
 	appendRetry = 30 * time.Millisecond
 	// avoidFor is how long a partition that failed is tried after the others.
@@ -31,13 +32,13 @@
 
 // fence makes the store refuse every former holder, and waits until all that they have stored is known here.
 func (h *Holder) fence(ctx context.Context) error {
-	for _, t := range h.Progress {
-		l := &ledger{partition: t.Partition}
+	for _, n := range h.Partitions {
+		l := &ledger{partition: h.Progress[n].Partition}
 		h.ledger = append(h.ledger, l)
 		for {
 			end, err := h.send(ctx, l, nil)
 			if err == nil {
-				err = t.Reach(ctx, end)
+				err = h.Progress[n].Reach(ctx, end)
 			}
 			if err == nil {
 				break
@@ -49,30 +50,22 @@
 			h.pause(ctx, appendRetry)
 		}
 	}
-	// Every job that a former holder has started was accepted before its last record. A worker's ends must not be
-	// taken in before the jobs that they belong to.
-	for _, t := range h.Jobs {
-		for t.CatchUp(ctx) != nil {
-			if ctx.Err() != nil {
-				return ctx.Err()
-			}
-			h.pause(ctx, appendRetry)
-		}
-	}
 	return nil
 }
 
-// append stores records in the first partition that takes them.
+// append stores records in the first partition that takes them, and opens another one if none does.
 func (h *Holder) append(ctx context.Context, records []citron.Keyed) error {
+	began := h.Timer.Now().Boot
 	for {
 		now := h.Timer.Now().Boot
-		slices.SortStableFunc(h.ledger, func(a, b *ledger) int { return int(max(a.avoid-now, 0) - max(b.avoid-now, 0)) })
+		slices.SortStableFunc(h.ledger, func(a, b *ledger) int { return cmp.Compare(max(a.avoid, now), max(b.avoid, now)) })
 		for _, l := range h.ledger {
 			err := h.settle(ctx, l)
 			if err == nil {
 				_, err = h.send(ctx, l, records)
 			}
 			if err == nil {
+				h.lostSince.Store(0)
 				return nil
 			}
 			var sequence *citron.SequenceError
@@ -80,12 +73,35 @@
 				return err
 			}
 			h.failed("append", err)
+			h.lostSince.CompareAndSwap(0, int64(began))
 			l.avoid = h.Timer.Now().Boot + avoidFor
 		}
-		h.pause(ctx, appendRetry)
+		if err := h.extend(ctx); err != nil {
+			h.failed("extend", err)
+			h.pause(ctx, appendRetry)
+		}
 	}
 }
 
+// extend opens one more partition for the pool's records. The claim names it first, so that a new holder knows it.
+func (h *Holder) extend(ctx context.Context) error {
+	for n, t := range h.Progress {
+		if slices.ContainsFunc(h.ledger, func(l *ledger) bool { return l.partition == t.Partition }) {
+			continue
+		}
+		if err := h.Extend(ctx, n); err != nil {
+			return err
+		}
+		l := &ledger{partition: t.Partition}
+		h.ledger = append(h.ledger, l)
+		_, err := h.send(ctx, l, nil)
+		return err
+	}
+	return errAllOpen
+}
+
+var errAllOpen = errors.New("every partition is open and none takes records")
+
 // settle repeats an append that was not answered. The store drops it if it had landed. Its records may be older than
 // what other partitions hold by now; readers go by the number of each record.
 func (h *Holder) settle(ctx context.Context, l *ledger) error {
--- a/citron/intake/writer.go
+++ b/citron/intake/writer.go
@@ -13,7 +13,7 @@
 
 const (
 	// appendTimeout bounds one append.
-	appendTimeout = 500 * time.Millisecond
+	appendTimeout = 400 * time.Millisecond
 	// giveUpAfter bounds all tries of one batch.
 	giveUpAfter = 2500 * time.Millisecond
 	// retryPause separates the tries.
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -152,7 +152,7 @@
 		one.ping = claim.Ping{
 			Answered:    now,
 			Incarnation: citron.Incarnation(reply.GetIncarnation()),
-			StoreAge:    time.Duration(reply.GetStoreAgeMs()) * time.Millisecond,
+			StoreLost:   time.Duration(reply.GetStoreLostMs()) * time.Millisecond,
 			Holds:       citron.Epoch(reply.GetEpoch()),
 			Stopping:    reply.GetStopping(),
 		}
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -70,7 +70,7 @@
 		o.Deadline = now.Boot + w.clockAhead + p.Options.Lease
 		w.leaseUntil = max(w.leaseUntil, now.Boot+p.lapse())
 	}
-	l = Load{Tasks: len(w.tasks), First: !w.seenAnswer}
+	l = Load{Tasks: len(w.tasks), First: !w.seenAnswer, Unsettled: w.strangers}
 	for _, t := range w.tasks {
 		l.Unsettled = l.Unsettled || t.state == taskUnsure || t.state == taskStopping || t.state == taskLeaving
 	}
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -53,6 +53,8 @@
 	ended   map[citron.JobID]endedJob
 	learnt  durations
 	fenced  bool
+	// complete is set once every job is known that a former holder may have started.
+	complete bool
 	// number counts the records of this epoch.
 	number   uint64
 	lastPlan Plan
@@ -243,6 +245,8 @@
 	leaseUntil time.Duration
 	processed  int64
 	acked      int64
+	// strangers is set where the last report showed a run that is not recorded. How much room it takes is not known.
+	strangers bool
 	// blockedUntil is when the worker may take tasks again.
 	blockedUntil time.Duration
 	// leaves is when a draining worker may leave.
@@ -256,7 +260,7 @@
 
 // usable reports whether new tasks may go to the worker.
 func (w *worker) usable(now time.Duration) bool {
-	return w.listed && !w.dead && !w.entry.Draining && w.seenAnswer && now >= w.blockedUntil
+	return w.listed && !w.dead && !w.entry.Draining && w.seenAnswer && !w.strangers && now >= w.blockedUntil
 }
 
 // New returns the pool of one epoch.
@@ -281,6 +285,13 @@
 	return p.fenced
 }
 
+// Complete notes that every job which a former holder may have started has been accepted here.
+func (p *Pool) Complete() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.complete = true
+}
+
 // LastPlan sums up the last planning.
 func (p *Pool) LastPlan() Plan {
 	p.mu.Lock()
--- a/citron/pool/report.go
+++ b/citron/pool/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/citroncross/citroncross/citron"
@@ -13,8 +14,6 @@
 	unhealthyPause = time.Second
 	// noRoomPause is how long a worker that had less room than known takes no task.
 	noRoomPause = 300 * time.Millisecond
-	// strangerPause is how long a worker with a run that is not recorded takes no task; each report renews it.
-	strangerPause = 600 * time.Millisecond
 	// stepPause is how long a step waits after one of its starts was refused.
 	stepPause = 20 * time.Millisecond
 	// stopRetry is when an unanswered stop is sent again.
@@ -150,16 +149,12 @@
 	}
 	p.answered(now.Boot, w, clock)
 	present := map[citron.TaskRef]int32{}
+	w.strangers = false
 	for _, run := range r.Running {
 		present[run.Task] = run.Run
 		p.running(now.Boot, w, run)
 	}
-	for _, end := range r.Ended {
-		if end.Number > w.processed {
-			w.processed = end.Number
-			p.end(now.Boot, w, end)
-		}
-	}
+	p.ends(now.Boot, w, r.Ended)
 	for ref, t := range w.tasks {
 		if present[ref] != t.run {
 			p.absent(now.Boot, t, sent)
@@ -167,13 +162,43 @@
 	}
 }
 
+// ends takes in the ended runs of a report. The end of a job that is not known yet must be listed again, so nothing from
+// there on is acknowledged.
+func (p *Pool) ends(now time.Duration, w *worker, ends []citron.EndedTask) {
+	all := true
+	for _, end := range ends {
+		if end.Number <= w.processed {
+			continue
+		}
+		all = all && p.known(end.Task)
+		if all {
+			w.processed = end.Number
+		}
+		p.end(now, w, end)
+	}
+}
+
+// known reports whether the job of a task is known, or will never be.
+func (p *Pool) known(ref citron.TaskRef) bool {
+	if p.complete {
+		return true
+	}
+	name, _, _ := strings.Cut(string(ref), ".")
+	_, open := p.jobs[citron.JobID(name)]
+	_, over := p.ended[citron.JobID(name)]
+	return open || over
+}
+
 // running takes in one run that a worker reports.
 func (p *Pool) running(now time.Duration, w *worker, run citron.RunningTask) {
 	t := w.tasks[run.Task]
 	if t == nil || t.run != run.Run {
 		// Nothing is recorded of this run here: it belongs to a job that is over, or was started by an order that
-		// arrived after the task had been given up on. How much room it takes is not known.
-		w.blockedUntil = max(w.blockedUntil, now+strangerPause)
+		// arrived after the task had been given up on.
+		w.strangers = true
+		if !p.known(run.Task) {
+			return
+		}
 		p.stops = append(p.stops, Stop{Worker: w.entry, Order: citron.StopOrder{Task: run.Task, Run: run.Run, Epoch: p.Epoch}})
 		return
 	}
--- a/citron/tail/tail.go
+++ b/citron/tail/tail.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// readWait is how long the store may hold an answer back; it bounds how long a silenced connection goes unnoticed.
+	// readWait is how long the store may hold an answer back where nothing else is said.
 	readWait = 1500 * time.Millisecond
-	// readTimeout bounds one read with its wait.
-	readTimeout = readWait + 500*time.Millisecond
+	// readSlack is added to the wait before a read counts as unanswered.
+	readSlack = 500 * time.Millisecond
 	// newestTimeout bounds the reading of all newest records.
 	newestTimeout = 5 * time.Second
 	// retryFirst and retryMost are the pauses after failed reads.
@@ -31,6 +31,9 @@
 	Apply func(batch citron.KeyedBatch, fresh bool)
 	// Changed, if set, is called when reading begins to fail or to succeed.
 	Changed func(err error)
+	// Wait is how long the store may hold an answer back; zero means readWait. It bounds how long a silenced connection
+	// goes unnoticed.
+	Wait time.Duration
 	// Pause is the least time between two reads; it bounds the number of reads under load.
 	Pause time.Duration
 
@@ -109,9 +112,13 @@
 		t.advance(batch.End, true)
 		return nil
 	}
-	bounded, cancel := context.WithTimeout(ctx, readTimeout)
+	wait := t.Wait
+	if wait == 0 {
+		wait = readWait
+	}
+	bounded, cancel := context.WithTimeout(ctx, wait+readSlack)
 	defer cancel()
-	batch, err := t.Store.Read(bounded, t.Partition, next, readWait)
+	batch, err := t.Store.Read(bounded, t.Partition, next, wait)
 	if errors.Is(err, citron.ErrLost) {
 		t.advance(next, false)
 		return nil
@@ -164,6 +171,13 @@
 	return t.next, t.loaded
 }
 
+// Failing reports whether the last read failed.
+func (t *Tail) Failing() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.failing
+}
+
 // Age is how long ago the store last answered.
 func (t *Tail) Age() time.Duration {
 	t.mu.Lock()
