Cut-off daemons ask another one at once; unanswered starts are repeated

Change: two partitions, then a peer, and the way that worked first for a second; questions about jobs go to a peer as well; a start is repeated every 300 ms until its deadline (the worker takes one run once).

--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -136,7 +137,7 @@
 			d.jobs[n].Wait, d.progress[n].Wait = spareWait, spareWait
 		}
 	}
-	d.Intake = &intake.Service{View: &d.view, Writer: writer, Tails: d.jobs, Timer: d.Timer, Stored: d.accepted}
+	d.Intake = &intake.Service{View: &d.view, Writer: writer, Tails: d.jobs, Timer: d.Timer, Stored: d.accepted, Lookup: d.lookup}
 	d.Log.Emit(event.DaemonStarted, event.Fields{"Incarnation": d.self.Incarnation, "Peer": d.Settings.PeerAddress})
 	d.parts = append(d.parts,
 		peers.Serve(d.run, listener, &server{d: d}),
@@ -282,29 +283,51 @@
 	d.peers.Know(vm, &presence)
 }
 
-// relay has a live daemon append for this one.
+// relay has another daemon append for this one.
 func (d *Daemon) relay(ctx context.Context, records []citron.Keyed) error {
-	newest := d.newest().Holder.VM
-	candidates := append([]citron.VMName{newest}, d.peers.All()...)
-	result, tried := citron.ErrNotDone, 0
-	for _, vm := range candidates {
-		if vm == d.self.VM || vm == "" || tried == relayTries || tried > 0 && vm == newest {
-			continue
-		}
-		tried++
+	result := citron.ErrNotDone
+	for _, vm := range d.helpers() {
 		bounded, cancel := context.WithTimeout(ctx, relayTimeout)
 		err := d.peers.Append(bounded, vm, records)
 		cancel()
 		if err == nil {
 			return nil
 		}
-		if err != citron.ErrNotDone {
-			result = err
+		if !errors.Is(err, citron.ErrNotDone) {
+			result = citron.ErrUnavailable
 		}
 	}
 	return result
 }
 
+// lookup has another daemon say what it knows of a job.
+func (d *Daemon) lookup(ctx context.Context, id citron.JobID) bool {
+	for _, vm := range d.helpers() {
+		bounded, cancel := context.WithTimeout(ctx, relayTimeout)
+		records, err := d.peers.Lookup(bounded, vm, id)
+		cancel()
+		if err == nil {
+			d.view.Apply(citron.KeyedBatch{Records: records}, false)
+			return true
+		}
+	}
+	return false
+}
+
+// helpers lists the daemons to ask for help, the holder first.
+func (d *Daemon) helpers() (vms []citron.VMName) {
+	holder := d.newest().Holder.VM
+	if holder != "" && holder != d.self.VM {
+		vms = append(vms, holder)
+	}
+	for _, vm := range d.peers.All() {
+		if vm != d.self.VM && vm != holder && len(vms) < relayTries {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
 const (
 	// relayTries is the number of daemons that are asked to append for this one.
 	relayTries = 2
--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -67,6 +67,21 @@
 	return &link.AppendReply{Outcome: peers.Unknown}, nil
 }
 
+// Lookup tells what is known of a job.
+func (s *server) Lookup(ctx context.Context, r *link.LookupRequest) (*link.LookupReply, error) {
+	id := citron.JobID(r.GetJobID())
+	e, known, certain := s.d.Intake.Find(ctx, id)
+	reply := &link.LookupReply{Certain: certain}
+	if known {
+		records, err := e.Records(id)
+		if err != nil {
+			return nil, err
+		}
+		reply.Records = peers.Encode(records)
+	}
+	return reply, nil
+}
+
 // Notify takes in stored records before they are read from the store.
 func (s *server) Notify(_ context.Context, r *link.NotifyRequest) (*link.NotifyReply, error) {
 	s.d.view.Apply(citron.KeyedBatch{Records: peers.Decode(r.GetRecords())}, false)
--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -19,7 +19,9 @@
 
 const (
 	// orderTimeout bounds one start or stop.
-	orderTimeout = 700 * time.Millisecond
+	orderTimeout = 300 * time.Millisecond
+	// orderRetry separates the tries of one start.
+	orderRetry = 10 * time.Millisecond
 	// planEvery is the longest time between two plannings: leases and due times are looked at this often.
 	planEvery = 50 * time.Millisecond
 	// planPause is the least time between two plannings; events that come meanwhile are planned together.
@@ -195,12 +197,19 @@
 	}
 }
 
+// start sends an order until it is answered or too late. A worker takes one run of a task once, however often it is told.
 func (h *Holder) start(ctx context.Context, s pool.Start) {
-	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	outcome, clock, err := h.Workers.Start(bounded, &s.Worker, s.Order)
-	if err != nil {
-		h.failed("start", err)
+	began := h.Timer.Now().Boot
+	outcome, clock := citron.StartUnknown, time.Duration(0)
+	for outcome == citron.StartUnknown && ctx.Err() == nil && h.Timer.Now().Boot-began < h.Pool.Options.StartWithin-orderTimeout {
+		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+		var err error
+		outcome, clock, err = h.Workers.Start(bounded, &s.Worker, s.Order)
+		cancel()
+		if err != nil {
+			h.failed("start", err)
+			h.pause(ctx, orderRetry)
+		}
 	}
 	h.Pool.Started(h.Timer.Now(), s, outcome, clock)
 	if outcome != citron.Started {
--- a/citron/holder/poll.go
+++ b/citron/holder/poll.go
@@ -14,7 +14,7 @@
 	// unsettledWait is the same while it is not known whether a task runs there.
 	unsettledWait = 100 * time.Millisecond
 	// pollSlack is added to the wait before a hold counts as unanswered.
-	pollSlack = 500 * time.Millisecond
+	pollSlack = 300 * time.Millisecond
 	// idleEvery is how often a worker without tasks is asked, to keep its clock's offset.
 	idleEvery = 5 * time.Second
 	// ackTimeout bounds the wait for ends to be recorded before the worker is asked again.
--- a/citron/intake/intake.go
+++ b/citron/intake/intake.go
@@ -18,7 +18,7 @@
 
 const (
 	// confirmTimeout bounds the question whether a job that is not known here is known to the store.
-	confirmTimeout = 600 * time.Millisecond
+	confirmTimeout = 500 * time.Millisecond
 	// comeBack is when a caller should try again while the store does not answer.
 	comeBack = time.Second
 )
@@ -30,6 +30,8 @@
 	// Tails follow the partitions that Writer appends to.
 	Tails []*tail.Tail
 	Timer citron.Timer
+	// Lookup, if set, has another daemon say what it knows of a job, and reports whether it could tell.
+	Lookup func(ctx context.Context, id citron.JobID) bool
 	// Stored, if set, is called with each record that the store has acknowledged.
 	Stored func(citron.Keyed)
 }
@@ -65,7 +67,7 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	if err := s.catchUp(bounded); err != nil {
+	if s.catchUp(bounded) != nil && (s.Lookup == nil || !s.Lookup(ctx, id)) {
 		return view.Entry{}, citron.NotRun(citron.NumberLogDown, comeBack, "the store does not answer, so it is not known whether job %q exists", id)
 	}
 	if e, ok := s.View.Get(id); ok {
@@ -74,6 +76,20 @@
 	return view.Entry{}, citron.NotRun(citron.NumberUnknownJob, 0, "job %q is not known; ended jobs are forgotten after a time", id)
 }
 
+// Find returns what is known of a job to this daemon or the store. It returns false where the store does not answer.
+func (s *Service) Find(ctx context.Context, id citron.JobID) (e view.Entry, known, ok bool) {
+	if e, known = s.View.Get(id); known {
+		return e, true, true
+	}
+	bounded, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if s.catchUp(bounded) != nil {
+		return e, false, false
+	}
+	e, known = s.View.Get(id)
+	return e, known, true
+}
+
 func (s *Service) catchUp(ctx context.Context) error {
 	for _, t := range s.Tails {
 		if err := t.CatchUp(ctx); err != nil {
--- a/citron/intake/writer.go
+++ b/citron/intake/writer.go
@@ -18,6 +18,10 @@
 	giveUpAfter = 2500 * time.Millisecond
 	// retryPause separates the tries.
 	retryPause = 50 * time.Millisecond
+	// directTries is the number of partitions that are tried before another daemon is asked.
+	directTries = 2
+	// relayFor is how long another daemon is asked first once it could do what this one could not.
+	relayFor = time.Second
 	// most is the number of records in one append; a record has at most a few kilobytes.
 	most = 200
 )
@@ -35,6 +39,8 @@
 	exchanges spawn.Group
 	// prefer is the partition that took the last records.
 	prefer atomic.Int64
+	// relayUntil is until when other daemons are asked first.
+	relayUntil atomic.Int64
 
 	mu      sync.Mutex
 	waiting []entry
@@ -95,12 +101,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), giveUpAfter)
 	defer cancel()
 	unknown := false
-	for {
-		err := w.Direct(ctx, records)
-		if err != nil && w.Relay != nil {
-			unknown = unknown || !errors.Is(err, citron.ErrNotDone)
-			err = w.Relay(ctx, records)
-		}
+	for ctx.Err() == nil {
+		err := w.once(ctx, records)
 		if err == nil {
 			return nil
 		}
@@ -108,9 +110,6 @@
 		if !unknown {
 			return citron.ErrNotDone
 		}
-		if ctx.Err() != nil {
-			return citron.ErrUnavailable
-		}
 		due, stop := w.Timer.After(retryPause)
 		select {
 		case <-due:
@@ -118,12 +117,48 @@
 		}
 		stop()
 	}
+	return citron.ErrUnavailable
+}
+
+// once tries the way that worked last, then the other one. ErrNotDone means that both refused.
+func (w *Writer) once(ctx context.Context, records []citron.Keyed) error {
+	ways := []func(context.Context, []citron.Keyed) error{w.Direct}
+	if w.Relay != nil {
+		ways = append(ways, w.Relay)
+		if w.Timer.Now().Boot < time.Duration(w.relayUntil.Load()) {
+			ways[0], ways[1] = ways[1], ways[0]
+		}
+	}
+	result := citron.ErrNotDone
+	for n, way := range ways {
+		err := way(ctx, records)
+		if err == nil {
+			if w.Relay != nil && n == 1 {
+				w.turn()
+			}
+			return nil
+		}
+		if !errors.Is(err, citron.ErrNotDone) {
+			result = citron.ErrUnavailable
+		}
+	}
+	return result
+}
+
+// turn makes the other way the first one for a time.
+func (w *Writer) turn() {
+	now := w.Timer.Now().Boot
+	if now < time.Duration(w.relayUntil.Load()) {
+		w.relayUntil.Store(0)
+		return
+	}
+	w.relayUntil.Store(int64(now + relayFor))
 }
 
-// Direct appends from this daemon, trying each partition once.
+// Direct appends from this daemon, trying a few partitions once each.
 func (w *Writer) Direct(ctx context.Context, records []citron.Keyed) error {
 	result := citron.ErrNotDone
-	for range w.Partitions {
+	for range min(len(w.Partitions), directTries) {
 		n := int(w.prefer.Load()) % len(w.Partitions)
 		bounded, cancel := context.WithTimeout(ctx, appendTimeout)
 		_, err := w.Store.Append(bounded, w.Partitions[n], records, citron.Condition{})
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -195,7 +195,7 @@
 
 // Append has a daemon append intake records.
 func (p *Peers) Append(ctx context.Context, vm citron.VMName, records []citron.Keyed) error {
-	request := &link.AppendRequest{Records: encode(records)}
+	request := &link.AppendRequest{Records: Encode(records)}
 	var reply *link.AppendReply
 	err := p.call(ctx, vm, func(c link.LinkClient) (err error) {
 		reply, err = c.Append(ctx, request)
@@ -212,7 +212,8 @@
 	return citron.ErrUnavailable
 }
 
-func encode(records []citron.Keyed) (encoded []*link.Keyed) {
+// Encode returns the records for a message.
+func Encode(records []citron.Keyed) (encoded []*link.Keyed) {
 	for _, r := range records {
 		encoded = append(encoded, &link.Keyed{Key: r.Key, Value: r.Value})
 	}
@@ -227,11 +228,27 @@
 	return decoded
 }
 
+// Lookup returns what a daemon or the store knows of a job. It returns ErrUnavailable where that is not certain.
+func (p *Peers) Lookup(ctx context.Context, vm citron.VMName, id citron.JobID) (records []citron.Keyed, err error) {
+	defer func() { err = eris.Wrapf(err, "look up %s at %s", id, vm) }()
+	var reply *link.LookupReply
+	if err := p.call(ctx, vm, func(c link.LinkClient) (err error) {
+		reply, err = c.Lookup(ctx, &link.LookupRequest{JobID: string(id)})
+		return err
+	}); err != nil {
+		return nil, err
+	}
+	if !reply.GetCertain() {
+		return nil, citron.ErrUnavailable
+	}
+	return Decode(reply.GetRecords()), nil
+}
+
 // Notify passes stored records on to a daemon.
 func (p *Peers) Notify(ctx context.Context, vm citron.VMName, records []citron.Keyed) (err error) {
 	defer func() { err = eris.Wrapf(err, "notify %s", vm) }()
 	return p.call(ctx, vm, func(c link.LinkClient) error {
-		_, err := c.Notify(ctx, &link.NotifyRequest{Records: encode(records)})
+		_, err := c.Notify(ctx, &link.NotifyRequest{Records: Encode(records)})
 		return err
 	})
 }
--- a/citron/pool/report.go
+++ b/citron/pool/report.go
@@ -17,7 +17,7 @@
 	// stepPause is how long a step waits after one of its starts was refused.
 	stepPause = 20 * time.Millisecond
 	// stopRetry is when an unanswered stop is sent again.
-	stopRetry = 700 * time.Millisecond
+	stopRetry = 350 * time.Millisecond
 )
 
 // Listed takes in the platform's list of workers.
--- a/citron/view/view.go
+++ b/citron/view/view.go
@@ -24,6 +24,26 @@
 	Cancelled bool
 }
 
+// Records returns the entry as the store holds it.
+func (e Entry) Records(id citron.JobID) (records []citron.Keyed, err error) {
+	spec, err := proto.Marshal(e.Spec)
+	if err != nil {
+		return nil, err
+	}
+	records = append(records, citron.Keyed{Key: pool.JobKey + string(id), Value: spec})
+	if e.Progress != nil {
+		progress, err := proto.Marshal(e.Progress)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, citron.Keyed{Key: pool.ProgressKey + string(id), Value: progress})
+	}
+	if e.Cancelled {
+		records = append(records, citron.Keyed{Key: pool.CancelKey + string(id), Value: []byte{1}})
+	}
+	return records, nil
+}
+
 // State is what callers see.
 func (e Entry) State() work.State {
 	if s := e.Progress.GetState(); pool.Ended(s) {
