Play changes of holder against the real pool; the lease of an adopted run counts from the change

Change: the lease of an adopted run counts from its adoption. The pool decides the same for the same events now (workers, jobs and orders are gone through by name).

--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -29,6 +30,9 @@
 	waited := max(now.Wall.Sub(time.UnixMilli(spec.GetAcceptedMs())), 0)
 	j := &job{id: id, spec: spec, accepted: now.Boot - waited, state: progress.GetState(), recorded: progress.GetState(), next: progress.GetNextOccurrence()}
 	p.jobs[id] = j
+	if spec.GetSchedule().GetRepeats() > 0 {
+		p.scheduled = append(p.scheduled, j)
+	}
 	for _, o := range progress.GetOpen() {
 		p.restore(now.Boot, j, o)
 	}
@@ -61,7 +65,8 @@
 
 // openDue begins the occurrences whose time has come.
 func (p *Pool) openDue(now citron.Instant) {
-	for _, j := range p.jobs {
+	p.scheduled = slices.DeleteFunc(p.scheduled, func(j *job) bool { return j.terminal })
+	for _, j := range p.scheduled {
 		s := j.spec.GetSchedule()
 		for !j.terminal && j.next < s.GetRepeats() {
 			due := time.UnixMilli(s.GetFirstMs() + int64(j.next)*s.GetIntervalMs())
@@ -149,6 +154,8 @@
 // adopt books the room of a run that a former holder has started.
 func (p *Pool) adopt(now time.Duration, t *task, id citron.Worker, state taskState) {
 	w := p.worker(now, id)
+	// The former holder may have renewed the lease until this epoch began.
+	w.leaseUntil = max(w.leaseUntil, now+p.lapse())
 	t.state, t.worker, t.since, t.startedAt = state, w, now, now
 	w.tasks[t.ref] = t
 	w.used = w.used.Add(t.step.need)
@@ -159,13 +166,26 @@
 	w, ok := p.workers[id]
 	if !ok {
 		w = &worker{entry: citron.WorkerEntry{ID: id}, tasks: map[citron.TaskRef]*task{}, lastAnswer: now}
-		// A former holder may have renewed the lease until this moment.
-		w.leaseUntil = now + p.lapse()
 		p.workers[id] = w
+		n, _ := p.position(id)
+		p.order = slices.Insert(p.order, n, w)
 	}
 	return w
 }
 
+// position returns where a worker is, or would be, in the order.
+func (p *Pool) position(id citron.Worker) (n int, found bool) {
+	return slices.BinarySearchFunc(p.order, id, func(w *worker, id citron.Worker) int { return cmp.Compare(w.entry.ID, id) })
+}
+
+// drop forgets a worker.
+func (p *Pool) drop(w *worker) {
+	delete(p.workers, w.entry.ID)
+	if n, found := p.position(w.entry.ID); found {
+		p.order = slices.Delete(p.order, n, n+1)
+	}
+}
+
 // lapse is the longest time on this daemon's clock until a lease renewed now has ended on the worker's clock.
 func (p *Pool) lapse() time.Duration {
 	return time.Duration(float64(p.Options.Lease)*(1+p.Options.ClockDrift)) + p.Options.StopWithin
@@ -236,6 +256,8 @@
 
 func (p *Pool) sendStop(t *task) {
 	if t.worker.entry.Address == "" {
+		// It is sent once the platform lists the worker.
+		t.stopAsked = 0
 		return
 	}
 	p.stops = append(p.stops, Stop{Worker: t.worker.entry, Order: citron.StopOrder{Task: t.ref, Run: t.run, Epoch: p.Epoch}})
--- a/citron/pool/ask.go
+++ b/citron/pool/ask.go
@@ -70,7 +70,7 @@
 // candidates lists the workers that could take tasks of the step if they were allowed to, most room first. Workers
 // that have not answered yet are among them: they will have by the time they are needed.
 func (b *board) candidates(s *step) (list []*worker) {
-	for _, w := range b.p.workers {
+	for _, w := range b.p.order {
 		if w.listed && !w.dead && !w.entry.Draining && w.entry.Service == citron.Service(s.job.spec.GetTerms().GetService()) &&
 			w.entry.HasLabel(s.spec.GetRequires()) && w.entry.Capacity.Fits(s.need) {
 			list = append(list, w)
--- a/citron/pool/gang.go
+++ b/citron/pool/gang.go
@@ -50,7 +50,7 @@
 
 // seats lists how many members each allowed worker can take, most first.
 func (b *board) seats(s *step, room func(*worker) citron.Capacity) (list []seats) {
-	for _, w := range b.p.workers {
+	for _, w := range b.p.order {
 		if !b.allowed(s, w) {
 			continue
 		}
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -25,12 +25,12 @@
 	p.watchWorkers(now.Boot)
 	p.place(now.Boot, &e)
 	e.Stops, p.stops = p.stops, nil
-	for id, w := range p.workers {
+	for _, w := range p.order {
 		if w.processed > w.acked {
 			if e.Acks == nil {
 				e.Acks = map[citron.Worker]int64{}
 			}
-			e.Acks[id] = w.processed
+			e.Acks[w.entry.ID] = w.processed
 		}
 	}
 	return e, p.records(now, &e)
@@ -81,9 +81,9 @@
 func (p *Pool) Workers() (ids []citron.Worker) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, w := range p.workers {
+	for _, w := range p.order {
 		if !w.dead && w.entry.Address != "" {
-			ids = append(ids, id)
+			ids = append(ids, w.entry.ID)
 		}
 	}
 	return ids
@@ -91,7 +91,7 @@
 
 // watchWorkers gives up on leases that have lapsed, moves tasks off leaving workers and repeats unanswered stops.
 func (p *Pool) watchWorkers(now time.Duration) {
-	for _, w := range p.workers {
+	for _, w := range p.order {
 		if len(w.tasks) == 0 {
 			continue
 		}
@@ -100,7 +100,7 @@
 			continue
 		}
 		leaving := w.entry.Draining && now > w.leaves-p.Options.StopWithin-evacuateBefore
-		for _, t := range w.tasks {
+		for _, t := range w.sorted() {
 			switch {
 			case t.state == taskStopping && t.stopAcked == 0 && now-t.stopAsked > stopRetry:
 				t.stopAsked = now
@@ -125,7 +125,7 @@
 		b.explain(s)
 		p.lastPlan.WaitingTasks += s.waitingTasks()
 	}
-	for _, w := range p.workers {
+	for _, w := range p.order {
 		p.lastPlan.RunningTasks += len(w.tasks)
 	}
 }
@@ -283,7 +283,7 @@
 // best returns the worker that is left with the least room, near the data first.
 func (b *board) best(s *step, t *task) (best *worker) {
 	var bestScore int64
-	for _, w := range b.p.workers {
+	for _, w := range b.p.order {
 		if !b.allowed(s, w) || !b.room(s, w).Fits(s.need) {
 			continue
 		}
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -6,6 +6,8 @@
 package pool
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,7 +47,11 @@
 	mu      sync.Mutex
 	jobs    map[citron.JobID]*job
 	workers map[citron.Worker]*worker
-	steps   map[citron.StepRef]*step
+	// order lists the workers by id, so that equal events lead to equal decisions.
+	order []*worker
+	steps map[citron.StepRef]*step
+	// scheduled lists the jobs that begin again at set times.
+	scheduled []*job
 	// waiting lists the steps that may have tasks to place.
 	waiting []*step
 	dirty   map[*job]bool
@@ -258,6 +264,16 @@
 	return w.entry.Capacity.Sub(w.used)
 }
 
+// sorted lists the tasks on the worker by name.
+func (w *worker) sorted() []*task {
+	list := make([]*task, 0, len(w.tasks))
+	for _, t := range w.tasks {
+		list = append(list, t)
+	}
+	slices.SortFunc(list, func(a, b *task) int { return cmp.Compare(a.ref, b.ref) })
+	return list
+}
+
 // usable reports whether new tasks may go to the worker.
 func (w *worker) usable(now time.Duration) bool {
 	return w.listed && !w.dead && !w.entry.Draining && w.seenAnswer && !w.strangers && now >= w.blockedUntil
--- a/citron/pool/record.go
+++ b/citron/pool/record.go
@@ -1,6 +1,9 @@
 package pool
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -21,7 +24,8 @@
 
 // records returns the progress of all jobs that changed and forgets those that ended.
 func (p *Pool) records(now citron.Instant, e *Effects) (err error) {
-	for j := range p.dirty {
+	changed := slices.SortedFunc(maps.Keys(p.dirty), func(a, b *job) int { return cmp.Compare(a.id, b.id) })
+	for _, j := range changed {
 		p.number++
 		r := j.progress()
 		r.Epoch, r.Number = uint64(p.Epoch), p.number
--- a/citron/pool/report.go
+++ b/citron/pool/report.go
@@ -30,21 +30,20 @@
 		w := p.workers[e.ID]
 		if w == nil {
 			w = p.worker(now.Boot, e.ID)
-			// Nobody has started anything on a worker that no record names.
-			w.leaseUntil = now.Boot
 		}
 		if e.Draining && (!w.entry.Draining || e.Remaining != w.entry.Remaining) {
 			w.leaves = now.Boot + e.Remaining
 		}
 		w.entry, w.listed = e, true
 	}
-	for id, w := range p.workers {
+	for _, w := range slices.Clone(p.order) {
+		id := w.entry.ID
 		if !listed[id] && w.listed {
 			w.listed = false
 			p.observe(Decision{Kind: DecidedWorkerLost, Worker: id, Outcome: "unlisted", Reason: "the platform no longer lists it"})
 		}
 		if !w.listed && len(w.tasks) == 0 {
-			delete(p.workers, id)
+			p.drop(w)
 		}
 	}
 }
@@ -155,8 +154,8 @@
 		p.running(now.Boot, w, run)
 	}
 	p.ends(now.Boot, w, r.Ended)
-	for ref, t := range w.tasks {
-		if present[ref] != t.run {
+	for _, t := range w.sorted() {
+		if present[t.ref] != t.run {
 			p.absent(now.Boot, t, sent)
 		}
 	}
@@ -410,7 +409,7 @@
 // lost handles a worker on which nothing of this epoch or an earlier one can run any more.
 func (p *Pool) lost(now time.Duration, w *worker, reason string) {
 	p.observe(Decision{Kind: DecidedWorkerLost, Worker: w.entry.ID, Outcome: "lost", Reason: reason, Age: now - w.lastAnswer})
-	for _, t := range w.tasks {
+	for _, t := range w.sorted() {
 		p.requeue(now, t, reason)
 	}
 	w.seenAnswer = false
--- /dev/null
+++ b/citron/pool/rig_test.go
@@ -0,0 +1,148 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/advice"
+	"github.com/citroncross/citroncross/schema/work"
+)
+
+// testOptions are the bounds that the tests work with.
+var testOptions = Options{
+	Lease:       4 * time.Second,
+	StartWithin: 1500 * time.Millisecond,
+	ClockDrift:  0.04,
+	StopWithin:  900 * time.Millisecond,
+	Silence:     2200 * time.Millisecond,
+}
+
+// rig is a pool with a clock that the test moves, whose workers answer at once.
+type rig struct {
+	t       *testing.T
+	p       *Pool
+	now     citron.Instant
+	records map[string][]byte
+	epoch   citron.Epoch
+	// ends numbers the ends of each worker.
+	ends map[citron.Worker]int64
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{t: t, records: map[string][]byte{}, ends: map[citron.Worker]int64{}, now: citron.Instant{Boot: time.Hour, Wall: time.UnixMilli(1_700_000_000_000)}}
+	r.takeOver()
+	r.p.Complete()
+	return r
+}
+
+// takeOver begins a new epoch with a pool that knows nothing.
+func (r *rig) takeOver() {
+	r.epoch++
+	desk := &advice.Desk{}
+	desk.Daemons([]citron.VMName{"a", "b", "c"})
+	r.p = New(testOptions, r.epoch, desk)
+}
+
+func (r *rig) advance(d time.Duration) { r.now = r.now.Add(d) }
+
+// workers lists n workers of 32 cores in racks of two, and has each answer a first hold.
+func (r *rig) workers(n int) (ids []citron.Worker) {
+	entries := make([]citron.WorkerEntry, 0, n)
+	for i := range n {
+		id := citron.Worker(fmt.Sprintf("w%02d", i))
+		ids = append(ids, id)
+		entries = append(entries, citron.WorkerEntry{
+			ID: id, Address: string(id), Service: "svc", Rack: citron.Rack(fmt.Sprintf("r%d", i/2)), Labels: []string{"a"},
+			Capacity: citron.Capacity{MilliCores: 32_000, MemoryMb: 64_000},
+		})
+	}
+	r.p.Listed(r.now, entries)
+	for _, id := range ids {
+		r.report(id, citron.Report{})
+	}
+	return ids
+}
+
+// report has a worker answer a hold that was sent just now.
+func (r *rig) report(id citron.Worker, report citron.Report) {
+	r.advance(time.Millisecond)
+	r.p.Held(r.now, id, r.now.Boot, report, r.now.Boot)
+}
+
+// end has a worker list the end of a run.
+func (r *rig) end(s Start, how citron.EndKind) {
+	id := s.Worker.ID
+	r.ends[id]++
+	r.report(id, citron.Report{Ended: []citron.EndedTask{{Number: r.ends[id], Task: s.Order.Task, Run: s.Order.Run, Kind: how}}, Running: r.others(s)})
+}
+
+// others are the runs that the pool believes on the worker of a start, without that one.
+func (r *rig) others(s Start) (running []citron.RunningTask) {
+	for ref, t := range r.p.workers[s.Worker.ID].tasks {
+		if ref != s.Order.Task {
+			running = append(running, citron.RunningTask{Task: ref, Run: t.run})
+		}
+	}
+	return running
+}
+
+// plan plans, stores the records and has every start succeed.
+func (r *rig) plan() Effects {
+	r.t.Helper()
+	r.advance(5 * time.Millisecond)
+	e, err := r.p.Plan(r.now)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	for _, record := range e.Records {
+		r.records[record.Key] = record.Value
+	}
+	r.p.Committed(e)
+	for _, s := range e.Starts {
+		r.p.Started(r.now, s, citron.Started, r.now.Boot)
+	}
+	return e
+}
+
+// progress returns what is stored of a job.
+func (r *rig) progress(id string) *work.Progress {
+	r.t.Helper()
+	raw, ok := r.records[ProgressKey+id]
+	if !ok {
+		return nil
+	}
+	var p work.Progress
+	if err := proto.Unmarshal(raw, &p); err != nil {
+		r.t.Fatal(err)
+	}
+	return &p
+}
+
+// accept hands a job in with what is stored of it.
+func (r *rig) accept(j *work.Job) {
+	if j.GetAcceptedMs() == 0 {
+		j.AcceptedMs = r.now.Wall.UnixMilli()
+	}
+	r.p.Accept(r.now, j, r.progress(j.GetID()))
+}
+
+func (r *rig) state(id string) work.State { return r.progress(id).GetState() }
+
+func newJob(id string, steps ...*work.Step) *work.Job {
+	return &work.Job{ID: id, Queue: "q", Steps: steps, Terms: &work.Terms{Service: "svc", Attempts: 3, StretchPercent: 150, TargetMs: 1000}}
+}
+
+func newStep(tasks int32, cores int64) *work.Step {
+	return &work.Step{Tasks: tasks, MilliCores: cores * 1000, MemoryMb: 1000, EstimateMs: 1000}
+}
+
+func newGang(tasks int32, cores int64) *work.Step {
+	s := newStep(tasks, cores)
+	s.Gang = true
+	return s
+}
