Stand-in of the users' platform, tests of real daemons against it, decoders fuzzed

The store (epochs, numbers, keyed topics, pages, lost answers, busy, silent, history dropped), executors (fences, leases, late orders, tickets, lost answers) and the policy service speak the platform's protocol; the list of machines only, no moves. Tests: jobs once each, holder killed and stopped, store losing answers, one partition silent, all daemons lost, workers crashed and draining, callers' errors, unreadable entries.

--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -98,10 +98,15 @@
 	return &link.TakeOverReply{}, nil
 }
 
-const (
-	// handOverWithin bounds the hand-over of the pool at a planned stop.
-	handOverWithin = 1200 * time.Millisecond
-)
+// handOverWithin bounds the hand-over of the pool at a planned stop.
+const handOverWithin = 1200 * time.Millisecond
+
+// Holds reports whether this daemon runs the pool.
+func (d *Daemon) Holds() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.holding != nil && d.holding.ready.Load()
+}
 
 // Drain makes this daemon unready and hands the pool over. Callers are still answered.
 func (d *Daemon) Drain() {
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -133,7 +133,7 @@
 	bounded, cancel := context.WithTimeout(ctx, PingTimeout)
 	defer cancel()
 	var reply *link.PingReply
-	err := p.call(bounded, vm, func(c link.LinkClient) (err error) {
+	err := p.call(vm, func(c link.LinkClient) (err error) {
 		reply, err = c.Ping(bounded, &link.PingRequest{VM: string(p.Self.VM), Incarnation: uint64(p.Self.Incarnation)})
 		return err
 	})
@@ -171,7 +171,7 @@
 		request.Workers = append(request.Workers, string(w))
 	}
 	var reply *link.AdviseReply
-	if err := p.call(ctx, vm, func(c link.LinkClient) (err error) {
+	if err := p.call(vm, func(c link.LinkClient) (err error) {
 		reply, err = c.Advise(ctx, request)
 		return err
 	}); err != nil {
@@ -197,7 +197,7 @@
 func (p *Peers) Append(ctx context.Context, vm citron.VMName, records []citron.Keyed) error {
 	request := &link.AppendRequest{Records: Encode(records)}
 	var reply *link.AppendReply
-	err := p.call(ctx, vm, func(c link.LinkClient) (err error) {
+	err := p.call(vm, func(c link.LinkClient) (err error) {
 		reply, err = c.Append(ctx, request)
 		return err
 	})
@@ -232,7 +232,7 @@
 func (p *Peers) Lookup(ctx context.Context, vm citron.VMName, id citron.JobID) (records []citron.Keyed, err error) {
 	defer func() { err = eris.Wrapf(err, "look up %s at %s", id, vm) }()
 	var reply *link.LookupReply
-	if err := p.call(ctx, vm, func(c link.LinkClient) (err error) {
+	if err := p.call(vm, func(c link.LinkClient) (err error) {
 		reply, err = c.Lookup(ctx, &link.LookupRequest{JobID: string(id)})
 		return err
 	}); err != nil {
@@ -247,7 +247,7 @@
 // Notify passes stored records on to a daemon.
 func (p *Peers) Notify(ctx context.Context, vm citron.VMName, records []citron.Keyed) (err error) {
 	defer func() { err = eris.Wrapf(err, "notify %s", vm) }()
-	return p.call(ctx, vm, func(c link.LinkClient) error {
+	return p.call(vm, func(c link.LinkClient) error {
 		_, err := c.Notify(ctx, &link.NotifyRequest{Records: Encode(records)})
 		return err
 	})
@@ -256,7 +256,7 @@
 // TakeOver asks a daemon to claim the pool from this one.
 func (p *Peers) TakeOver(ctx context.Context, vm citron.VMName, epoch citron.Epoch) (err error) {
 	defer func() { err = eris.Wrapf(err, "ask %s to take over", vm) }()
-	return p.call(ctx, vm, func(c link.LinkClient) error {
+	return p.call(vm, func(c link.LinkClient) error {
 		_, err := c.TakeOver(ctx, &link.TakeOverRequest{Epoch: uint64(epoch)})
 		return err
 	})
@@ -264,7 +264,7 @@
 
 // call runs one exchange and replaces the connection after several that went unanswered, since a connection can fall
 // silent without an error while new ones work.
-func (p *Peers) call(ctx context.Context, vm citron.VMName, f func(link.LinkClient) error) error {
+func (p *Peers) call(vm citron.VMName, f func(link.LinkClient) error) error {
 	conn, err := p.connection(vm)
 	if err != nil {
 		return err
--- /dev/null
+++ b/citronlab/site/site.go
@@ -0,0 +1,225 @@
+// Package site stands in for the users' platform: its store, workers, policy service and machines, over HTTP on
+// loopback and speaking the platform's protocol, with the failures that tests ask for.
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/citroncross/citroncross/citron"
+)
+
+const (
+	// heartbeat is how often workers write about themselves.
+	heartbeat = 500 * time.Millisecond
+	// coresOfWorker and memoryOfWorker are the capacity of each worker.
+	coresOfWorker  = 16_000
+	memoryOfWorker = 32_768
+)
+
+// Site is one estate. Fill in the fields and call Start.
+type Site struct {
+	Timer citron.Timer
+	// Net is the address that everything listens on.
+	Net string
+	// Executors is the number of workers.
+	Executors int
+	// RunTime is how long a task runs.
+	RunTime time.Duration
+
+	Store  *Store
+	Policy *Policy
+	Cloud  *Cloud
+
+	mu        sync.Mutex
+	executors []*Executor
+	servers   []*http.Server
+	ended     []<-chan error
+	ctx       context.Context
+	cancel    context.CancelFunc
+	storeAt   string
+	adviceAt  string
+	cloudAt   string
+}
+
+// Start opens all ports and registers the workers.
+func (s *Site) Start() (err error) {
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.Store = &Store{Timer: s.Timer}
+	s.Policy = &Policy{}
+	s.Cloud = &Cloud{Site: s}
+	if s.storeAt, err = s.serve(s.Store); err != nil {
+		return err
+	}
+	if s.adviceAt, err = s.serve(s.Policy); err != nil {
+		return err
+	}
+	if s.cloudAt, err = s.serve(s.Cloud); err != nil {
+		return err
+	}
+	for n := range s.Executors {
+		if err := s.AddExecutor(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// AddExecutor begins a life of worker n.
+func (s *Site) AddExecutor(n int) error {
+	s.mu.Lock()
+	life := len(s.executors)
+	s.mu.Unlock()
+	e := &Executor{
+		Timer:    s.Timer,
+		ID:       fmt.Sprintf("i-%02d-%02d", n, life),
+		Machine:  fmt.Sprintf("m-%02d", n),
+		RunTime:  s.RunTime,
+		Capacity: citron.Capacity{MilliCores: coresOfWorker, MemoryMb: memoryOfWorker},
+		Rack:     fmt.Sprintf("r%d", n/2),
+	}
+	address, err := s.serve(e)
+	if err != nil {
+		return err
+	}
+	e.Address = address
+	s.mu.Lock()
+	s.executors = append(s.executors, e)
+	s.mu.Unlock()
+	s.ended = append(s.ended, s.beat(e))
+	return nil
+}
+
+// beat writes a worker's entry until it is gone.
+func (s *Site) beat(e *Executor) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		tick, stop := s.Timer.Every(heartbeat)
+		defer stop()
+		for seq := 1; ; seq++ {
+			if e.Gone() {
+				s.Store.Put("keyed.servers", e.ID, nil)
+				ended <- nil
+				return
+			}
+			s.Store.Put("keyed.servers", e.ID, e.entry(seq))
+			select {
+			case <-tick:
+			case <-s.ctx.Done():
+				ended <- nil
+				return
+			}
+		}
+	}()
+	return ended
+}
+
+// Lives lists all lives of workers so far.
+func (s *Site) Lives() []*Executor {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*Executor(nil), s.executors...)
+}
+
+func (s *Site) serve(handler http.Handler) (address string, err error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(s.Net, "0"))
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	ended := make(chan error, 1)
+	go func() {
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			err = nil
+		}
+		ended <- err
+	}()
+	s.servers = append(s.servers, server)
+	s.ended = append(s.ended, ended)
+	return listener.Addr().String(), nil
+}
+
+// Close ends everything.
+func (s *Site) Close() error {
+	s.cancel()
+	errs := make([]error, 0, len(s.ended))
+	for _, server := range s.servers {
+		errs = append(errs, server.Close())
+	}
+	for _, ended := range s.ended {
+		errs = append(errs, <-ended)
+	}
+	return errors.Join(errs...)
+}
+
+// Publish writes a configuration with one queue for each prefix, as the operator does.
+func (s *Site) Publish(version int, prefixes ...string) {
+	type advice struct {
+		DecideMs    float64 `json:"decide_ms"`
+		PerWorkerMs float64 `json:"per_worker_ms"`
+		ValidMs     int     `json:"valid_ms"`
+	}
+	type route struct {
+		Name            string  `json:"name"`
+		Host            string  `json:"host"`
+		PathPrefix      string  `json:"path_prefix"`
+		Service         string  `json:"service"`
+		Attempts        int     `json:"attempts"`
+		Stretch         float64 `json:"stretch"`
+		TargetLatencyMs int     `json:"target_latency_ms"`
+		Advice          *advice `json:"advice,omitempty"`
+	}
+	config := struct {
+		Version int     `json:"version"`
+		Routes  []route `json:"routes"`
+	}{Version: version}
+	for _, p := range prefixes {
+		config.Routes = append(config.Routes, route{p, "jobs.example", "/" + p + "/", "svc", 3, 2, 1000, &advice{2, 0.1, 2500}})
+	}
+	raw, err := json.Marshal(config)
+	if err != nil {
+		panic(err)
+	}
+	s.Store.Put("keyed.op", "config", raw)
+}
+
+// WriteSettings writes the settings file of a daemon whose ports are given, and returns its path.
+func (s *Site) WriteSettings(folder, node string, front, ready string, peerPort int) (file string, err error) {
+	text := fmt.Sprintf(`node = %q
+ip = %q
+zone = "z"
+port_range = [%d, %d]
+advice = %q
+orders = "rpc"
+[listen]
+front = %q
+ready = %q
+[bounds]
+hold_max_ms = 6000
+stop_grace_ms = 200
+grace_s = 4
+early_ms = 250
+status_s = 120
+[platform]
+address = %q
+[cloud]
+address = %q
+`, node, s.Net, peerPort, peerPort, s.adviceAt, front, ready, s.storeAt, s.cloudAt)
+	file = filepath.Join(folder, node+".toml")
+	return file, os.WriteFile(file, []byte(text), 0o600)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/citronlab/site/site_test.go
@@ -0,0 +1,379 @@
+package site
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/timer"
+	"github.com/citroncross/citroncross/platform"
+)
+
+// The tests of this package run real daemons against the stand-in on loopback. They wait for events by polling and
+// assert only what must never happen; a wait that never ends is ended by go test's own time limit.
+
+// cell is a site with daemons.
+type cell struct {
+	t       *testing.T
+	site    *Site
+	folder  string
+	daemons []*platform.Daemon
+	fronts  []string
+	client  http.Client
+	sent    int
+}
+
+func start(t *testing.T, net string, daemons int) *cell {
+	t.Helper()
+	c := &cell{t: t, folder: t.TempDir(), site: &Site{Timer: timer.Service{}, Net: net, Executors: 4, RunTime: 30 * time.Millisecond}}
+	if err := c.site.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		for _, d := range c.daemons {
+			if d != nil {
+				d.Kill()
+			}
+		}
+		if err := c.site.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	c.site.Publish(1, "quick", "bulk")
+	for n := range daemons {
+		c.fronts = append(c.fronts, c.freeAddress())
+		c.daemons = append(c.daemons, nil)
+		c.launch(n)
+	}
+	c.await(func() bool { return c.holder() >= 0 })
+	return c
+}
+
+// freeAddress returns an address that nothing listens on at the moment.
+func (c *cell) freeAddress() string {
+	c.t.Helper()
+	l, err := net.Listen("tcp", net.JoinHostPort(c.site.Net, "0"))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// launch starts daemon n, at the address that it had before.
+func (c *cell) launch(n int) {
+	c.t.Helper()
+	_, port, err := net.SplitHostPort(c.freeAddress())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	peerPort, err := strconv.Atoi(port)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	file, err := c.site.WriteSettings(c.folder, fmt.Sprintf("entry-%d", n), c.fronts[n], c.freeAddress(), peerPort)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	settings, err := platform.ReadSettings(file)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	d := platform.New(settings, io.Discard)
+	if err := d.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	c.daemons[n] = d
+}
+
+func (c *cell) holder() int {
+	for n, d := range c.daemons {
+		if d != nil && d.Holds() {
+			return n
+		}
+	}
+	return -1
+}
+
+func (c *cell) await(holds func() bool) {
+	tick, stop := c.site.Timer.Every(10 * time.Millisecond)
+	defer stop()
+	for !holds() {
+		<-tick
+	}
+}
+
+// call sends one request to a front and returns status and body; status 0 means no answer.
+func (c *cell) call(front int, method, path, body string) (status int, answer string) {
+	request, err := http.NewRequest(method, "http://"+c.fronts[front]+path, bytes.NewBufferString(body))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	request.Host = "jobs.example"
+	response, err := c.client.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return response.StatusCode, string(raw)
+}
+
+const twoSteps = `{"spec":"x","steps":[{"count":3,"cpu":1000,"mem_mb":100,"estimate_ms":30},{"count":2,"cpu":2000,"mem_mb":100,"after":[0],"gang":true}]}`
+
+// submit hands a job in, at one front after the other until one accepts it, and returns its id.
+func (c *cell) submit(body string) string {
+	c.sent++
+	id := fmt.Sprintf("%016x", c.sent)
+	front := c.sent
+	c.await(func() bool {
+		front++
+		status, _ := c.call(front%len(c.fronts), http.MethodPost, "/quick/"+id, body)
+		return status == http.StatusOK
+	})
+	return id
+}
+
+func (c *cell) state(front int, id string) string {
+	status, raw := c.call(front, http.MethodGet, "/quick/"+id, "")
+	var body struct {
+		State string `json:"state"`
+	}
+	if status != http.StatusOK || json.Unmarshal([]byte(raw), &body) != nil {
+		return ""
+	}
+	return body.State
+}
+
+// awaitAll waits until every job is completed in the eyes of every live daemon.
+func (c *cell) awaitAll(ids []string) {
+	for _, id := range ids {
+		for n, d := range c.daemons {
+			if d != nil {
+				c.await(func() bool { return c.state(n, id) == "completed" })
+			}
+		}
+	}
+}
+
+// starts counts the starts of each task, and fails the test for what the workers noted as wrong.
+func (c *cell) starts() map[string]int {
+	starts := map[string]int{}
+	for _, e := range c.site.Lives() {
+		for _, task := range e.Starts() {
+			starts[task]++
+		}
+		for _, breach := range e.Breaches() {
+			c.t.Error(breach)
+		}
+	}
+	return starts
+}
+
+func TestJobsRunOnceEach(t *testing.T) {
+	c := start(t, "127.0.0.31", 3)
+	for _, e := range c.site.Lives() {
+		e.Need(func(task string) citron.Capacity {
+			if strings.Split(task, ".")[2] == "1" {
+				return citron.Capacity{MilliCores: 2000, MemoryMb: 100}
+			}
+			return citron.Capacity{MilliCores: 1000, MemoryMb: 100}
+		})
+	}
+	var ids []string
+	for range 20 {
+		ids = append(ids, c.submit(twoSteps))
+	}
+	c.awaitAll(ids)
+	starts := c.starts()
+	if len(starts) != 5*len(ids) {
+		t.Errorf("%d tasks were started, want %d", len(starts), 5*len(ids))
+	}
+	for task, n := range starts {
+		if n != 1 {
+			t.Errorf("%s was started %d times", task, n)
+		}
+	}
+	if c.site.Policy.Asked() == 0 {
+		t.Error("the policy service was not asked")
+	}
+}
+
+func TestHolderIsKilledAndStopped(t *testing.T) {
+	c := start(t, "127.0.0.32", 3)
+	var ids []string
+	for round := range 4 {
+		for range 5 {
+			ids = append(ids, c.submit(twoSteps))
+		}
+		lost := c.holder()
+		if lost < 0 {
+			continue
+		}
+		if round%2 == 0 {
+			c.daemons[lost].Kill()
+		} else {
+			c.daemons[lost].Stop()
+		}
+		c.daemons[lost] = nil
+		for range 5 {
+			ids = append(ids, c.submit(twoSteps))
+		}
+		c.await(func() bool { return c.holder() >= 0 })
+		c.launch(lost)
+	}
+	c.awaitAll(ids)
+	c.starts()
+}
+
+func TestStoreLosesAnswersIsBusyAndSilent(t *testing.T) {
+	c := start(t, "127.0.0.33", 3)
+	var mode, calls atomic.Int64
+	c.site.Store.Fail(func(call, topic, _ string) Failure {
+		if !strings.HasPrefix(topic, "keyed.citron") || calls.Add(1)%3 != 0 {
+			return Well
+		}
+		if failure := Failure(mode.Load()); failure != Lost || call == "log-append" {
+			return failure
+		}
+		return Well
+	})
+	var ids []string
+	for _, failure := range []Failure{Lost, Busy, Silent, Well} {
+		mode.Store(int64(failure))
+		for range 6 {
+			ids = append(ids, c.submit(twoSteps))
+		}
+	}
+	c.site.Store.Forget()
+	ids = append(ids, c.submit(twoSteps))
+	c.awaitAll(ids)
+	for task, n := range c.starts() {
+		if n != 1 {
+			t.Errorf("%s was started %d times although no worker was lost", task, n)
+		}
+	}
+}
+
+func TestOnePartitionIsSilent(t *testing.T) {
+	c := start(t, "127.0.0.34", 2)
+	ids := []string{c.submit(twoSteps)}
+	c.awaitAll(ids)
+	c.site.Store.Fail(func(_, topic, part string) Failure {
+		if part == "0" && (topic == "keyed.citron.jobs" || topic == "keyed.citron.progress") {
+			return Silent
+		}
+		return Well
+	})
+	for range 3 {
+		ids = append(ids, c.submit(twoSteps))
+	}
+	c.awaitAll(ids)
+	c.starts()
+}
+
+func TestAllDaemonsAreLostAtOnce(t *testing.T) {
+	c := start(t, "127.0.0.35", 3)
+	var ids []string
+	for range 10 {
+		ids = append(ids, c.submit(twoSteps))
+	}
+	for n, d := range c.daemons {
+		d.Kill()
+		c.daemons[n] = nil
+	}
+	for n := range c.daemons {
+		c.launch(n)
+	}
+	c.awaitAll(ids)
+	c.starts()
+}
+
+func TestWorkersCrashDrainAndLoseAnswers(t *testing.T) {
+	c := start(t, "127.0.0.36", 2)
+	lives := c.site.Lives()
+	var calls atomic.Int64
+	lives[0].Lose(func(string) bool { return calls.Add(1)%5 == 0 })
+	var ids []string
+	for range 10 {
+		ids = append(ids, c.submit(twoSteps))
+	}
+	lives[1].Crash()
+	lives[2].Drain()
+	if err := c.site.AddExecutor(1); err != nil {
+		t.Fatal(err)
+	}
+	for range 10 {
+		ids = append(ids, c.submit(twoSteps))
+	}
+	c.awaitAll(ids)
+	c.starts()
+}
+
+func TestCallersOfJobs(t *testing.T) {
+	c := start(t, "127.0.0.37", 2)
+	id := "00000000000000ff"
+	for name, one := range map[string]struct {
+		method, path, body string
+		status             int
+	}{
+		"no such queue":     {http.MethodPost, "/none/" + id, twoSteps, 404},
+		"bad id":            {http.MethodPost, "/quick/xyz", twoSteps, 400},
+		"no job":            {http.MethodPost, "/quick/" + id, `{"spec":"x"}`, 400},
+		"no JSON":           {http.MethodPost, "/quick/" + id, `{`, 400},
+		"unknown step":      {http.MethodPost, "/quick/" + id, `{"steps":[{"count":1,"after":[1]}]}`, 400},
+		"a step after it":   {http.MethodPost, "/quick/" + id, `{"steps":[{"count":1,"after":[0]}]}`, 400},
+		"count of 0":        {http.MethodPost, "/quick/" + id, `{"steps":[{"count":0}]}`, 400},
+		"absurd count":      {http.MethodPost, "/quick/" + id, `{"steps":[{"count":1000000000}]}`, 400},
+		"oversize spec":     {http.MethodPost, "/quick/" + id, `{"spec":"` + strings.Repeat("x", 4001) + `","steps":[{"count":1}]}`, 400},
+		"oversize body":     {http.MethodPost, "/quick/" + id, strings.Repeat(" ", 300<<10), 413},
+		"unknown job":       {http.MethodGet, "/quick/" + id, "", 410},
+		"cancel of unknown": {http.MethodDelete, "/quick/" + id, "", 410},
+		"no such method":    {http.MethodPut, "/quick/" + id, "", 405},
+	} {
+		if status, _ := c.call(0, one.method, one.path, one.body); status != one.status {
+			t.Errorf("%s: status %d, want %d", name, status, one.status)
+		}
+	}
+	c.site.Policy.Allow(func(string, string) bool { return false })
+	waiting := c.submit(twoSteps)
+	c.await(func() bool {
+		_, body := c.call(1, http.MethodGet, "/quick/", "")
+		return strings.Contains(body, `"pending":1`)
+	})
+	if status, _ := c.call(1, http.MethodDelete, "/quick/"+waiting, ""); status != http.StatusOK {
+		t.Errorf("cancel: status %d", status)
+	}
+	c.await(func() bool { return c.state(0, waiting) == "canceled" && c.state(1, waiting) == "canceled" })
+}
+
+func TestUnreadableEntriesAreFeltByNobodyElse(t *testing.T) {
+	c := start(t, "127.0.0.38", 2)
+	for key, value := range map[string]string{
+		"i-1": `{`, "i-2": `{"service":7}`, "i-3": `{"service":"svc"}`, "i-4": "\xff\xfe", "": "x",
+		"i-5": `{"service":"svc","address":"127.0.0.1:1","state":"asleep","capacity":{"cpu":64000,"mem_mb":64000}}`,
+		"i-6": `{"service":"svc","address":"127.0.0.1:1","state":"ready"}`,
+	} {
+		c.site.Store.Put("keyed.servers", key, []byte(value))
+	}
+	c.site.Store.Put("keyed.op", "config", []byte(`{"version":"seven"}`))
+	c.site.Store.Put("keyed.op", "other", []byte(`[]`))
+	c.site.Publish(3, "quick", "added")
+	c.await(func() bool {
+		status, _ := c.call(0, http.MethodGet, "/added/", "")
+		return status == http.StatusOK
+	})
+	c.awaitAll([]string{c.submit(twoSteps)})
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -9,12 +9,16 @@
 	echo "known red, passed over (see KNOWN-RED.txt): $red"
 	skip=(-skip "^($red)\$")
 fi
-# The model search of citron/shard has one thread and many states.
-go test -count=1 -timeout 20m "${skip[@]}" ./citron/shard/...
-threaded=$(go list ./schema/... ./citron/... ./citrond/... ./citronctl/... ./citronlab/... | grep -v '/citron/shard$')
+# The model search of citron/shard and the plays of citron/pool have one thread and many states.
+go test -count=1 -timeout 20m "${skip[@]}" ./citron/shard/... ./citron/pool/...
+threaded=$(go list ./schema/... ./citron/... ./citrond/... ./citronctl/... ./citronlab/... ./platform/... | grep -vE '/citron/(shard|pool)$')
 go test -race -count=1 -timeout 20m "${skip[@]}" $threaded
 # A short fixed run of each fuzz target.
 fuzz() { go test -run '^$' -fuzz "^$1\$" -fuzztime 2000x "$2"; }
 fuzz FuzzRead ./citron/conf
 fuzz FuzzParse ./citron/tmpl
 fuzz FuzzFolds ./citron/state
+fuzz FuzzDecodeJob ./platform
+fuzz FuzzDecodeServer ./platform
+fuzz FuzzDecodeConfig ./platform
+fuzz FuzzDecodeRecords ./platform
