Offered slots are checked against the endpoints to avoid; ended jobs are removed; a lost holder is missed sooner

- The records of ended jobs are removed a minute after callers may ask for them; a job goes before its progress.
- Tasks that fill do not share a worker with tasks that have a bound on their tail.

--- a/citron/calls/forward.go
+++ b/citron/calls/forward.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"time"
 
 	"google.golang.org/grpc"
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/shard"
+	"github.com/citroncross/citroncross/citron/slots"
 	"github.com/citroncross/citroncross/schema/peer"
 	"github.com/citroncross/citroncross/schema/record"
 )
@@ -154,10 +156,7 @@
 	for _, e := range f.GetAvoid() {
 		avoid = append(avoid, citron.Endpoint(e))
 	}
-	grant, ok := s.offers.take(f.GetOfferID())
-	if !ok {
-		grant, ok = s.Slots.Acquire(r.service, s.Timer.Now().Boot, avoid, s.Owner.MayAct)
-	}
+	grant, ok := s.slotFor(r.service, f.GetOfferID(), avoid)
 	if !ok {
 		return w.end(s.withRoom(r, refusalEnd(citron.NotRun(citron.NumberNoSlot, 0, "no free slot"))))
 	}
@@ -182,6 +181,19 @@
 	return w.end(s.withRoom(r, e))
 }
 
+// slotFor returns the slot that was held for a call, unless its endpoint has failed the call already, or any other one.
+func (s *Service) slotFor(service citron.Service, offer string, avoid []citron.Endpoint) (slots.Grant, bool) {
+	now := s.Timer.Now().Boot
+	grant, ok := s.offers.take(offer)
+	if ok && !slices.Contains(avoid, grant.Endpoint) {
+		return grant, true
+	}
+	if ok {
+		s.Slots.Free(grant, now, false)
+	}
+	return s.Slots.Acquire(service, now, avoid, s.Owner.MayAct)
+}
+
 // withRoom adds the room that is left, so that the other daemon knows it without a beat.
 func (s *Service) withRoom(r *Request, e *peer.AnswerEnd) *peer.AnswerEnd {
 	e.FreeSlots = int32(s.Slots.Loads(s.Timer.Now().Boot, s.Owner.MayAct)[r.service].Free)
--- a/citron/claim/claim.go
+++ b/citron/claim/claim.go
@@ -12,7 +12,7 @@
 	// RefusedAfter is how long a holder's port may refuse connections.
 	RefusedAfter = 150 * time.Millisecond
 	// SilentAfter is how long a holder may leave pings unanswered.
-	SilentAfter = 700 * time.Millisecond
+	SilentAfter = 450 * time.Millisecond
 	// StoreLostAfter is how long a holder may be without the store while this daemon has it.
 	StoreLostAfter = 700 * time.Millisecond
 	// AdoptWithin is how long a daemon may take from being named to holding the pool.
--- a/citron/entry/claims.go
+++ b/citron/entry/claims.go
@@ -20,7 +20,7 @@
 	// claimEvery is how often a daemon looks whether the holder is well.
 	claimEvery = 40 * time.Millisecond
 	// pingEvery is how often the holder is pinged by the others, and they by the holder.
-	pingEvery = 200 * time.Millisecond
+	pingEvery = 130 * time.Millisecond
 	// reclaimAfter is when a daemon that gave up a pool claims it again if nobody else has.
 	reclaimAfter = 4 * time.Second
 )
--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -176,9 +176,40 @@
 		h.calls.Go(func(ctx context.Context) { h.start(ctx, s) })
 	}
 	h.pollWorkers(e.Acks)
+	if len(e.Expired) > 0 {
+		h.calls.Go(func(ctx context.Context) { h.remove(ctx, e.Expired) })
+	}
 	return nil
 }
 
+// remove drops the records of jobs that ended long ago from every partition that may hold them. A job goes before its
+// progress: without it, the job would look as if it had never begun.
+func (h *Holder) remove(ctx context.Context, ids []citron.JobID) {
+	var jobs, progress []citron.Keyed
+	for _, id := range ids {
+		jobs = append(jobs, citron.Keyed{Key: pool.JobKey + string(id)}, citron.Keyed{Key: pool.CancelKey + string(id)})
+		progress = append(progress, citron.Keyed{Key: pool.ProgressKey + string(id)})
+	}
+	for _, t := range h.Jobs {
+		if err := h.drop(ctx, t.Partition, jobs); err != nil {
+			h.failed("remove", err)
+			return
+		}
+	}
+	for _, t := range h.Progress {
+		if err := h.drop(ctx, t.Partition, progress); err != nil {
+			h.failed("remove", err)
+		}
+	}
+}
+
+func (h *Holder) drop(ctx context.Context, p citron.Partition, records []citron.Keyed) error {
+	bounded, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err := h.Store.Append(bounded, p, records, citron.Condition{})
+	return err
+}
+
 func (h *Holder) pause(ctx context.Context, d time.Duration) {
 	due, stop := h.Timer.After(d)
 	defer stop()
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -24,7 +24,7 @@
 
 const (
 	// PingTimeout bounds one ping.
-	PingTimeout = 350 * time.Millisecond
+	PingTimeout = 250 * time.Millisecond
 	// redialFirst and redialMost are the pauses before a lost connection is dialled again.
 	redialFirst = 30 * time.Millisecond
 	redialMost  = 300 * time.Millisecond
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -33,6 +33,7 @@
 			e.Acks[w.entry.ID] = w.processed
 		}
 	}
+	p.expire(now.Boot, &e)
 	return e, p.records(now, &e)
 }
 
@@ -254,6 +255,9 @@
 	if !w.usable(b.now) || w.entry.Service != citron.Service(s.job.spec.GetTerms().GetService()) || !w.entry.HasLabel(s.spec.GetRequires()) {
 		return false
 	}
+	if disturbs(s, w) {
+		return false
+	}
 	if s.job.spec.GetTerms().GetAdvice() == nil {
 		return true
 	}
@@ -261,6 +265,21 @@
 	return ok && r.until > b.now+permitMargin
 }
 
+// disturbs reports whether tasks that fill and tasks with a bound on their tail latency would share a worker. How much
+// they disturb each other differs by image and changes within seconds.
+func disturbs(s *step, w *worker) bool {
+	if !s.spec.GetFills() && s.spec.GetTailTargetMs() == 0 {
+		return false
+	}
+	for _, t := range w.tasks {
+		other := t.step.spec
+		if s.spec.GetFills() && other.GetTailTargetMs() > 0 || s.spec.GetTailTargetMs() > 0 && other.GetFills() {
+			return true
+		}
+	}
+	return false
+}
+
 // room is what a worker has for a step, less what waiting gangs keep.
 func (b *board) room(s *step, w *worker) citron.Capacity {
 	free := w.free()
@@ -291,6 +310,10 @@
 			continue
 		}
 		score := w.free().MilliCores - s.need.MilliCores
+		if s.spec.GetFills() {
+			// It works with what the others leave.
+			score = -w.free().MilliCores
+		}
 		if rack := s.spec.GetDataRack(); rack != "" && string(w.entry.Rack) != rack {
 			score += farPenalty
 		}
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -58,6 +58,8 @@
 	stops   []Stop
 	ended   map[citron.JobID]endedJob
 	learnt  durations
+	// expired is when jobs were last removed.
+	expired time.Duration
 	fenced  bool
 	// complete is set once every job is known that a former holder may have started.
 	complete bool
@@ -126,8 +128,8 @@
 	Asks    []Ask
 	// Acks are the ends that Records cover, by worker.
 	Acks map[citron.Worker]int64
-	// Ended lists jobs that ended, for the record of what callers waited.
-	Ended []citron.JobID
+	// Expired lists jobs whose records are to be removed.
+	Expired []citron.JobID
 }
 
 // Empty reports whether nothing is to be done.
--- a/citron/pool/pool_test.go
+++ b/citron/pool/pool_test.go
@@ -525,3 +525,45 @@
 		}
 	}
 }
+
+func TestEndedJobsAreRemovedAfterTheirTime(t *testing.T) {
+	r := newRig(t)
+	r.p.Options.Keep = 2 * time.Minute
+	r.workers(1)
+	r.accept(newJob("j", newStep(1, 1)))
+	r.end(r.plan().Starts[0], citron.EndDone)
+	r.plan()
+	r.advance(2 * time.Minute)
+	if e := r.plan(); len(e.Expired) != 0 {
+		t.Fatal("removed while callers may ask for it")
+	}
+	r.advance(expireSlack + expireEvery)
+	if e := r.plan(); len(e.Expired) != 1 || e.Expired[0] != "j" {
+		t.Errorf("removed %v", e.Expired)
+	}
+	r.advance(expireEvery)
+	if e := r.plan(); len(e.Expired) != 0 {
+		t.Error("removed twice")
+	}
+}
+
+func TestFillingTasksKeepAwayFromThoseWithABoundOnTheirTail(t *testing.T) {
+	r := newRig(t)
+	r.workers(2)
+	serving := newStep(1, 30)
+	serving.TailTargetMs, serving.Service = 50, true
+	r.accept(newJob("s", serving))
+	at := r.plan().Starts[0].Worker.ID
+	fill := newStep(3, 16)
+	fill.Fills = true
+	r.accept(newJob("f", fill))
+	e := r.plan()
+	if len(e.Starts) != 3 {
+		t.Fatalf("%d tasks that fill were started, want all three beside each other", len(e.Starts))
+	}
+	for _, s := range e.Starts {
+		if s.Worker.ID == at {
+			t.Error("started beside the task with a bound on its tail")
+		}
+	}
+}
--- a/citron/pool/record.go
+++ b/citron/pool/record.go
@@ -40,9 +40,6 @@
 		e.Visible = append(e.Visible, j.state != j.recorded)
 		j.recorded = j.state
 		delete(p.dirty, j)
-		if j.terminal {
-			e.Ended = append(e.Ended, j.id)
-		}
 		if j.terminal && len(r.GetOpen()) == 0 {
 			p.forget(now.Boot, j)
 		}
@@ -123,3 +120,27 @@
 		delete(p.steps, s.ref)
 	}
 }
+
+const (
+	// expireEvery separates two removals of jobs that ended long ago.
+	expireEvery = 10 * time.Second
+	// expireMost bounds the jobs of one removal.
+	expireMost = 500
+	// expireSlack is added to the time for which callers may ask for an ended job, against a repeat that comes late.
+	expireSlack = time.Minute
+)
+
+// expire names the jobs that ended so long ago that nobody may ask for them any more.
+func (p *Pool) expire(now time.Duration, e *Effects) {
+	if p.Options.Keep == 0 || now-p.expired < expireEvery {
+		return
+	}
+	p.expired = now
+	for id, over := range p.ended {
+		if now-over.at > p.Options.Keep+expireSlack && len(e.Expired) < expireMost {
+			e.Expired = append(e.Expired, id)
+			delete(p.ended, id)
+		}
+	}
+	slices.Sort(e.Expired)
+}
