--- /dev/null
+++ b/citron/claim/claim_test.go
@@ -0,0 +1,89 @@
+package claim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/citroncross/citroncross/citron"
+)
+
+var (
+	self   = citron.Member{VM: "a", Incarnation: 5}
+	holder = citron.Member{VM: "b", Incarnation: 7}
+)
+
+const base = time.Hour
+
+// seen returns a watch that has known the holder for a minute.
+func seen() *Watch {
+	w := &Watch{}
+	w.Seen(base-time.Minute, Claim{Holder: holder, Epoch: 3})
+	return w
+}
+
+func TestWhenToClaim(t *testing.T) {
+	well := Ping{Answered: base - 50*time.Millisecond, Incarnation: 7, Holds: 3}
+	for name, one := range map[string]struct {
+		ping  Ping
+		rank  int
+		store bool
+		want  bool
+	}{
+		"the holder is well":               {well, 0, true, false},
+		"the store is away":                {Ping{}, 0, false, false},
+		"it does not answer":               {Ping{Answered: base - SilentAfter, Incarnation: 7, Holds: 3}, 0, true, true},
+		"it has just not answered":         {Ping{Answered: base - SilentAfter + 1, Incarnation: 7, Holds: 3}, 0, true, false},
+		"a daemon before this one may":     {Ping{Answered: base - SilentAfter, Incarnation: 7, Holds: 3}, 1, true, false},
+		"its port refuses":                 {Ping{Answered: base - 200*time.Millisecond, RefusedSince: base - RefusedAfter, Incarnation: 7}, 0, true, true},
+		"it has restarted":                 {Ping{Answered: base, Incarnation: 8}, 0, true, true},
+		"the store takes nothing from it":  {Ping{Answered: base, Incarnation: 7, Holds: 3, StoreLost: StoreLostAfter}, 0, true, true},
+		"it no longer holds the pool":      {Ping{Answered: base, Incarnation: 7, Holds: 0}, 0, true, true},
+		"it holds the pool of a new epoch": {Ping{Answered: base, Incarnation: 7, Holds: 4}, 0, true, false},
+	} {
+		if reason, got := seen().Should(base, self, one.rank, one.store, one.ping); got != one.want {
+			t.Errorf("%s: claim %t (%s), want %t", name, got, reason, one.want)
+		}
+	}
+}
+
+func TestFirstClaimAndOwnRestart(t *testing.T) {
+	w := &Watch{}
+	if _, ok := w.Should(base, self, 1, true, Ping{}); ok {
+		t.Error("the second daemon claims before the first could")
+	}
+	if _, ok := w.Should(base+rankPause, self, 1, true, Ping{}); !ok {
+		t.Error("the second daemon never claims")
+	}
+	w.Seen(base, Claim{Holder: citron.Member{VM: "a", Incarnation: 4}, Epoch: 1})
+	if _, ok := w.Should(base, self, 1, true, Ping{}); !ok {
+		t.Error("a restarted daemon does not claim what its earlier run held")
+	}
+	w.Seen(base, Claim{Holder: self, Epoch: 2})
+	if _, ok := w.Should(base+time.Hour, self, 0, true, Ping{}); ok {
+		t.Error("a daemon claims from itself")
+	}
+}
+
+func TestClaimsThatFollowCloselySlowDown(t *testing.T) {
+	w := seen()
+	now := base
+	last := time.Duration(0)
+	for epoch := citron.Epoch(4); epoch < 8; epoch++ {
+		from := now
+		for {
+			now += 10 * time.Millisecond
+			if _, ok := w.Should(now, self, 0, true, Ping{}); ok {
+				break
+			}
+		}
+		if took := now - from; took < last {
+			t.Errorf("epoch %d was claimed after %v, the one before after %v", epoch, took, last)
+		} else {
+			last = took
+		}
+		w.Seen(now, Claim{Holder: citron.Member{VM: "b", Incarnation: citron.Incarnation(epoch) + 10}, Epoch: epoch})
+	}
+	if last < 2*againFirst {
+		t.Errorf("the pause grew to %v only", last)
+	}
+}
--- /dev/null
+++ b/citron/holder/ledger_test.go
@@ -0,0 +1,119 @@
+package holder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/advice"
+	"github.com/citroncross/citroncross/citron/pool"
+	"github.com/citroncross/citroncross/citron/tail"
+	"github.com/citroncross/citroncross/citron/timer"
+)
+
+// instant is a timer whose waits are over at once; time passes with them.
+type instant struct{ timer.Manual }
+
+func (i *instant) After(d time.Duration) (<-chan citron.Instant, func()) {
+	c, stop := i.Manual.After(d)
+	i.Advance(d)
+	return c, stop
+}
+
+// scripted notes appends and answers them as the test says.
+type scripted struct {
+	citron.Store
+	appends []string
+	answer  func(n int, p citron.Partition) error
+}
+
+func (s *scripted) Append(_ context.Context, p citron.Partition, records []citron.Keyed, c citron.Condition) (citron.Offset, error) {
+	key := "-"
+	if len(records) > 0 {
+		key = records[0].Key
+	}
+	s.appends = append(s.appends, fmt.Sprintf("%d:%d:%s", p.Number, c.Sequence, key))
+	return 0, s.answer(len(s.appends), p)
+}
+
+func newHolder(s *scripted, partitions int) *Holder {
+	h := &Holder{Store: s, Timer: &instant{}, Producer: "p", Pool: pool.New(pool.Options{}, 1, &advice.Desk{})}
+	for n := range partitions {
+		h.Progress = append(h.Progress, &tail.Tail{Partition: citron.Partition{Number: n}})
+	}
+	h.ledger = []*ledger{{partition: h.Progress[0].Partition}}
+	return h
+}
+
+func record(key string) []citron.Keyed { return []citron.Keyed{{Key: key, Value: []byte("v")}} }
+
+func TestUnansweredAppendIsRepeatedWithItsNumber(t *testing.T) {
+	s := &scripted{answer: func(n int, _ citron.Partition) error {
+		if n == 2 {
+			return citron.ErrUnavailable
+		}
+		return nil
+	}}
+	h := newHolder(s, 1)
+	for _, key := range []string{"a", "b", "c"} {
+		if err := h.append(context.Background(), record(key)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// The unanswered b is settled under its own number, then b goes out again under the next.
+	if want := []string{"0:0:a", "0:1:b", "0:1:b", "0:2:b", "0:3:c"}; !slices.Equal(s.appends, want) {
+		t.Errorf("appends %v, want %v", s.appends, want)
+	}
+}
+
+func TestAnotherPartitionIsNamedBeforeItIsUsed(t *testing.T) {
+	s := &scripted{answer: func(_ int, p citron.Partition) error {
+		if p.Number == 0 {
+			return citron.ErrUnavailable
+		}
+		return nil
+	}}
+	h := newHolder(s, 3)
+	h.Extend = func(_ context.Context, n int) error {
+		s.appends = append(s.appends, fmt.Sprintf("claim names %d", n))
+		return nil
+	}
+	if err := h.append(context.Background(), record("a")); err != nil {
+		t.Fatal(err)
+	}
+	if want := []string{"0:0:a", "claim names 1", "1:0:-", "1:1:a"}; !slices.Equal(s.appends, want) {
+		t.Errorf("appends %v, want %v", s.appends, want)
+	}
+	if h.StoreLost() != 0 {
+		t.Error("the store counts as lost although a partition takes records")
+	}
+}
+
+func TestFencedHolderStops(t *testing.T) {
+	s := &scripted{answer: func(int, citron.Partition) error { return citron.ErrFenced }}
+	h := newHolder(s, 2)
+	h.Extend = func(context.Context, int) error { t.Error("opened a partition"); return nil }
+	if err := h.append(context.Background(), record("a")); !errors.Is(err, citron.ErrFenced) {
+		t.Errorf("error %v", err)
+	}
+}
+
+func TestNumberOfTheFirstAppendIsTheStores(t *testing.T) {
+	s := &scripted{answer: func(n int, _ citron.Partition) error {
+		if n == 1 {
+			return &citron.SequenceError{Expected: 41}
+		}
+		return nil
+	}}
+	h := newHolder(s, 1)
+	if err := h.append(context.Background(), record("a")); err != nil {
+		t.Fatal(err)
+	}
+	if want := []string{"0:0:a", "0:41:a"}; !slices.Equal(s.appends, want) {
+		t.Errorf("appends %v, want %v", s.appends, want)
+	}
+}
--- /dev/null
+++ b/citron/intake/writer_test.go
@@ -0,0 +1,93 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/timer"
+)
+
+// instant is a timer whose waits are over at once; time passes with them.
+type instant struct{ timer.Manual }
+
+func (i *instant) After(d time.Duration) (<-chan citron.Instant, func()) {
+	c, stop := i.Manual.After(d)
+	i.Advance(d)
+	return c, stop
+}
+
+// scripted answers appends with the next error of a list; after its end everything succeeds.
+type scripted struct {
+	citron.Store
+	errs    []error
+	appends []int
+}
+
+func (s *scripted) Append(_ context.Context, p citron.Partition, _ []citron.Keyed, _ citron.Condition) (citron.Offset, error) {
+	s.appends = append(s.appends, p.Number)
+	if len(s.errs) == 0 {
+		return 1, nil
+	}
+	err := s.errs[0]
+	s.errs = s.errs[1:]
+	return 0, err
+}
+
+func newWriter(errs ...error) (*Writer, *scripted) {
+	s := &scripted{errs: errs}
+	return &Writer{Store: s, Timer: &instant{}, Partitions: []citron.Partition{{Number: 0}, {Number: 1}, {Number: 2}}}, s
+}
+
+func write(w *Writer) error {
+	return w.Write(context.Background(), citron.Keyed{Key: "k", Value: []byte("v")})
+}
+
+func TestWriterTellsRefusedFromUnknown(t *testing.T) {
+	w, _ := newWriter(citron.ErrNotDone, citron.ErrNotDone)
+	if err := write(w); !errors.Is(err, citron.ErrNotDone) {
+		t.Errorf("every try refused: %v", err)
+	}
+	w, s := newWriter(citron.ErrUnavailable, citron.ErrNotDone)
+	if err := write(w); err != nil || len(s.appends) != 3 {
+		t.Errorf("one try without an answer, then the store is back: %v after %d tries", err, len(s.appends))
+	}
+	var refused []error
+	for range 1000 {
+		refused = append(refused, citron.ErrNotDone)
+	}
+	w, _ = newWriter(append([]error{citron.ErrUnavailable}, refused...)...)
+	ctx, cancel := context.WithTimeout(context.Background(), 0)
+	defer cancel()
+	if err := w.Write(ctx, citron.Keyed{Key: "k"}); !errors.Is(err, citron.ErrUnavailable) {
+		t.Errorf("a try that may have landed was called refused: %v", err)
+	}
+}
+
+func TestWriterGoesOnWithAnotherPartition(t *testing.T) {
+	w, s := newWriter(citron.ErrUnavailable)
+	for range 2 {
+		if err := write(w); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(s.appends) != 3 || s.appends[0] != 0 || s.appends[1] != 1 || s.appends[2] != 1 {
+		t.Errorf("appended to partitions %v, want 0, then 1 for as long as it answers", s.appends)
+	}
+}
+
+func TestWriterAsksAnotherDaemonAndRemembersIt(t *testing.T) {
+	w, s := newWriter(citron.ErrNotDone, citron.ErrNotDone)
+	relayed := 0
+	w.Relay = func(context.Context, []citron.Keyed) error { relayed++; return nil }
+	for range 3 {
+		if err := write(w); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if relayed != 3 || len(s.appends) != directTries {
+		t.Errorf("relayed %d times after %d own tries", relayed, len(s.appends))
+	}
+}
--- /dev/null
+++ b/citron/view/view_test.go
@@ -0,0 +1,73 @@
+package view
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/pool"
+	"github.com/citroncross/citroncross/schema/work"
+)
+
+func keyed(t *testing.T, key string, m proto.Message) citron.Keyed {
+	t.Helper()
+	value, err := proto.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return citron.Keyed{Key: key, Value: value}
+}
+
+func apply(v *View, records ...citron.Keyed) { v.Apply(citron.KeyedBatch{Records: records}, false) }
+
+func TestProgressOnlyGoesForward(t *testing.T) {
+	v := &View{}
+	apply(v, keyed(t, pool.JobKey+"j", &work.Job{ID: "j", Queue: "q"}))
+	if v.Pending("q") != 1 {
+		t.Error("an accepted job is not pending")
+	}
+	done := keyed(t, pool.ProgressKey+"j", &work.Progress{State: work.State_STATE_COMPLETED, Epoch: 2, Number: 1})
+	older := keyed(t, pool.ProgressKey+"j", &work.Progress{State: work.State_STATE_RUNNING, Epoch: 1, Number: 9})
+	apply(v, done, older)
+	if e, _ := v.Get("j"); e.State() != work.State_STATE_COMPLETED {
+		t.Errorf("state %v after an older record", e.State())
+	}
+	if v.Pending("q") != 0 {
+		t.Error("a completed job is pending")
+	}
+	apply(v, citron.Keyed{Key: pool.CancelKey + "j", Value: []byte{1}})
+	if e, _ := v.Get("j"); e.State() != work.State_STATE_COMPLETED {
+		t.Errorf("state %v after a late cancellation", e.State())
+	}
+}
+
+func TestFirstDeclarationCountsAndUnreadableRecordsArePassedOver(t *testing.T) {
+	unreadable := 0
+	v := &View{Unreadable: func(string, error) { unreadable++ }}
+	apply(v, citron.Keyed{Key: pool.JobKey + "j", Value: []byte{0xff}}, citron.Keyed{Key: "other", Value: []byte{1}}, citron.Keyed{})
+	if _, ok := v.Get("j"); ok || unreadable != 1 {
+		t.Errorf("known %t, %d unreadable", ok, unreadable)
+	}
+	apply(v, keyed(t, pool.JobKey+"j", &work.Job{ID: "j", Queue: "q", Payload: "first"}), keyed(t, pool.JobKey+"j", &work.Job{ID: "j", Queue: "q", Payload: "second"}))
+	if e, _ := v.Get("j"); e.Spec.GetPayload() != "first" {
+		t.Errorf("payload %q", e.Spec.GetPayload())
+	}
+	apply(v, citron.Keyed{Key: pool.JobKey + "j"})
+	if _, ok := v.Get("j"); ok || v.Pending("q") != 0 {
+		t.Error("a removed job is still known")
+	}
+}
+
+func TestListenerHearsOfKnownAndLaterJobs(t *testing.T) {
+	v := &View{}
+	apply(v, keyed(t, pool.JobKey+"a", &work.Job{ID: "a"}))
+	heard := map[citron.JobID]bool{}
+	v.Listen(func(id citron.JobID, _ Entry) { heard[id] = true })
+	apply(v, keyed(t, pool.JobKey+"b", &work.Job{ID: "b"}))
+	v.Listen(nil)
+	apply(v, keyed(t, pool.JobKey+"c", &work.Job{ID: "c"}))
+	if !heard["a"] || !heard["b"] || heard["c"] {
+		t.Errorf("heard of %v", heard)
+	}
+}
