Tails read anew once the store answers again; intake returns to the first partition

Change: when one tail is answered again the others read anew; another partition is preferred for 3 s only.

--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -156,9 +156,19 @@
 			return
 		}
 		d.Log.Emit(event.StoreAnswers, event.Fields{"Topic": p.Topic, "Partition": p.Number})
+		d.refresh(p)
 	}}
 }
 
+// refresh has every other partition read anew once the store answers again for one.
+func (d *Daemon) refresh(answered citron.Partition) {
+	for _, t := range append(append([]*tail.Tail{d.cell}, d.jobs...), d.progress...) {
+		if t.Partition != answered {
+			t.Refresh()
+		}
+	}
+}
+
 // announce tells the other daemons where this one is.
 func (d *Daemon) announce(ctx context.Context) {
 	value, err := proto.Marshal(&work.Presence{
--- a/citron/intake/writer.go
+++ b/citron/intake/writer.go
@@ -20,6 +20,8 @@
 	retryPause = 50 * time.Millisecond
 	// directTries is the number of partitions that are tried before another daemon is asked.
 	directTries = 2
+	// preferFor is how long another partition is tried first after one has failed.
+	preferFor = 3 * time.Second
 	// relayFor is how long another daemon is asked first once it could do what this one could not.
 	relayFor = time.Second
 	// most is the number of records in one append; a record has at most a few kilobytes.
@@ -37,8 +39,9 @@
 	Relay func(ctx context.Context, records []citron.Keyed) error
 
 	exchanges spawn.Group
-	// prefer is the partition that took the last records.
-	prefer atomic.Int64
+	// prefer is the partition to try first until preferUntil, then it is the first one again.
+	prefer      atomic.Int64
+	preferUntil atomic.Int64
 	// relayUntil is until when other daemons are asked first.
 	relayUntil atomic.Int64
 
@@ -158,6 +161,9 @@
 // Direct appends from this daemon, trying a few partitions once each.
 func (w *Writer) Direct(ctx context.Context, records []citron.Keyed) error {
 	result := citron.ErrNotDone
+	if w.Timer.Now().Boot > time.Duration(w.preferUntil.Load()) {
+		w.prefer.Store(0)
+	}
 	for range min(len(w.Partitions), directTries) {
 		n := int(w.prefer.Load()) % len(w.Partitions)
 		bounded, cancel := context.WithTimeout(ctx, appendTimeout)
@@ -170,6 +176,7 @@
 			result = citron.ErrUnavailable
 		}
 		w.prefer.CompareAndSwap(int64(n), int64(n+1)%int64(len(w.Partitions)))
+		w.preferUntil.Store(int64(w.Timer.Now().Boot + preferFor))
 	}
 	return result
 }
--- a/citron/intake/writer_test.go
+++ b/citron/intake/writer_test.go
@@ -91,3 +91,17 @@
 		t.Errorf("relayed %d times after %d own tries", relayed, len(s.appends))
 	}
 }
+
+func TestWriterReturnsToTheFirstPartition(t *testing.T) {
+	w, s := newWriter(citron.ErrUnavailable)
+	if err := write(w); err != nil {
+		t.Fatal(err)
+	}
+	w.Timer.(*instant).Advance(preferFor + time.Millisecond)
+	if err := write(w); err != nil {
+		t.Fatal(err)
+	}
+	if last := s.appends[len(s.appends)-1]; last != 0 {
+		t.Errorf("still appends to partition %d", last)
+	}
+}
--- a/citron/tail/tail.go
+++ b/citron/tail/tail.go
@@ -37,10 +37,13 @@
 	// Pause is the least time between two reads; it bounds the number of reads under load.
 	Pause time.Duration
 
-	mu      sync.Mutex
-	next    citron.Offset
-	loaded  bool
-	hurry   chan struct{}
+	mu     sync.Mutex
+	next   citron.Offset
+	loaded bool
+	hurry  chan struct{}
+	// abort ends the read that is under way; aborted is set once it has been used.
+	abort   context.CancelFunc
+	aborted bool
 	lastOK  time.Duration
 	failing bool
 	waiters []waiter
@@ -118,7 +121,13 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, wait+readSlack)
 	defer cancel()
+	t.mu.Lock()
+	t.abort, t.aborted = cancel, false
+	t.mu.Unlock()
 	batch, err := t.Store.Read(bounded, t.Partition, next, wait)
+	if err != nil && t.wasAborted() {
+		return nil
+	}
 	if errors.Is(err, citron.ErrLost) {
 		t.advance(next, false)
 		return nil
@@ -171,6 +180,22 @@
 	return t.next, t.loaded
 }
 
+// Refresh reads anew at once. A read may hang on a connection that fell silent while the store was away.
+func (t *Tail) Refresh() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.abort != nil {
+		t.aborted = true
+		t.abort()
+	}
+}
+
+func (t *Tail) wasAborted() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.aborted
+}
+
 // Failing reports whether the last read failed.
 func (t *Tail) Failing() bool {
 	t.mu.Lock()
--- /dev/null
+++ b/citron/tail/tail_test.go
@@ -0,0 +1,105 @@
+package tail
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/timer"
+)
+
+// log is a store with one partition whose reads the test answers.
+type log struct {
+	citron.Store
+	newest chan citron.KeyedBatch
+	reads  chan read
+}
+
+type read struct {
+	from   citron.Offset
+	answer chan answer
+}
+
+type answer struct {
+	batch citron.KeyedBatch
+	err   error
+}
+
+func (l *log) Newest(context.Context, citron.Partition) (citron.KeyedBatch, error) {
+	return <-l.newest, nil
+}
+
+func (l *log) Read(ctx context.Context, _ citron.Partition, from citron.Offset, _ time.Duration) (citron.KeyedBatch, error) {
+	r := read{from, make(chan answer, 1)}
+	select {
+	case l.reads <- r:
+	case <-ctx.Done():
+		return citron.KeyedBatch{}, ctx.Err()
+	}
+	select {
+	case a := <-r.answer:
+		return a.batch, a.err
+	case <-ctx.Done():
+		return citron.KeyedBatch{}, ctx.Err()
+	}
+}
+
+func follow(t *testing.T) (*Tail, *log, chan []citron.Keyed) {
+	t.Helper()
+	l := &log{newest: make(chan citron.KeyedBatch, 1), reads: make(chan read)}
+	applied := make(chan []citron.Keyed, 10)
+	tail := &Tail{Store: l, Timer: timer.Service{}, Apply: func(b citron.KeyedBatch, _ bool) { applied <- b.Records }}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := tail.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	l.newest <- citron.KeyedBatch{Records: []citron.Keyed{{Key: "a"}}, End: 5}
+	<-applied
+	return tail, l, applied
+}
+
+func TestTailReadsOnFromTheNewestRecords(t *testing.T) {
+	tail, l, applied := follow(t)
+	r := <-l.reads
+	if r.from != 5 {
+		t.Fatalf("reads from %d", r.from)
+	}
+	r.answer <- answer{batch: citron.KeyedBatch{Start: 5, Records: []citron.Keyed{{Key: "b"}, {Key: "c"}}, End: 7}}
+	if records := <-applied; len(records) != 2 {
+		t.Errorf("applied %v", records)
+	}
+	if err := tail.Reach(context.Background(), 7); err != nil {
+		t.Error(err)
+	}
+	if r := <-l.reads; r.from != 7 {
+		t.Errorf("reads on from %d", r.from)
+	}
+}
+
+func TestDeletedRecordsAreReplacedByTheNewest(t *testing.T) {
+	_, l, applied := follow(t)
+	(<-l.reads).answer <- answer{err: citron.ErrLost}
+	l.newest <- citron.KeyedBatch{Records: []citron.Keyed{{Key: "z"}}, End: 90}
+	if records := <-applied; records[0].Key != "z" {
+		t.Errorf("applied %v", records)
+	}
+	if r := <-l.reads; r.from != 90 {
+		t.Errorf("reads on from %d", r.from)
+	}
+}
+
+// Played on the bench as trouble-1 of Ballyhoura: MIXED, since a read hung for seconds after the store was back.
+func TestRefreshEndsAReadThatHangs(t *testing.T) {
+	tail, l, _ := follow(t)
+	<-l.reads
+	tail.Refresh()
+	if r := <-l.reads; r.from != 5 {
+		t.Errorf("reads again from %d", r.from)
+	}
+	if tail.Failing() {
+		t.Error("an aborted read counts as failed")
+	}
+}
