Time limits towards the store grow while it is slow; no change of holder for a store that is slow for all

Change: limits double up to 1.6 s while answers come late and return when they come quickly; a daemon takes over from one that the store turns away only if the store answers it within 120 ms.

--- a/citron/claim/claim.go
+++ b/citron/claim/claim.go
@@ -24,6 +24,10 @@
 	againMost  = 8 * time.Second
 )
 
+// ReasonStoreLost is why a holder is replaced that the store turns away. It holds only if the store answers the daemon
+// that claims: a store that is slow or away for all is no reason.
+const ReasonStoreLost = "the holder does not reach the store"
+
 // Claim is the newest claim of a pool; the zero value means that nobody has claimed it.
 type Claim struct {
 	Holder citron.Member
@@ -103,7 +107,7 @@
 	case now-since >= SilentAfter+pause:
 		return "the holder does not answer", true
 	case p.Answered > w.seen && p.StoreLost >= StoreLostAfter+pause:
-		return "the holder does not reach the store", true
+		return ReasonStoreLost, true
 	case p.Answered > w.seen+AdoptWithin+pause && p.Holds < w.newest.Epoch:
 		return "the holder has given up", true
 	}
--- a/citron/entry/claims.go
+++ b/citron/entry/claims.go
@@ -160,11 +160,26 @@
 		reason, ok = "nobody has claimed the pool that this daemon gave up", true
 	}
 	d.mu.Unlock()
-	if ok {
+	if ok && (reason != claim.ReasonStoreLost || d.storeIsQuick()) {
 		d.claim(newest, reason)
 	}
 }
 
+// quickStore is how soon the store has to answer for this daemon to take over from one that it turns away.
+const quickStore = 120 * time.Millisecond
+
+// storeIsQuick asks the store for the end of the cell's records.
+func (d *Daemon) storeIsQuick() bool {
+	next, loaded := d.cell.Next()
+	if !loaded {
+		return false
+	}
+	bounded, cancel := context.WithTimeout(d.run, quickStore)
+	defer cancel()
+	_, err := d.Store.Read(bounded, cellPartition, next, 0)
+	return err == nil
+}
+
 // claim names this daemon as holder unless the cell's records have changed meanwhile.
 func (d *Daemon) claim(newest claim.Claim, reason string) {
 	next, loaded := d.cell.Next()
@@ -235,7 +250,7 @@
 }
 
 // claimSettle is how long a daemon waits for its claim, or another one, to be read back.
-const claimSettle = 300 * time.Millisecond
+const claimSettle = 800 * time.Millisecond
 
 // runPings keeps the liveness of the holder, and at the holder that of all daemons.
 func (d *Daemon) runPings() <-chan error {
--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -196,7 +196,7 @@
 	// announceRetry separates the tries to announce this daemon.
 	announceRetry = 200 * time.Millisecond
 	// cellTimeout bounds one append to the cell's records.
-	cellTimeout = 500 * time.Millisecond
+	cellTimeout = 900 * time.Millisecond
 )
 
 func (d *Daemon) appendCell(ctx context.Context, record citron.Keyed, c citron.Condition) error {
--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -15,6 +15,7 @@
 	"github.com/citroncross/citroncross/citron/spawn"
 	"github.com/citroncross/citroncross/citron/tail"
 	"github.com/citroncross/citroncross/citron/view"
+	"github.com/citroncross/citroncross/citron/waits"
 )
 
 const (
@@ -54,6 +55,7 @@
 
 	kick   chan struct{}
 	ledger []*ledger
+	limit  waits.Limit
 	// lostSince is when the store began to take no records; zero while it takes them.
 	lostSince atomic.Int64
 	calls     spawn.Group
@@ -71,6 +73,7 @@
 		<-h.calls.Ended()
 	}()
 	h.kick = make(chan struct{}, 1)
+	h.limit.Least, h.limit.Most = appendLeast, appendMost
 	h.polls = map[citron.Worker]*poll{}
 	h.calls.Bind(run)
 	if err := h.fence(run); err != nil {
@@ -204,7 +207,7 @@
 }
 
 func (h *Holder) drop(ctx context.Context, p citron.Partition, records []citron.Keyed) error {
-	bounded, cancel := context.WithTimeout(ctx, appendTimeout)
+	bounded, cancel := context.WithTimeout(ctx, appendMost)
 	defer cancel()
 	_, err := h.Store.Append(bounded, p, records, citron.Condition{})
 	return err
--- a/citron/holder/ledger.go
+++ b/citron/holder/ledger.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// appendTimeout bounds one append.
-	appendTimeout = 400 * time.Millisecond
+	// appendLeast and appendMost bound one append: the store answers in some 10 ms, on slow days in half a second.
+	appendLeast = 400 * time.Millisecond
+	appendMost  = 1600 * time.Millisecond
 	// appendRetry separates the rounds of tries.
 	appendRetry = 30 * time.Millisecond
 	// avoidFor is how long a partition that failed is tried after the others.
@@ -28,6 +29,8 @@
 	// pending is an append that was not answered. It has to be repeated before the next number can be used.
 	pending []citron.Keyed
 	avoid   time.Duration
+	// late is set where the last append was not answered in time.
+	late bool
 }
 
 // fence makes the store refuse every former holder, and waits until all that they have stored is known here.
@@ -47,6 +50,7 @@
 				return err
 			}
 			h.failed("fence", err)
+			h.limit.Late()
 			h.pause(ctx, appendRetry)
 		}
 	}
@@ -76,6 +80,9 @@
 			h.lostSince.CompareAndSwap(0, int64(began))
 			l.avoid = h.Timer.Now().Boot + avoidFor
 		}
+		if h.ledger[0].late {
+			h.limit.Late()
+		}
 		if err := h.extend(ctx); err != nil {
 			h.failed("extend", err)
 			h.pause(ctx, appendRetry)
@@ -115,12 +122,19 @@
 // send appends to one partition, once.
 func (h *Holder) send(ctx context.Context, l *ledger, records []citron.Keyed) (end citron.Offset, err error) {
 	c := citron.Condition{Producer: h.Producer, Epoch: h.Pool.Epoch, Sequence: l.sequence}
-	bounded, cancel := context.WithTimeout(ctx, appendTimeout)
+	bounded, cancel := context.WithTimeout(ctx, h.limit.Now())
 	defer cancel()
+	began := h.Timer.Now().Boot
 	end, err = h.Store.Append(bounded, l.partition, records, c)
+	if err == nil {
+		h.limit.Answered(h.Timer.Now().Boot - began)
+	} else if bounded.Err() != nil {
+		l.late = true
+	}
 	var sequence *citron.SequenceError
 	switch {
 	case err == nil:
+		l.late = false
 		l.sequence++
 		l.numbered = l.numbered || len(records) > 0
 		l.pending = nil
--- a/citron/intake/writer.go
+++ b/citron/intake/writer.go
@@ -9,11 +9,13 @@
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/spawn"
+	"github.com/citroncross/citroncross/citron/waits"
 )
 
 const (
-	// appendTimeout bounds one append.
-	appendTimeout = 400 * time.Millisecond
+	// appendLeast and appendMost bound one append: the store answers in some 10 ms, on slow days in half a second.
+	appendLeast = 400 * time.Millisecond
+	appendMost  = 1200 * time.Millisecond
 	// giveUpAfter bounds all tries of one batch.
 	giveUpAfter = 2500 * time.Millisecond
 	// retryPause separates the tries.
@@ -39,6 +41,8 @@
 	Relay func(ctx context.Context, records []citron.Keyed) error
 
 	exchanges spawn.Group
+	once      sync.Once
+	limit     waits.Limit
 	// prefer is the partition to try first until preferUntil, then it is the first one again.
 	prefer      atomic.Int64
 	preferUntil atomic.Int64
@@ -105,7 +109,7 @@
 	defer cancel()
 	unknown := false
 	for ctx.Err() == nil {
-		err := w.once(ctx, records)
+		err := w.try(ctx, records)
 		if err == nil {
 			return nil
 		}
@@ -123,8 +127,8 @@
 	return citron.ErrUnavailable
 }
 
-// once tries the way that worked last, then the other one. ErrNotDone means that both refused.
-func (w *Writer) once(ctx context.Context, records []citron.Keyed) error {
+// try uses the way that worked last, then the other one. ErrNotDone means that both refused.
+func (w *Writer) try(ctx context.Context, records []citron.Keyed) error {
 	ways := []func(context.Context, []citron.Keyed) error{w.Direct}
 	if w.Relay != nil {
 		ways = append(ways, w.Relay)
@@ -160,18 +164,25 @@
 
 // Direct appends from this daemon, trying a few partitions once each.
 func (w *Writer) Direct(ctx context.Context, records []citron.Keyed) error {
+	w.once.Do(func() { w.limit.Least, w.limit.Most = appendLeast, appendMost })
 	result := citron.ErrNotDone
 	if w.Timer.Now().Boot > time.Duration(w.preferUntil.Load()) {
 		w.prefer.Store(0)
 	}
 	for range min(len(w.Partitions), directTries) {
 		n := int(w.prefer.Load()) % len(w.Partitions)
-		bounded, cancel := context.WithTimeout(ctx, appendTimeout)
+		bounded, cancel := context.WithTimeout(ctx, w.limit.Now())
+		began := w.Timer.Now().Boot
 		_, err := w.Store.Append(bounded, w.Partitions[n], records, citron.Condition{})
+		late := bounded.Err() != nil
 		cancel()
 		if err == nil {
+			w.limit.Answered(w.Timer.Now().Boot - began)
 			return nil
 		}
+		if late {
+			w.limit.Late()
+		}
 		if !errors.Is(err, citron.ErrNotDone) {
 			result = citron.ErrUnavailable
 		}
--- a/citron/tail/tail.go
+++ b/citron/tail/tail.go
@@ -62,6 +62,9 @@
 		pause := retryFirst
 		for ctx.Err() == nil {
 			err := t.step(ctx)
+			if ctx.Err() != nil {
+				break
+			}
 			t.note(err)
 			wait := t.Pause
 			if err != nil {
