--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -124,6 +124,7 @@
 	d.peers.Self, d.peers.Timer = d.self, d.Timer
 	d.hurry = make(chan struct{}, 1)
 	d.calls.Bind(d.run)
+	d.gauges()
 	d.view.Unreadable = func(key string, err error) {
 		d.Log.Emit(event.RecordUnreadable, event.Fields{"Key": key, "Error": err})
 	}
--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -127,15 +127,35 @@
 	d.Log.Emit(event.DaemonStopped, nil)
 }
 
-// decided logs one decision of the pool.
+// decided logs and counts one decision of the pool.
 func (d *Daemon) decided(c pool.Decision) {
-	fields := event.Fields{"Job": c.Job, "Task": c.Task, "Run": c.Run, "Worker": c.Worker, "Outcome": c.Outcome, "Reason": c.Reason, "AgeMs": c.Age.Milliseconds()}
-	for key, value := range fields {
-		if value == "" || value == citron.JobID("") || value == citron.TaskRef("") || value == citron.Worker("") {
-			delete(fields, key)
+	switch c.Kind {
+	case pool.DecidedStart:
+		d.Stats.Started(c.Queue, c.Age)
+	case pool.DecidedEnd:
+		d.Stats.Ended(c.Queue, c.Outcome, c.Age)
+	case pool.DecidedRestart:
+		d.Stats.Requeued(c.Queue, c.Reason)
+	case pool.DecidedJobEnd:
+		d.Stats.JobEnded(c.Queue, c.Outcome, c.Age)
+	}
+	e := decisionEvents[c.Kind]
+	if !d.Log.Enabled(e) {
+		return
+	}
+	fields := event.Fields{"AgeMs": c.Age.Milliseconds()}
+	for key, value := range map[string]string{
+		"Queue": string(c.Queue), "Job": string(c.Job), "Task": string(c.Task), "Worker": string(c.Worker),
+		"Outcome": c.Outcome, "Reason": c.Reason,
+	} {
+		if value != "" {
+			fields[key] = value
 		}
 	}
-	d.Log.Emit(decisionEvents[c.Kind], fields)
+	if c.Run > 0 {
+		fields["Run"] = c.Run
+	}
+	d.Log.Emit(e, fields)
 }
 
 var decisionEvents = map[pool.DecisionKind]event.Event{
@@ -150,5 +170,33 @@
 }
 
 func (d *Daemon) exchangeFailed(what string, err error) {
+	d.Stats.Exchange(what)
 	d.Log.Emit(event.ExchangeFailed, event.Fields{"Exchange": what, "Error": err})
 }
+
+// gauges shows what this daemon holds at the moment.
+func (d *Daemon) gauges() {
+	held := func(read func(*holding) float64) func() float64 {
+		return func() float64 {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			if d.holding == nil {
+				return 0
+			}
+			return read(d.holding)
+		}
+	}
+	d.Stats.Gauge("citron_held_epoch", held(func(h *holding) float64 { return float64(h.epoch) }))
+	d.Stats.Gauge("citron_waiting_steps", held(func(h *holding) float64 { return float64(h.holder.Pool.LastPlan().WaitingSteps) }))
+	d.Stats.Gauge("citron_waiting_tasks", held(func(h *holding) float64 { return float64(h.holder.Pool.LastPlan().WaitingTasks) }))
+	d.Stats.Gauge("citron_running_tasks", held(func(h *holding) float64 { return float64(h.holder.Pool.LastPlan().RunningTasks) }))
+	d.Stats.Gauge("citron_usable_workers", held(func(h *holding) float64 { return float64(h.holder.Pool.LastPlan().UsableWorkers) }))
+	d.Stats.Gauge("citron_listed_workers", held(func(h *holding) float64 { return float64(h.holder.Pool.LastPlan().ListedWorkers) }))
+	d.Stats.Gauge("citron_store_age_seconds", func() float64 { return d.storeAge().Seconds() })
+	d.Stats.Gauge("citron_config_version", func() float64 {
+		if c := d.config.Load(); c != nil {
+			return float64(c.Version)
+		}
+		return 0
+	})
+}
--- a/citron/event/catalog.go
+++ b/citron/event/catalog.go
@@ -59,8 +59,8 @@
 // Events of jobs.
 var (
 	JobTaken          = add(600, logrus.InfoLevel, "job accepted")
-	TaskPlaced        = add(601, logrus.DebugLevel, "task placed")
-	TaskEnded         = add(602, logrus.DebugLevel, "task ended")
+	TaskPlaced        = add(601, logrus.InfoLevel, "task placed")
+	TaskEnded         = add(602, logrus.InfoLevel, "task ended")
 	WorkerQuarantined = add(603, logrus.WarnLevel, "worker quarantined")
 	WorkerSyncFailed  = add(604, logrus.WarnLevel, "worker sync failed")
 	TaskPreempted     = add(605, logrus.InfoLevel, "task preempted")
@@ -69,7 +69,7 @@
 	JobEnded          = add(608, logrus.InfoLevel, "job ended")
 	JobRefused        = add(609, logrus.InfoLevel, "job refused")
 	JobCancelled      = add(610, logrus.InfoLevel, "job cancelled")
-	AdviceAsked       = add(611, logrus.DebugLevel, "policy service asked")
+	AdviceAsked       = add(611, logrus.InfoLevel, "policy service asked")
 	WorkerLost        = add(612, logrus.WarnLevel, "worker lost")
 	StepWaits         = add(614, logrus.InfoLevel, "step waits")
 	ExchangeFailed    = add(613, logrus.WarnLevel, "exchange failed")
--- a/citron/event/event.go
+++ b/citron/event/event.go
@@ -77,9 +77,14 @@
 	return &Logger{log: log, vm: vm}
 }
 
+// Enabled reports whether lines of an event are written at all.
+func (l *Logger) Enabled(e Event) bool {
+	return l != nil && l.log != nil && l.log.IsLevelEnabled(e.Level)
+}
+
 // Emit writes one line.
 func (l *Logger) Emit(e Event, fields Fields) {
-	if l == nil || l.log == nil || !l.log.IsLevelEnabled(e.Level) {
+	if !l.Enabled(e) {
 		return
 	}
 	omitted, ok := l.allow(e.Number)
--- /dev/null
+++ b/citron/event/queue_test.go
@@ -0,0 +1,53 @@
+package event
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+// gate holds every write back until it is opened.
+type gate struct {
+	bytes.Buffer
+	open chan struct{}
+}
+
+func (g *gate) Write(p []byte) (int, error) {
+	<-g.open
+	return g.Buffer.Write(p)
+}
+
+func TestSlowReaderHoldsNobodyUp(t *testing.T) {
+	out := &gate{open: make(chan struct{})}
+	q := NewQueue(out)
+	for range 2 * queuedLines {
+		if _, err := q.Write([]byte("line\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	close(out.open)
+	if err := q.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(out.String(), `"Omitted":`) {
+		t.Error("it is not told how many lines were left out")
+	}
+	if _, err := q.Write([]byte("late\n")); err != nil || strings.Contains(out.String(), "late") {
+		t.Error("a line after the end was written")
+	}
+}
+
+func TestLimitTellsWhatWasLeftOut(t *testing.T) {
+	var out bytes.Buffer
+	l := New(&out, "info", "json", "vm")
+	l.Limit(2)
+	for range 5 {
+		l.Emit(JobEnded, Fields{"Job": "j"})
+	}
+	if n := strings.Count(out.String(), "job ended"); n != 2 {
+		t.Errorf("%d lines, want 2", n)
+	}
+	if omitted, _ := l.allow(JobEnded.Number); omitted != 0 {
+		t.Errorf("%d told as left out before a line could be written", omitted)
+	}
+}
--- a/citron/holder/poll.go
+++ b/citron/holder/poll.go
@@ -18,7 +18,7 @@
 	// idleEvery is how often a worker without tasks is asked, to keep its clock's offset.
 	idleEvery = 5 * time.Second
 	// ackTimeout bounds the wait for ends to be recorded before the worker is asked again.
-	ackTimeout = 300 * time.Millisecond
+	ackTimeout = 100 * time.Millisecond
 	// retryFirst and retryMost are the pauses after unanswered holds.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -128,6 +128,12 @@
 	}
 	for _, w := range p.order {
 		p.lastPlan.RunningTasks += len(w.tasks)
+		if w.listed {
+			p.lastPlan.ListedWorkers++
+		}
+		if w.usable(now) {
+			p.lastPlan.UsableWorkers++
+		}
 	}
 }
 
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -86,6 +86,7 @@
 // Decision is one decision with the inputs that led to it.
 type Decision struct {
 	Kind   DecisionKind
+	Queue  citron.QueueName
 	Job    citron.JobID
 	Task   citron.TaskRef
 	Run    int32
@@ -142,6 +143,9 @@
 	WaitingSteps int
 	WaitingTasks int
 	RunningTasks int
+	// UsableWorkers are those of ListedWorkers that may be given tasks.
+	UsableWorkers int
+	ListedWorkers int
 }
 
 type endedJob struct {
@@ -318,7 +322,11 @@
 }
 
 func (p *Pool) observe(d Decision) {
-	if p.Observe != nil {
-		p.Observe(d)
+	if p.Observe == nil {
+		return
 	}
+	if j := p.jobs[d.Job]; j != nil {
+		d.Queue = citron.QueueName(j.spec.GetQueue())
+	}
+	p.Observe(d)
 }
--- a/citron/stats/stats.go
+++ b/citron/stats/stats.go
@@ -88,6 +88,49 @@
 	s.set.GetOrCreateHistogram("citron_decision_seconds").Update(d.Seconds())
 }
 
+// Accepted notes how long a job took to be stored, or that it was refused with a status.
+func (s *Set) Accepted(queue citron.QueueName, status int, took time.Duration) {
+	s.counter(`citron_job_answers_total{Queue=%q,Status="%d"}`, queue, status).Inc()
+	s.stage("citron_job_accept_seconds", queue).Update(took.Seconds())
+}
+
+// Started notes how long a task waited from being ready, or from its last end, to its start.
+func (s *Set) Started(queue citron.QueueName, waited time.Duration) {
+	s.stage("citron_task_wait_seconds", queue).Update(waited.Seconds())
+}
+
+// Ended notes how a run ended and how long it took.
+func (s *Set) Ended(queue citron.QueueName, kind string, ran time.Duration) {
+	s.counter(`citron_task_ends_total{Queue=%q,Kind=%q}`, queue, kind).Inc()
+	s.stage("citron_task_run_seconds", queue).Update(ran.Seconds())
+}
+
+// Requeued counts a run that ended without being done, and why.
+func (s *Set) Requeued(queue citron.QueueName, reason string) {
+	s.counter(`citron_task_requeues_total{Queue=%q,Reason=%q}`, queue, reason).Inc()
+}
+
+// JobEnded notes how a job ended and how long after its acceptance.
+func (s *Set) JobEnded(queue citron.QueueName, state string, took time.Duration) {
+	s.counter(`citron_job_ends_total{Queue=%q,State=%q}`, queue, state).Inc()
+	s.stage("citron_job_seconds", queue).Update(took.Seconds())
+}
+
+// Exchange counts an exchange with a store, worker, policy service or daemon that failed.
+func (s *Set) Exchange(kind string) {
+	s.counter(`citron_failed_exchanges_total{Kind=%q}`, kind).Inc()
+}
+
+// Store notes one call to the store.
+func (s *Set) Store(call, outcome string, took time.Duration) {
+	s.counter(`citron_store_calls_total{Call=%q,Outcome=%q}`, call, outcome).Inc()
+	s.set.GetOrCreateHistogram(fmt.Sprintf(`citron_store_seconds{Call=%q}`, call)).Update(took.Seconds())
+}
+
+func (s *Set) stage(name string, queue citron.QueueName) *metrics.Histogram {
+	return s.set.GetOrCreateHistogram(fmt.Sprintf(`%s{Queue=%q}`, name, queue))
+}
+
 // Gauge shows a value that is read when the metrics are written.
 func (s *Set) Gauge(name string, read func() float64) {
 	s.set.GetOrCreateGauge(name, read)
--- a/citronlab/site/site.go
+++ b/citronlab/site/site.go
@@ -193,7 +193,7 @@
 }
 
 // WriteSettings writes the settings file of a daemon whose ports are given, and returns its path.
-func (s *Site) WriteSettings(folder, node string, front, ready string, peerPort int) (file string, err error) {
+func (s *Site) WriteSettings(folder, node string, front, ready, metrics string, peerPort int) (file string, err error) {
 	text := fmt.Sprintf(`node = %q
 ip = %q
 zone = "z"
@@ -203,6 +203,7 @@
 [listen]
 front = %q
 ready = %q
+metrics = %q
 [bounds]
 hold_max_ms = 6000
 stop_grace_ms = 200
@@ -213,7 +214,7 @@
 address = %q
 [cloud]
 address = %q
-`, node, s.Net, peerPort, peerPort, s.adviceAt, front, ready, s.storeAt, s.cloudAt)
+`, node, s.Net, peerPort, peerPort, s.adviceAt, front, ready, metrics, s.storeAt, s.cloudAt)
 	file = filepath.Join(folder, node+".toml")
 	return file, os.WriteFile(file, []byte(text), 0o600)
 }
--- a/citronlab/site/site_test.go
+++ b/citronlab/site/site_test.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	file, err := c.site.WriteSettings(c.folder, fmt.Sprintf("entry-%d", n), c.fronts[n], c.freeAddress(), peerPort)
+	file, err := c.site.WriteSettings(c.folder, fmt.Sprintf("entry-%d", n), c.fronts[n], c.freeAddress(), c.freeAddress(), peerPort)
 	if err != nil {
 		c.t.Fatal(err)
 	}
