--- a/citron/pool/gang.go
+++ b/citron/pool/gang.go
@@ -12,6 +12,8 @@
 type seats struct {
 	w *worker
 	n int
+	// doubtful is set where a member, or the last task of another job, has failed.
+	doubtful bool
 }
 
 // gang starts all members at once, or none. A gang that does not fit yet keeps the room that will be free first.
@@ -48,7 +50,7 @@
 	return latest
 }
 
-// seats lists how many members each allowed worker can take, most first.
+// seats lists how many members each allowed worker can take, sound ones first, then most first.
 func (b *board) seats(s *step, room func(*worker) citron.Capacity) (list []seats) {
 	for _, w := range b.p.order {
 		if !b.allowed(s, w) {
@@ -59,15 +61,30 @@
 			n = min(n, limit)
 		}
 		if n > 0 {
-			list = append(list, seats{w, n})
+			list = append(list, seats{w, n, w.fails.suspect() || failedOn(s, w)})
 		}
 	}
 	slices.SortFunc(list, func(x, y seats) int {
-		return cmp.Or(cmp.Compare(y.n, x.n), cmp.Compare(x.w.free().MilliCores, y.w.free().MilliCores), cmp.Compare(x.w.entry.ID, y.w.entry.ID))
+		return cmp.Or(compareBool(x.doubtful, y.doubtful), cmp.Compare(y.n, x.n), cmp.Compare(x.w.free().MilliCores, y.w.free().MilliCores), cmp.Compare(x.w.entry.ID, y.w.entry.ID))
 	})
 	return list
 }
 
+func compareBool(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return 1
+	}
+	return -1
+}
+
+// failedOn reports whether a member of the gang has failed on a worker.
+func failedOn(s *step, w *worker) bool {
+	return slices.ContainsFunc(s.tasks, func(t *task) bool { return t.failedOn[w.entry.ID] })
+}
+
 // choose picks workers for all members, in one rack where that matters and is possible. It returns nil if they do not fit.
 func choose(s *step, free []seats) []seats {
 	if s.spec.GetSameRack() || s.spec.GetDataRack() != "" {
@@ -100,7 +117,7 @@
 func take(free []seats, members int) (chosen []seats) {
 	for _, f := range free {
 		n := min(f.n, members)
-		chosen = append(chosen, seats{f.w, n})
+		chosen = append(chosen, seats{w: f.w, n: n})
 		if members -= n; members == 0 {
 			return chosen
 		}
--- a/citron/pool/learn.go
+++ b/citron/pool/learn.go
@@ -43,7 +43,7 @@
 
 const (
 	// streakFailures is the number of failures in a row, of different jobs, that puts a worker in quarantine.
-	streakFailures = 3
+	streakFailures = 2
 	// quarantine is how long a worker takes no task after a streak; it doubles with each streak.
 	quarantine    = 2 * time.Second
 	quarantineMax = 16 * time.Second
@@ -70,6 +70,11 @@
 	return s.length
 }
 
+// suspect reports whether the last task on the worker failed.
+func (s *streak) suspect() bool {
+	return len(s.jobs) > 0
+}
+
 // succeeded ends the streak.
 func (s *streak) succeeded() {
 	s.jobs, s.length = nil, 0
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -326,6 +326,9 @@
 		if s.spec.GetSameRack() && b.otherRack(s, w) {
 			score += farPenalty
 		}
+		if w.fails.suspect() {
+			score += suspectPenalty
+		}
 		if t.failedOn[w.entry.ID] {
 			score += 2 * farPenalty
 		}
@@ -336,8 +339,12 @@
 	return best
 }
 
-// farPenalty outweighs any difference in room, in thousandths of a core.
-const farPenalty = 1 << 40
+const (
+	// farPenalty outweighs any difference in room, in thousandths of a core.
+	farPenalty = 1 << 40
+	// suspectPenalty outweighs any difference in room, but no distance.
+	suspectPenalty = 1 << 30
+)
 
 func (b *board) otherRack(s *step, w *worker) bool {
 	return slices.ContainsFunc(s.tasks, func(t *task) bool {
--- a/citron/pool/pool_test.go
+++ b/citron/pool/pool_test.go
@@ -433,14 +433,14 @@
 func TestWorkerThatFailsSeveralJobsIsPassedOver(t *testing.T) {
 	r := newRig(t)
 	ids := r.workers(1)
-	for n, id := range []string{"a", "b", "c", "d"} {
+	for n, id := range []string{"a", "b", "c"} {
 		j := newJob(id, newStep(1, 1))
 		j.Terms.Attempts = 1
 		r.accept(j)
 		e := r.plan()
-		if n == 3 {
+		if n == streakFailures {
 			if len(e.Starts) != 0 {
-				t.Error("started on a worker on which three jobs failed in a row")
+				t.Error("started on a worker on which two jobs failed in a row")
 			}
 			continue
 		}
@@ -567,3 +567,37 @@
 		}
 	}
 }
+
+// Played on the bench as trouble-1 of Ben Salah: a gang used up its attempts on the one worker that failed everything.
+func TestGangGoesElsewhereAfterAFailure(t *testing.T) {
+	r := newRig(t)
+	r.workers(3)
+	r.accept(newJob("g", newGang(2, 5)))
+	first := r.plan()
+	bad := first.Starts[0].Worker.ID
+	r.end(first.Starts[0], citron.EndFailed)
+	r.plan()
+	r.end(first.Starts[1], citron.EndStopped)
+	for _, s := range r.plan().Starts {
+		if s.Worker.ID == bad {
+			t.Error("placed again where a member has failed, beside workers with room")
+		}
+	}
+}
+
+func TestWorkerWhoseLastTaskFailedIsUsedLast(t *testing.T) {
+	r := newRig(t)
+	r.workers(3)
+	r.accept(newJob("a", newStep(1, 5)))
+	start := r.plan().Starts[0]
+	r.end(start, citron.EndFailed)
+	r.p.Cancel(r.now, "a")
+	for _, id := range []string{"b", "c", "d"} {
+		r.accept(newJob(id, newStep(1, 5)))
+		for _, s := range r.plan().Starts {
+			if s.Worker.ID == start.Worker.ID {
+				t.Errorf("%s was placed on the worker whose last task failed", id)
+			}
+		}
+	}
+}
