Where one partition does not answer, all others are tried at once

Change: intake appends to all other partitions at once (records are keyed, so several copies are harmless); the holder asks for the ends of those not open and names the first that answers; limits grow only if none does; a partition is returned to once its tail is answered again.

--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -129,7 +129,9 @@
 		d.Log.Emit(event.RecordUnreadable, event.Fields{"Key": key, "Error": err})
 	}
 	d.cell = d.tail(cellPartition, d.applyCell, 0)
-	writer := &intake.Writer{Store: d.Store, Timer: d.Timer, Relay: d.relay}
+	writer := &intake.Writer{Store: d.Store, Timer: d.Timer, Relay: d.relay, Answers: func(n int, since time.Duration) bool {
+		return d.jobs[n].AnsweredSince(since)
+	}}
 	for n := range spread {
 		writer.Partitions = append(writer.Partitions, citron.Partition{Topic: jobsTopic, Number: n})
 		d.jobs = append(d.jobs, d.tail(writer.Partitions[n], d.view.Apply, readPause))
--- a/citron/holder/ledger.go
+++ b/citron/holder/ledger.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/tail"
 )
 
 const (
@@ -16,27 +17,25 @@
 	appendMost  = 1600 * time.Millisecond
 	// appendRetry separates the rounds of tries.
 	appendRetry = 30 * time.Millisecond
-	// avoidFor is how long a partition that failed is tried after the others.
-	avoidFor = 2 * time.Second
 )
 
 // ledger is one partition of the pool's records. While one does not answer, another takes its place.
 type ledger struct {
 	partition citron.Partition
+	tail      *tail.Tail
 	sequence  int64
 	// numbered is set once an append of this epoch has been answered, so the next number is known.
 	numbered bool
 	// pending is an append that was not answered. It has to be repeated before the next number can be used.
 	pending []citron.Keyed
-	avoid   time.Duration
-	// late is set where the last append was not answered in time.
-	late bool
+	// failed is when the partition last took no record; zero once the store has answered for it since.
+	failed time.Duration
 }
 
 // fence makes the store refuse every former holder, and waits until all that they have stored is known here.
 func (h *Holder) fence(ctx context.Context) error {
 	for _, n := range h.Partitions {
-		l := &ledger{partition: h.Progress[n].Partition}
+		l := &ledger{partition: h.Progress[n].Partition, tail: h.Progress[n]}
 		h.ledger = append(h.ledger, l)
 		for {
 			end, err := h.send(ctx, l, nil)
@@ -61,8 +60,12 @@
 func (h *Holder) append(ctx context.Context, records []citron.Keyed) error {
 	began := h.Timer.Now().Boot
 	for {
-		now := h.Timer.Now().Boot
-		slices.SortStableFunc(h.ledger, func(a, b *ledger) int { return cmp.Compare(max(a.avoid, now), max(b.avoid, now)) })
+		for _, l := range h.ledger {
+			if l.failed > 0 && l.tail.AnsweredSince(l.failed) {
+				l.failed = 0
+			}
+		}
+		slices.SortStableFunc(h.ledger, func(a, b *ledger) int { return cmp.Compare(a.failed, b.failed) })
 		for _, l := range h.ledger {
 			err := h.settle(ctx, l)
 			if err == nil {
@@ -78,36 +81,60 @@
 			}
 			h.failed("append", err)
 			h.lostSince.CompareAndSwap(0, int64(began))
-			l.avoid = h.Timer.Now().Boot + avoidFor
-		}
-		if h.ledger[0].late {
-			h.limit.Late()
+			l.failed = h.Timer.Now().Boot
 		}
 		if err := h.extend(ctx); err != nil {
 			h.failed("extend", err)
+			h.limit.Late()
 			h.pause(ctx, appendRetry)
 		}
 	}
 }
 
-// extend opens one more partition for the pool's records. The claim names it first, so that a new holder knows it.
+// extend opens one more partition for the pool's records, one that the store answers for. The claim names it first, so
+// that a new holder knows it.
 func (h *Holder) extend(ctx context.Context) error {
+	n, err := h.alive(ctx)
+	if err != nil {
+		return err
+	}
+	if err := h.Extend(ctx, n); err != nil {
+		return err
+	}
+	l := &ledger{partition: h.Progress[n].Partition, tail: h.Progress[n]}
+	h.ledger = append(h.ledger, l)
+	_, err = h.send(ctx, l, nil)
+	return err
+}
+
+// alive asks for the end of every partition that is not open and returns the first that answers.
+func (h *Holder) alive(ctx context.Context) (partition int, err error) {
+	bounded, cancel := context.WithTimeout(ctx, h.limit.Now())
+	defer cancel()
+	answered := make(chan int, len(h.Progress))
+	asked := 0
 	for n, t := range h.Progress {
 		if slices.ContainsFunc(h.ledger, func(l *ledger) bool { return l.partition == t.Partition }) {
 			continue
 		}
-		if err := h.Extend(ctx, n); err != nil {
-			return err
+		asked++
+		h.calls.Go(func(context.Context) {
+			next, _ := t.Next()
+			if _, err := h.Store.Read(bounded, t.Partition, next, 0); err != nil {
+				n = -1
+			}
+			answered <- n
+		})
+	}
+	for range asked {
+		if n := <-answered; n >= 0 {
+			return n, nil
 		}
-		l := &ledger{partition: t.Partition}
-		h.ledger = append(h.ledger, l)
-		_, err := h.send(ctx, l, nil)
-		return err
 	}
-	return errAllOpen
+	return 0, errNoneAlive
 }
 
-var errAllOpen = errors.New("every partition is open and none takes records")
+var errNoneAlive = errors.New("the store answers for no partition that is not open yet")
 
 // settle repeats an append that was not answered. The store drops it if it had landed. Its records may be older than
 // what other partitions hold by now; readers go by the number of each record.
@@ -128,13 +155,10 @@
 	end, err = h.Store.Append(bounded, l.partition, records, c)
 	if err == nil {
 		h.limit.Answered(h.Timer.Now().Boot - began)
-	} else if bounded.Err() != nil {
-		l.late = true
 	}
 	var sequence *citron.SequenceError
 	switch {
 	case err == nil:
-		l.late = false
 		l.sequence++
 		l.numbered = l.numbered || len(records) > 0
 		l.pending = nil
--- a/citron/holder/ledger_test.go
+++ b/citron/holder/ledger_test.go
@@ -40,13 +40,20 @@
 	return 0, s.answer(len(s.appends), p)
 }
 
+// Read answers for every partition that takes appends.
+func (s *scripted) Read(_ context.Context, p citron.Partition, _ citron.Offset, _ time.Duration) (citron.KeyedBatch, error) {
+	return citron.KeyedBatch{}, s.answer(0, p)
+}
+
 func newHolder(s *scripted, partitions int) *Holder {
-	h := &Holder{Store: s, Timer: &instant{}, Producer: "p", Pool: pool.New(pool.Options{}, 1, &advice.Desk{})}
+	clock := &instant{}
+	clock.Advance(time.Second)
+	h := &Holder{Store: s, Timer: clock, Producer: "p", Pool: pool.New(pool.Options{}, 1, &advice.Desk{})}
 	for n := range partitions {
 		h.Progress = append(h.Progress, &tail.Tail{Partition: citron.Partition{Number: n}})
 	}
 	h.limit.Least, h.limit.Most = appendLeast, appendMost
-	h.ledger = []*ledger{{partition: h.Progress[0].Partition}}
+	h.ledger = []*ledger{{partition: h.Progress[0].Partition, tail: h.Progress[0]}}
 	return h
 }
 
@@ -73,7 +80,7 @@
 
 func TestAnotherPartitionIsNamedBeforeItIsUsed(t *testing.T) {
 	s := &scripted{answer: func(_ int, p citron.Partition) error {
-		if p.Number == 0 {
+		if p.Number < 2 {
 			return citron.ErrUnavailable
 		}
 		return nil
@@ -86,7 +93,7 @@
 	if err := h.append(context.Background(), record("a")); err != nil {
 		t.Fatal(err)
 	}
-	if want := []string{"0:0:a", "claim names 1", "1:0:-", "1:1:a"}; !slices.Equal(s.appends, want) {
+	if want := []string{"0:0:a", "claim names 2", "2:0:-", "2:1:a"}; !slices.Equal(s.appends, want) {
 		t.Errorf("appends %v, want %v", s.appends, want)
 	}
 	if h.StoreLost() != 0 {
--- a/citron/intake/writer.go
+++ b/citron/intake/writer.go
@@ -20,10 +20,6 @@
 	giveUpAfter = 2500 * time.Millisecond
 	// retryPause separates the tries.
 	retryPause = 50 * time.Millisecond
-	// directTries is the number of partitions that are tried before another daemon is asked.
-	directTries = 2
-	// preferFor is how long another partition is tried first after one has failed.
-	preferFor = 3 * time.Second
 	// relayFor is how long another daemon is asked first once it could do what this one could not.
 	relayFor = time.Second
 	// most is the number of records in one append; a record has at most a few kilobytes.
@@ -37,15 +33,17 @@
 	// Partitions are tried in turn; a record may lie in any of them, or in several.
 	Partitions []citron.Partition
 	Timer      citron.Timer
+	// Answers, if set, tells whether the store has answered for a partition since an instant.
+	Answers func(partition int, since time.Duration) bool
 	// Relay, if set, has another daemon append for this one when it cannot reach the store.
 	Relay func(ctx context.Context, records []citron.Keyed) error
 
 	exchanges spawn.Group
-	once      sync.Once
+	begin     sync.Once
 	limit     waits.Limit
-	// prefer is the partition to try first until preferUntil, then it is the first one again.
-	prefer      atomic.Int64
-	preferUntil atomic.Int64
+	// prefer is the partition to try first. It is the first one again once that answers after leftAt.
+	prefer atomic.Int64
+	leftAt atomic.Int64
 	// relayUntil is until when other daemons are asked first.
 	relayUntil atomic.Int64
 
@@ -162,32 +160,70 @@
 	w.relayUntil.Store(int64(now + relayFor))
 }
 
-// Direct appends from this daemon, trying a few partitions once each.
+// Direct appends from this daemon: to the preferred partition, then to all others at once. Where the same records land
+// in several partitions nothing changes.
 func (w *Writer) Direct(ctx context.Context, records []citron.Keyed) error {
-	w.once.Do(func() { w.limit.Least, w.limit.Most = appendLeast, appendMost })
-	result := citron.ErrNotDone
-	if w.Timer.Now().Boot > time.Duration(w.preferUntil.Load()) {
+	w.begin.Do(func() { w.limit.Least, w.limit.Most = appendLeast, appendMost })
+	if since := time.Duration(w.leftAt.Load()); since > 0 && w.Answers != nil && w.Answers(0, since) {
 		w.prefer.Store(0)
+		w.leftAt.Store(0)
+	}
+	preferred := int(w.prefer.Load())
+	first := w.one(ctx, preferred, records)
+	if first == nil {
+		return nil
+	}
+	w.leftAt.Store(int64(w.Timer.Now().Boot))
+	outcomes := make(chan error, len(w.Partitions))
+	bounded, cancel := context.WithCancel(ctx)
+	defer cancel()
+	others := 0
+	for n := range w.Partitions {
+		if n == preferred {
+			continue
+		}
+		others++
+		w.exchanges.Go(func(context.Context) {
+			err := w.one(bounded, n, records)
+			if err == nil {
+				w.prefer.Store(int64(n))
+			}
+			outcomes <- err
+		})
+	}
+	return w.collect(first, others, outcomes)
+}
+
+// collect returns nil for the first success, ErrNotDone where every try was refused.
+func (w *Writer) collect(first error, others int, outcomes <-chan error) error {
+	result := citron.ErrNotDone
+	if !errors.Is(first, citron.ErrNotDone) {
+		result = citron.ErrUnavailable
 	}
-	for range min(len(w.Partitions), directTries) {
-		n := int(w.prefer.Load()) % len(w.Partitions)
-		bounded, cancel := context.WithTimeout(ctx, w.limit.Now())
-		began := w.Timer.Now().Boot
-		_, err := w.Store.Append(bounded, w.Partitions[n], records, citron.Condition{})
-		late := bounded.Err() != nil
-		cancel()
+	for range others {
+		err := <-outcomes
 		if err == nil {
-			w.limit.Answered(w.Timer.Now().Boot - began)
 			return nil
 		}
-		if late {
-			w.limit.Late()
-		}
 		if !errors.Is(err, citron.ErrNotDone) {
 			result = citron.ErrUnavailable
 		}
-		w.prefer.CompareAndSwap(int64(n), int64(n+1)%int64(len(w.Partitions)))
-		w.preferUntil.Store(int64(w.Timer.Now().Boot + preferFor))
+	}
+	if !errors.Is(result, citron.ErrNotDone) {
+		// No partition answered in time: the store is slow, or away.
+		w.limit.Late()
 	}
 	return result
 }
+
+// one appends to one partition.
+func (w *Writer) one(ctx context.Context, n int, records []citron.Keyed) error {
+	bounded, cancel := context.WithTimeout(ctx, w.limit.Now())
+	defer cancel()
+	began := w.Timer.Now().Boot
+	_, err := w.Store.Append(bounded, w.Partitions[n], records, citron.Condition{})
+	if err == nil {
+		w.limit.Answered(w.Timer.Now().Boot - began)
+	}
+	return err
+}
--- a/citron/intake/writer_test.go
+++ b/citron/intake/writer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -22,11 +23,14 @@
 // scripted answers appends with the next error of a list; after its end everything succeeds.
 type scripted struct {
 	citron.Store
+	mu      sync.Mutex
 	errs    []error
 	appends []int
 }
 
 func (s *scripted) Append(_ context.Context, p citron.Partition, _ []citron.Keyed, _ citron.Condition) (citron.Offset, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.appends = append(s.appends, p.Number)
 	if len(s.errs) == 0 {
 		return 1, nil
@@ -38,7 +42,9 @@
 
 func newWriter(errs ...error) (*Writer, *scripted) {
 	s := &scripted{errs: errs}
-	return &Writer{Store: s, Timer: &instant{}, Partitions: []citron.Partition{{Number: 0}, {Number: 1}, {Number: 2}}}, s
+	clock := &instant{}
+	clock.Advance(time.Second)
+	return &Writer{Store: s, Timer: clock, Partitions: []citron.Partition{{Number: 0}, {Number: 1}, {Number: 2}}}, s
 }
 
 func write(w *Writer) error {
@@ -46,13 +52,13 @@
 }
 
 func TestWriterTellsRefusedFromUnknown(t *testing.T) {
-	w, _ := newWriter(citron.ErrNotDone, citron.ErrNotDone)
+	w, _ := newWriter(citron.ErrNotDone, citron.ErrNotDone, citron.ErrNotDone)
 	if err := write(w); !errors.Is(err, citron.ErrNotDone) {
 		t.Errorf("every try refused: %v", err)
 	}
-	w, s := newWriter(citron.ErrUnavailable, citron.ErrNotDone)
-	if err := write(w); err != nil || len(s.appends) != 3 {
-		t.Errorf("one try without an answer, then the store is back: %v after %d tries", err, len(s.appends))
+	w, s := newWriter(citron.ErrUnavailable, citron.ErrNotDone, citron.ErrNotDone)
+	if err := write(w); err != nil || len(s.appends) != 4 {
+		t.Errorf("one try without an answer, two refused, then the store is back: %v after %d tries", err, len(s.appends))
 	}
 	var refused []error
 	for range 1000 {
@@ -73,13 +79,13 @@
 			t.Fatal(err)
 		}
 	}
-	if len(s.appends) != 3 || s.appends[0] != 0 || s.appends[1] != 1 || s.appends[2] != 1 {
-		t.Errorf("appended to partitions %v, want 0, then 1 for as long as it answers", s.appends)
+	if last := s.appends[len(s.appends)-1]; s.appends[0] != 0 || last == 0 || len(s.appends) != 4 {
+		t.Errorf("appended to partitions %v, want 0, then the two others, then one of these", s.appends)
 	}
 }
 
 func TestWriterAsksAnotherDaemonAndRemembersIt(t *testing.T) {
-	w, s := newWriter(citron.ErrNotDone, citron.ErrNotDone)
+	w, s := newWriter(citron.ErrNotDone, citron.ErrNotDone, citron.ErrNotDone)
 	relayed := 0
 	w.Relay = func(context.Context, []citron.Keyed) error { relayed++; return nil }
 	for range 3 {
@@ -87,17 +93,24 @@
 			t.Fatal(err)
 		}
 	}
-	if relayed != 3 || len(s.appends) != directTries {
+	if relayed != 3 || len(s.appends) != len(w.Partitions) {
 		t.Errorf("relayed %d times after %d own tries", relayed, len(s.appends))
 	}
 }
 
-func TestWriterReturnsToTheFirstPartition(t *testing.T) {
+func TestWriterReturnsToTheFirstPartitionOnceItAnswers(t *testing.T) {
 	w, s := newWriter(citron.ErrUnavailable)
-	if err := write(w); err != nil {
-		t.Fatal(err)
+	answers := false
+	w.Answers = func(int, time.Duration) bool { return answers }
+	for range 2 {
+		if err := write(w); err != nil {
+			t.Fatal(err)
+		}
+		if last := s.appends[len(s.appends)-1]; last == 0 {
+			t.Error("appended to the partition that does not answer")
+		}
 	}
-	w.Timer.(*instant).Advance(preferFor + time.Millisecond)
+	answers = true
 	if err := write(w); err != nil {
 		t.Fatal(err)
 	}
--- a/citron/tail/tail.go
+++ b/citron/tail/tail.go
@@ -206,6 +206,13 @@
 	return t.failing
 }
 
+// AnsweredSince reports whether the store has answered for the partition since an instant.
+func (t *Tail) AnsweredSince(instant time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lastOK > instant
+}
+
 // Age is how long ago the store last answered.
 func (t *Tail) Age() time.Duration {
 	t.mu.Lock()
