--- a/citron/claim/claim.go
+++ b/citron/claim/claim.go
@@ -19,6 +19,8 @@
 	AdoptWithin = 3 * time.Second
 	// rankPause separates the claims of several daemons that miss the same holder.
 	rankPause = 80 * time.Millisecond
+	// firstPause is how long daemons that start together wait to hear of one another before the first claim.
+	firstPause = 100 * time.Millisecond
 	// againFirst and againMost are the pauses between a claim and the next; they double while claims follow closely.
 	againFirst = 500 * time.Millisecond
 	againMost  = 8 * time.Second
@@ -85,7 +87,7 @@
 		return "", false
 	}
 	if w.newest.Holder.IsZero() {
-		return "nobody holds the pool", now-w.started >= time.Duration(rank)*rankPause
+		return "nobody holds the pool", now-w.started >= firstPause+time.Duration(rank)*rankPause
 	}
 	pause := time.Duration(rank) * rankPause
 	if w.newest.Holder.VM == self.VM {
--- a/citron/claim/claim_test.go
+++ b/citron/claim/claim_test.go
@@ -51,7 +51,7 @@
 	if _, ok := w.Should(base, self, 1, true, Ping{}); ok {
 		t.Error("the second daemon claims before the first could")
 	}
-	if _, ok := w.Should(base+rankPause, self, 1, true, Ping{}); !ok {
+	if _, ok := w.Should(base+firstPause+rankPause, self, 1, true, Ping{}); !ok {
 		t.Error("the second daemon never claims")
 	}
 	w.Seen(base, Claim{Holder: citron.Member{VM: "a", Incarnation: 4}, Epoch: 1})
--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -57,7 +57,9 @@
 	VM            citron.VMName
 	FailureDomain citron.FailureDomain
 	PeerAddress   string
-	Pool          pool.Options
+	// MilliCores is the processor time that this VM has, in thousandths of a core.
+	MilliCores int64
+	Pool       pool.Options
 }
 
 // Daemon is one process of the scheduler.
@@ -121,7 +123,7 @@
 	}
 	d.run, d.cancel = context.WithCancel(context.Background())
 	d.self = citron.Member{VM: d.Settings.VM, Incarnation: citron.Incarnation(d.Timer.Now().Wall.UnixMilli())}
-	d.peers.Self, d.peers.Timer = d.self, d.Timer
+	d.peers.Self, d.peers.Timer, d.peers.MilliCores = d.self, d.Timer, d.Settings.MilliCores
 	d.hurry = make(chan struct{}, 1)
 	d.calls.Bind(d.run)
 	d.gauges()
@@ -179,6 +181,7 @@
 		Incarnation:   uint64(d.self.Incarnation),
 		PeerAddress:   d.Settings.PeerAddress,
 		FailureDomain: string(d.Settings.FailureDomain),
+		MilliCores:    d.Settings.MilliCores,
 	})
 	if err != nil {
 		d.Log.Emit(event.LogAppendFailed, event.Fields{"Error": err})
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -2,6 +2,7 @@
 package peers
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"slices"
@@ -42,8 +43,10 @@
 
 // Peers holds the connections to the other daemons. The zero value knows none.
 type Peers struct {
-	Self  citron.Member
-	Timer citron.Timer
+	Self citron.Member
+	// MilliCores is the processor time that this daemon has.
+	MilliCores int64
+	Timer      citron.Timer
 
 	mu    sync.Mutex
 	known map[citron.VMName]*peer
@@ -92,7 +95,7 @@
 	}
 }
 
-// All lists the known daemons, this one included, by name.
+// All lists the known daemons, this one included, the strongest first.
 func (p *Peers) All() []citron.VMName {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -100,11 +103,24 @@
 	for vm := range p.known {
 		all = append(all, vm)
 	}
-	slices.Sort(all)
+	p.rank(all)
 	return all
 }
 
-// Live lists the daemons that answered lately, by name.
+// rank sorts daemons by what processor time they have, then by name.
+func (p *Peers) rank(vms []citron.VMName) {
+	strength := func(vm citron.VMName) int64 {
+		if vm == p.Self.VM {
+			return p.MilliCores
+		}
+		return p.known[vm].presence.GetMilliCores()
+	}
+	slices.SortFunc(vms, func(a, b citron.VMName) int {
+		return cmp.Or(cmp.Compare(strength(b), strength(a)), cmp.Compare(a, b))
+	})
+}
+
+// Live lists the daemons that answered lately, the strongest first.
 func (p *Peers) Live() (live []citron.VMName) {
 	now := p.Timer.Now().Boot
 	p.mu.Lock()
@@ -114,7 +130,7 @@
 			live = append(live, vm)
 		}
 	}
-	slices.Sort(live)
+	p.rank(live)
 	return live
 }
 
