--- a/citron/pool/ask.go
+++ b/citron/pool/ask.go
@@ -30,6 +30,9 @@
 	if s.asking || b.now < s.askAfter || b.asked[queue] > askAhead {
 		return
 	}
+	if s.covered == b.p.listVersion && b.soonestEnd(s) > b.now+s.askCost+renewSpare {
+		return
+	}
 	a := s.job.spec.GetTerms().GetAdvice()
 	known, unknown, seats := b.sorted(s)
 	workers := append(known, unknown...)
@@ -40,6 +43,7 @@
 	cost := time.Duration(a.GetDecideUs()+a.GetPerWorkerUs()*int64(len(workers))) * time.Microsecond
 	enough := seats >= len(s.tasks) || len(unknown) == 0
 	if enough && b.soonestEnd(s) > b.now+cost+renewSpare {
+		s.covered, s.askCost = b.p.listVersion, cost
 		return
 	}
 	vm, ok := b.p.Advisers.Assign(b.now, cost)
--- a/citron/pool/gang.go
+++ b/citron/pool/gang.go
@@ -53,16 +53,14 @@
 // seats lists how many members each allowed worker can take, sound ones first, then most first.
 func (b *board) seats(s *step, room func(*worker) citron.Capacity) (list []seats) {
 	for _, w := range b.p.order {
-		if !b.allowed(s, w) {
+		n := room(w).Times(s.need)
+		if n == 0 || !b.allowed(s, w) {
 			continue
 		}
-		n := room(w).Times(s.need)
 		if limit := int(s.spec.GetPerWorker()); limit > 0 {
 			n = min(n, limit)
 		}
-		if n > 0 {
-			list = append(list, seats{w, n, w.fails.suspect() || failedOn(s, w)})
-		}
+		list = append(list, seats{w, n, w.fails.suspect() || failedOn(s, w)})
 	}
 	slices.SortFunc(list, func(x, y seats) int {
 		return cmp.Or(compareBool(x.doubtful, y.doubtful), cmp.Compare(y.n, x.n), cmp.Compare(x.w.free().MilliCores, y.w.free().MilliCores), cmp.Compare(x.w.entry.ID, y.w.entry.ID))
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -309,7 +309,8 @@
 func (b *board) best(s *step, t *task) (best *worker) {
 	var bestScore int64
 	for _, w := range b.p.order {
-		if !b.allowed(s, w) || !b.room(s, w).Fits(s.need) {
+		// Room is looked at first: on a full estate it leaves few workers to look up tickets for.
+		if !w.free().Fits(s.need) || !b.allowed(s, w) || !b.room(s, w).Fits(s.need) {
 			continue
 		}
 		if limit := int(s.spec.GetPerWorker()); limit > 0 && onWorker(s, w) >= limit {
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -47,6 +47,8 @@
 	mu      sync.Mutex
 	jobs    map[citron.JobID]*job
 	workers map[citron.Worker]*worker
+	// listVersion counts the changes of the platform's list.
+	listVersion uint64
 	// order lists the workers by id, so that equal events lead to equal decisions.
 	order []*worker
 	steps map[citron.StepRef]*step
@@ -190,6 +192,9 @@
 	permits  map[citron.Worker]permit
 	// eligible holds every answer of the policy service so far; it never changes.
 	eligible map[citron.Worker]bool
+	// covered is the list of workers for which the answers so far are enough; askCost is what renewing them costs.
+	covered  uint64
+	askCost  time.Duration
 	asking   bool
 	askAfter time.Duration
 	// backoff is when the step may be placed again after a refusal.
--- a/citron/pool/report.go
+++ b/citron/pool/report.go
@@ -24,6 +24,7 @@
 func (p *Pool) Listed(now citron.Instant, entries []citron.WorkerEntry) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.listVersion++
 	listed := map[citron.Worker]bool{}
 	for _, e := range entries {
 		listed[e.ID] = true
