--- a/citron/advice/advice.go
+++ b/citron/advice/advice.go
@@ -30,7 +30,6 @@
 type backlog struct {
 	// until is when the daemon's questions will have been answered.
 	until time.Duration
-	long  int
 }
 
 // Daemons sets the live daemons.
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -28,8 +28,6 @@
 	StopWithin time.Duration
 	// Silence is the time without an answer after which a worker's lease is no longer renewed.
 	Silence time.Duration
-	// Early is how long before its time an occurrence may begin.
-	Early time.Duration
 	// Keep is how long the state of an ended job is kept.
 	Keep time.Duration
 }
@@ -135,11 +133,6 @@
 	Expired []citron.JobID
 }
 
-// Empty reports whether nothing is to be done.
-func (e *Effects) Empty() bool {
-	return len(e.Records) == 0 && len(e.Starts) == 0 && len(e.Stops) == 0 && len(e.Asks) == 0 && len(e.Acks) == 0
-}
-
 // Plan sums up the last planning for metrics and tests.
 type Plan struct {
 	WaitingSteps int
--- a/citron/pool/report.go
+++ b/citron/pool/report.go
@@ -2,11 +2,9 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/citroncross/citroncross/citron"
-	"github.com/citroncross/citroncross/schema/work"
 )
 
 const (
@@ -162,33 +160,6 @@
 	}
 }
 
-// ends takes in the ended runs of a report. The end of a job that is not known yet must be listed again, so nothing from
-// there on is acknowledged.
-func (p *Pool) ends(now time.Duration, w *worker, ends []citron.EndedTask) {
-	all := true
-	for _, end := range ends {
-		if end.Number <= w.processed {
-			continue
-		}
-		all = all && p.known(end.Task)
-		if all {
-			w.processed = end.Number
-		}
-		p.end(now, w, end)
-	}
-}
-
-// known reports whether the job of a task is known, or will never be.
-func (p *Pool) known(ref citron.TaskRef) bool {
-	if p.complete {
-		return true
-	}
-	name, _, _ := strings.Cut(string(ref), ".")
-	_, open := p.jobs[citron.JobID(name)]
-	_, over := p.ended[citron.JobID(name)]
-	return open || over
-}
-
 // running takes in one run that a worker reports.
 func (p *Pool) running(now time.Duration, w *worker, run citron.RunningTask) {
 	t := w.tasks[run.Task]
@@ -234,179 +205,6 @@
 	}
 }
 
-// end takes in one ended run.
-func (p *Pool) end(now time.Duration, w *worker, end citron.EndedTask) {
-	t := w.tasks[end.Task]
-	if t == nil || t.run != end.Run {
-		return
-	}
-	s := t.step
-	ran := now - t.startedAt
-	p.observe(Decision{Kind: DecidedEnd, Job: s.job.id, Task: t.ref, Run: t.run, Worker: w.entry.ID, Outcome: string(end.Kind), Age: ran})
-	if end.Checkpoint != "" {
-		t.checkpoint = end.Checkpoint
-	}
-	if t.state == taskLeaving || s.job.terminal {
-		p.requeue(now, t, string(end.Kind))
-		return
-	}
-	switch end.Kind {
-	case citron.EndDone:
-		w.fails.succeeded()
-		p.learnt.learn(kindOf(s.job, s.index), ran)
-		p.done(now, t)
-	case citron.EndFailed:
-		p.failed(now, w, t)
-	default:
-		p.requeue(now, t, string(end.Kind))
-	}
-}
-
-func (p *Pool) done(now time.Duration, t *task) {
-	s := t.step
-	if s.spec.GetService() {
-		p.requeue(now, t, "service task ended")
-		return
-	}
-	p.vacate(t)
-	p.settle(t)
-	if s.spec.GetGang() {
-		// One end stands for all members.
-		for _, member := range s.tasks {
-			p.settleMember(now, member)
-		}
-	}
-	p.advance(now, s)
-}
-
-// settle marks a task as done.
-func (p *Pool) settle(t *task) {
-	if t.state == taskDone {
-		return
-	}
-	t.state = taskDone
-	t.step.left--
-	p.dirty[t.step.job] = true
-}
-
-// settleMember marks a gang member as done because another member ended. Its room stays taken until its own worker
-// lists the end.
-func (p *Pool) settleMember(now time.Duration, t *task) {
-	p.settle(t)
-	if t.worker != nil {
-		t.state, t.since = taskLeaving, now
-	}
-}
-
-// advance releases the steps behind a step that may be done, and ends the job if it was the last.
-func (p *Pool) advance(now time.Duration, s *step) {
-	if s.left > 0 || s.job.terminal {
-		return
-	}
-	j, o := s.job, s.occ
-	p.release(now, o)
-	if !o.done() {
-		return
-	}
-	p.dirty[j] = true
-	if j.next < j.spec.GetSchedule().GetRepeats() || slices.ContainsFunc(j.open, func(o *occurrence) bool { return !o.done() }) {
-		j.closeDone(p)
-		return
-	}
-	j.state, j.terminal = work.State_STATE_COMPLETED, true
-	p.observe(Decision{Kind: DecidedJobEnd, Job: j.id, Outcome: j.state.String(), Age: now - j.accepted})
-}
-
-// done reports whether every step of the occurrence is done.
-func (o *occurrence) done() bool {
-	return !slices.ContainsFunc(o.steps, func(s *step) bool { return s.left > 0 })
-}
-
-// closeDone drops the occurrences of a repeated job that are done and of which nothing runs.
-func (j *job) closeDone(p *Pool) {
-	j.open = slices.DeleteFunc(j.open, func(o *occurrence) bool {
-		over := o.done() && !o.busy()
-		if over {
-			p.dropSteps(o)
-		}
-		return over
-	})
-}
-
-func (p *Pool) failed(now time.Duration, w *worker, t *task) {
-	s := t.step
-	if pause := w.fails.failed(s.job.id); pause > 0 {
-		w.blockedUntil = now + pause
-		p.observe(Decision{Kind: DecidedQuarantine, Worker: w.entry.ID, Reason: "tasks of several jobs failed in a row", Age: pause})
-	}
-	t.failures++
-	if t.failedOn == nil {
-		t.failedOn = map[citron.Worker]bool{}
-	}
-	t.failedOn[w.entry.ID] = true
-	p.requeue(now, t, "failed")
-	if s.spec.GetService() || s.job.terminal {
-		return
-	}
-	failures := t.failures
-	if s.spec.GetGang() {
-		failures = 0
-		for _, member := range s.tasks {
-			failures += member.failures
-		}
-	}
-	if attempts := int(s.job.spec.GetTerms().GetAttempts()); failures >= max(attempts, 1) {
-		p.finish(now, s.job, work.State_STATE_FAILED, "a task has used up its attempts")
-	}
-}
-
-// vacate frees the room of a run that is no longer on its worker.
-func (p *Pool) vacate(t *task) {
-	if t.worker == nil {
-		return
-	}
-	delete(t.worker.tasks, t.ref)
-	t.worker.used = t.worker.used.Sub(t.step.need)
-	t.worker = nil
-	p.dirty[t.step.job] = true
-}
-
-// requeue puts a task back whose run is over without being done.
-func (p *Pool) requeue(now time.Duration, t *task, reason string) {
-	s := t.step
-	over := s.job.terminal || t.state == taskLeaving
-	p.vacate(t)
-	if over {
-		t.state = taskDone
-		return
-	}
-	p.observe(Decision{Kind: DecidedRestart, Job: s.job.id, Task: t.ref, Run: t.run, Reason: reason})
-	t.state, t.since, t.waitedFrom, t.percent = taskWaiting, now, now, 0
-	p.await(s)
-	if s.spec.GetGang() {
-		p.breakGang(now, s)
-	}
-}
-
-// breakGang stops the other members of a gang of which one member does not run; they could not work without it.
-func (p *Pool) breakGang(now time.Duration, s *step) {
-	for _, member := range s.tasks {
-		switch member.state {
-		case taskOrdered, taskUnsure, taskRunning:
-			p.stop(now, member)
-		}
-	}
-}
-
-func (p *Pool) await(s *step) {
-	for _, w := range p.waiting {
-		if w == s {
-			return
-		}
-	}
-	p.waiting = append(p.waiting, s)
-}
-
 // lost handles a worker on which nothing of this epoch or an earlier one can run any more.
 func (p *Pool) lost(now time.Duration, w *worker, reason string) {
 	p.observe(Decision{Kind: DecidedWorkerLost, Worker: w.entry.ID, Outcome: "lost", Reason: reason, Age: now - w.lastAnswer})
