--- a/citron/entry/claims.go
+++ b/citron/entry/claims.go
@@ -168,10 +168,14 @@
 // quickStore is how soon the store has to answer for this daemon to take over from one that it turns away.
 const quickStore = 120 * time.Millisecond
 
+// storeBackFor is how long the store has to answer this daemon before another one counts as turned away: when it comes
+// back, the holder reaches it a moment sooner or later than the others.
+const storeBackFor = 600 * time.Millisecond
+
 // storeIsQuick asks the store for the end of the cell's records.
 func (d *Daemon) storeIsQuick() bool {
 	next, loaded := d.cell.Next()
-	if !loaded {
+	if !loaded || d.cell.WellFor() < storeBackFor {
 		return false
 	}
 	bounded, cancel := context.WithTimeout(d.run, quickStore)
--- a/citron/tail/tail.go
+++ b/citron/tail/tail.go
@@ -46,7 +46,9 @@
 	aborted bool
 	lastOK  time.Duration
 	failing bool
-	waiters []waiter
+	// wellSince is when reading began to succeed.
+	wellSince time.Duration
+	waiters   []waiter
 }
 
 type waiter struct {
@@ -169,6 +171,9 @@
 	t.failing = err != nil
 	if err == nil {
 		t.lastOK = t.Timer.Now().Boot
+		if changed || t.wellSince == 0 {
+			t.wellSince = t.lastOK
+		}
 	}
 	t.mu.Unlock()
 	if changed && t.Changed != nil {
@@ -206,6 +211,16 @@
 	return t.failing
 }
 
+// WellFor is how long reading has succeeded without a failure; zero while it fails.
+func (t *Tail) WellFor() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.failing || t.wellSince == 0 {
+		return 0
+	}
+	return t.Timer.Now().Boot - t.wellSince
+}
+
 // AnsweredSince reports whether the store has answered for the partition since an instant.
 func (t *Tail) AnsweredSince(instant time.Duration) bool {
 	t.mu.Lock()
--- a/citron/tail/tail_test.go
+++ b/citron/tail/tail_test.go
@@ -103,3 +103,29 @@
 		t.Error("an aborted read counts as failed")
 	}
 }
+
+// Seen in incident inc-07de of Ben Salah: the pool changed hands at the moment at which the store was back for all.
+func TestTailTellsHowLongTheStoreHasBeenBack(t *testing.T) {
+	clock := &timer.Manual{}
+	clock.Advance(time.Second)
+	tail := &Tail{Timer: clock}
+	if tail.WellFor() != 0 {
+		t.Error("well before the first answer")
+	}
+	tail.note(nil)
+	clock.Advance(time.Second)
+	tail.note(nil)
+	if got := tail.WellFor(); got != time.Second {
+		t.Errorf("well for %v, want 1s", got)
+	}
+	tail.note(citron.ErrUnavailable)
+	clock.Advance(time.Second)
+	if tail.WellFor() != 0 {
+		t.Error("well while reading fails")
+	}
+	tail.note(nil)
+	clock.Advance(time.Millisecond)
+	if got := tail.WellFor(); got != time.Millisecond {
+		t.Errorf("well for %v after the store is back for 1ms", got)
+	}
+}
