Leases end with the last proof of holding; workers are used only after their report

The new holder placed a task on a worker that had answered a stop, but had not reported yet, and of whose runs one belonged to a job that this daemon had not read.

The mutant 'late orders' was found through two workers with one name; names are unique now and orders to a worker that is cut off arrive after the cut.

A worker that leaves two tries of a start, or a hold, unanswered takes no more tasks until it answers: before, it was given tasks until its lease had lapsed.

--- a/citron/entry/claims.go
+++ b/citron/entry/claims.go
@@ -77,6 +77,15 @@
 	}
 }
 
+// confirmed returns the last instant at which the claim of an epoch was the newest; zero if it no longer is.
+func (d *Daemon) confirmed(epoch citron.Epoch) time.Duration {
+	current := d.cell.Current()
+	if d.newest().Epoch != epoch {
+		return 0
+	}
+	return current
+}
+
 // drop ends the holding and waits for its last order.
 func (d *Daemon) drop() {
 	d.mu.Lock()
@@ -113,6 +122,7 @@
 		Progress:  d.progress,
 		Jobs:      d.jobs,
 		Extend:    d.extend,
+		Confirmed: func() time.Duration { return d.confirmed(epoch) },
 		Published: d.publish,
 		Pool:      p,
 		Advise:    d.advise,
--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -23,6 +23,9 @@
 	orderTimeout = 300 * time.Millisecond
 	// orderRetry separates the tries of one start.
 	orderRetry = 10 * time.Millisecond
+	// silentTries is the number of unanswered tries after which a worker is given no more tasks until it answers. One may
+	// be lost by itself.
+	silentTries = 2
 	// planEvery is the longest time between two plannings: leases and due times are looked at this often.
 	planEvery = 50 * time.Millisecond
 	// planPause is the least time between two plannings; events that come meanwhile are planned together.
@@ -43,6 +46,8 @@
 	Pool     *pool.Pool
 	// Advise puts a question to the policy service from a given daemon.
 	Advise func(ctx context.Context, a pool.Ask) ([]citron.Permit, time.Duration, error)
+	// Confirmed returns the last instant at which no other daemon had claimed the pool.
+	Confirmed func() time.Duration
 	// Published is called with each stored record that changes what callers see.
 	Published func(citron.Keyed)
 	// Observed, if set, is called for each exchange with a worker or the store that failed.
@@ -235,7 +240,7 @@
 func (h *Holder) start(ctx context.Context, s pool.Start) {
 	began := h.Timer.Now().Boot
 	outcome, clock := citron.StartUnknown, time.Duration(0)
-	unanswered := false
+	unanswered := 0
 	for outcome == citron.StartUnknown && ctx.Err() == nil && h.Timer.Now().Boot-began < h.Pool.Options.StartWithin-orderTimeout {
 		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
 		var err error
@@ -245,9 +250,14 @@
 			h.failed("start", err)
 			h.pause(ctx, orderRetry)
 		}
-		unanswered = unanswered || outcome == citron.StartUnknown
+		if outcome == citron.StartUnknown {
+			unanswered++
+		}
+		if unanswered == silentTries {
+			h.Pool.Unanswered(s.Worker.ID)
+		}
 	}
-	if unanswered && outcome != citron.Started && outcome != citron.StartFenced && outcome != citron.StartGone {
+	if unanswered > 0 && outcome != citron.Started && outcome != citron.StartFenced && outcome != citron.StartGone {
 		// The refusal speaks for the last try only; an earlier one may have started the run.
 		outcome = citron.StartUnknown
 	}
--- a/citron/holder/ledger.go
+++ b/citron/holder/ledger.go
@@ -155,6 +155,10 @@
 	end, err = h.Store.Append(bounded, l.partition, records, c)
 	if err == nil {
 		h.limit.Answered(h.Timer.Now().Boot - began)
+		if l.pending == nil {
+			// The store answers a repeat as it answered the first time, whoever holds the pool by then.
+			h.Pool.Proved(began)
+		}
 	}
 	var sequence *citron.SequenceError
 	switch {
--- a/citron/holder/ledger_test.go
+++ b/citron/holder/ledger_test.go
@@ -116,3 +116,35 @@
 		t.Errorf("appends %v, want %v", s.appends, want)
 	}
 }
+
+func TestRepeatedAppendProvesNothing(t *testing.T) {
+	lost := true
+	s := &scripted{answer: func(int, citron.Partition) error {
+		if lost {
+			return citron.ErrUnavailable
+		}
+		return nil
+	}}
+	h := newHolder(s, 1)
+	h.Pool.Options = pool.Options{Lease: time.Second, LeaseMost: time.Second, Silence: time.Second}
+	clock := h.Timer.(*timer.Instant)
+	h.Pool.Listed(clock.Now(), []citron.WorkerEntry{{ID: "w", Address: "a"}})
+	h.Pool.Held(clock.Now(), "w", clock.Now().Boot, citron.Report{}, clock.Now().Boot)
+	if _, err := h.send(context.Background(), h.ledger[0], record("a")); err == nil {
+		t.Fatal("an unanswered append has no error")
+	}
+	clock.Advance(900 * time.Millisecond)
+	lost = false
+	if err := h.settle(context.Background(), h.ledger[0]); err != nil {
+		t.Fatal(err)
+	}
+	if _, o, _, _ := h.Pool.NextHold(clock.Now(), "w"); o.Deadline != 0 {
+		t.Error("a lease was renewed on the answer to a repeat")
+	}
+	if _, err := h.send(context.Background(), h.ledger[0], record("b")); err != nil {
+		t.Fatal(err)
+	}
+	if _, o, _, _ := h.Pool.NextHold(clock.Now(), "w"); o.Deadline == 0 {
+		t.Error("no lease is renewed after a new record was stored")
+	}
+}
--- a/citron/holder/poll.go
+++ b/citron/holder/poll.go
@@ -68,6 +68,7 @@
 	retry := retryFirst
 	for ctx.Err() == nil {
 		now := h.Timer.Now()
+		h.Pool.Proved(h.Confirmed())
 		entry, order, load, ok := h.Pool.NextHold(now, id)
 		if !ok {
 			return
@@ -89,6 +90,7 @@
 		if err != nil {
 			if ctx.Err() == nil {
 				h.failed("hold", err)
+				h.Pool.Unanswered(id)
 			}
 			h.rest(ctx, p, retry, false)
 			retry = min(2*retry, retryMost)
--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -148,6 +148,12 @@
 			s.left--
 		}
 	}
+	for _, s := range o.steps {
+		if s.spec.GetGang() && s.waitingTasks() > 0 {
+			// Its members are started together, so the former holder was about to stop those that run.
+			p.breakGang(now, s)
+		}
+	}
 	p.release(now, o)
 }
 
@@ -155,7 +161,7 @@
 func (p *Pool) adopt(now time.Duration, t *task, id citron.Worker, state taskState) {
 	w := p.worker(now, id)
 	// The former holder may have renewed the lease until this epoch began.
-	w.leaseUntil = max(w.leaseUntil, now+p.lapse())
+	w.leaseUntil = max(w.leaseUntil, now+p.lapse(p.Options.LeaseMost))
 	t.state, t.worker, t.since, t.startedAt = state, w, now, now
 	w.tasks[t.ref] = t
 	w.used = w.used.Add(t.step.need)
@@ -186,9 +192,10 @@
 	}
 }
 
-// lapse is the longest time on this daemon's clock until a lease renewed now has ended on the worker's clock.
-func (p *Pool) lapse() time.Duration {
-	return time.Duration(float64(p.Options.Lease)*(1+p.Options.ClockDrift)) + p.Options.StopWithin
+// lapse is the longest time on this daemon's clock until a lease of that length, renewed now, has ended on the worker's
+// clock and the worker has stopped its tasks.
+func (p *Pool) lapse(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)*(1+p.Options.ClockDrift)) + p.Options.StopWithin
 }
 
 // objective is the time within which callers want the job done.
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -66,12 +66,14 @@
 		return entry, o, l, false
 	}
 	o = citron.HoldOrder{Epoch: p.Epoch, Acked: w.acked}
-	// A worker that does not answer may still hear: its lease must be left to lapse.
-	if w.seenAnswer && now.Boot-w.lastAnswer < p.Options.Silence {
-		o.Deadline = now.Boot + w.clockAhead + p.Options.Lease
-		w.leaseUntil = max(w.leaseUntil, now.Boot+p.lapse())
+	// A worker that does not answer may still hear: its lease must be left to lapse. So must the leases of a holder that
+	// the store may have replaced: its successor waits for them where it cannot reach the worker.
+	lease := min(p.Options.Lease, p.proved+p.Options.LeaseMost-now.Boot)
+	if w.reported && now.Boot-w.lastAnswer < p.Options.Silence && lease > 0 {
+		o.Deadline = now.Boot + w.clockAhead + lease
+		w.leaseUntil = max(w.leaseUntil, now.Boot+p.lapse(lease))
 	}
-	l = Load{Tasks: len(w.tasks), First: !w.seenAnswer, Unsettled: w.strangers}
+	l = Load{Tasks: len(w.tasks), First: !w.reported, Unsettled: w.strangers}
 	for _, t := range w.tasks {
 		l.Unsettled = l.Unsettled || t.state == taskUnsure || t.state == taskStopping || t.state == taskLeaving
 	}
@@ -359,7 +361,7 @@
 	t.state, t.run, t.worker, t.since, t.startedAt = taskOrdered, run, w, b.now, b.now
 	w.tasks[t.ref] = t
 	w.used = w.used.Add(s.need)
-	w.leaseUntil = max(w.leaseUntil, b.now+p.lapse())
+	w.leaseUntil = max(w.leaseUntil, b.now+p.lapse(p.Options.Lease))
 	j := s.job
 	if j.state == work.State_STATE_QUEUED {
 		j.state = work.State_STATE_RUNNING
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -20,6 +20,9 @@
 type Options struct {
 	// Lease is how long a worker runs on without hearing from the holder.
 	Lease time.Duration
+	// LeaseMost is how long after the last proof of holding the pool a lease may end. A new holder waits as long for
+	// workers that it cannot reach.
+	LeaseMost time.Duration
 	// StartWithin is how late a start order may arrive.
 	StartWithin time.Duration
 	// ClockDrift is how much slower a worker's clock may run, as a share.
@@ -61,6 +64,8 @@
 	// expired is when jobs were last removed.
 	expired time.Duration
 	fenced  bool
+	// proved is the last instant at which this holder is known to have held the pool.
+	proved time.Duration
 	// complete is set once every job is known that a former holder may have started.
 	complete bool
 	// number counts the records of this epoch.
@@ -247,14 +252,17 @@
 	listed bool
 	// dead is set once the life is known to be over.
 	dead bool
-	// seenAnswer is set after the first answer in this epoch, until the worker's lease has lapsed unheard.
-	seenAnswer bool
+	// reported is set after the first report in this epoch, until the worker's lease has lapsed unheard. Other answers do
+	// not tell what runs there.
+	reported   bool
 	lastAnswer time.Duration
 	// clockAhead is the worker's clock less the boot clock of this daemon.
 	clockAhead time.Duration
 	leaseUntil time.Duration
 	processed  int64
 	acked      int64
+	// silent is set where the last exchanges were not answered.
+	silent bool
 	// strangers is set where the last report showed a run that is not recorded. How much room it takes is not known.
 	strangers bool
 	// blockedUntil is when the worker may take tasks again.
@@ -280,7 +288,7 @@
 
 // usable reports whether new tasks may go to the worker.
 func (w *worker) usable(now time.Duration) bool {
-	return w.listed && !w.dead && !w.entry.Draining && w.seenAnswer && !w.strangers && now >= w.blockedUntil
+	return w.listed && !w.dead && !w.entry.Draining && w.reported && !w.silent && !w.strangers && now >= w.blockedUntil
 }
 
 // New returns the pool of one epoch.
@@ -305,6 +313,14 @@
 	return p.fenced
 }
 
+// Proved notes that this holder held the pool at an instant: the store refuses its records once another one has
+// claimed the pool.
+func (p *Pool) Proved(at time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.proved = max(p.proved, at)
+}
+
 // Complete notes that every job which a former holder may have started has been accepted here.
 func (p *Pool) Complete() {
 	p.mu.Lock()
--- a/citron/pool/report.go
+++ b/citron/pool/report.go
@@ -67,6 +67,7 @@
 		t.state, t.startedAt = taskRunning, now.Boot
 	case citron.StartUnknown:
 		t.state, t.since = taskUnsure, now.Boot
+		w.silent = true
 	case citron.StartFenced:
 		p.fenced = true
 	case citron.StartGone:
@@ -113,6 +114,15 @@
 	}
 }
 
+// Unanswered notes that a worker has left exchanges without an answer. It takes no task until it answers again.
+func (p *Pool) Unanswered(id citron.Worker) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w := p.workers[id]; w != nil {
+		w.silent = true
+	}
+}
+
 // Gone notes that a life of a worker has ended.
 func (p *Pool) Gone(now citron.Instant, id citron.Worker) {
 	p.mu.Lock()
@@ -131,7 +141,7 @@
 }
 
 func (p *Pool) answered(now time.Duration, w *worker, clock time.Duration) {
-	w.lastAnswer, w.seenAnswer = now, true
+	w.lastAnswer, w.silent = now, false
 	if clock != 0 {
 		w.clockAhead = clock - now
 	}
@@ -146,6 +156,7 @@
 		return
 	}
 	p.answered(now.Boot, w, clock)
+	w.reported = true
 	present := map[citron.TaskRef]int32{}
 	w.strangers = false
 	for _, run := range r.Running {
@@ -211,7 +222,7 @@
 	for _, t := range w.sorted() {
 		p.requeue(now, t, reason)
 	}
-	w.seenAnswer = false
+	w.reported = false
 }
 
 // Advised takes in an answer of the policy service. Failed is set where there was none.
--- a/citron/pool/rig_test.go
+++ b/citron/pool/rig_test.go
@@ -15,6 +15,7 @@
 // testOptions are the bounds that the tests work with.
 var testOptions = Options{
 	Lease:       4 * time.Second,
+	LeaseMost:   6 * time.Second,
 	StartWithin: 1500 * time.Millisecond,
 	ClockDrift:  0.04,
 	StopWithin:  900 * time.Millisecond,
@@ -46,6 +47,7 @@
 	desk := &advice.Desk{}
 	desk.Daemons([]citron.VMName{"a", "b", "c"})
 	r.p = New(testOptions, r.epoch, desk)
+	r.p.Proved(r.now.Boot)
 }
 
 func (r *rig) advance(d time.Duration) { r.now = r.now.Add(d) }
@@ -102,6 +104,7 @@
 	for _, record := range e.Records {
 		r.records[record.Key] = record.Value
 	}
+	r.p.Proved(r.now.Boot)
 	r.p.Committed(e)
 	for _, s := range e.Starts {
 		r.p.Started(r.now, s, citron.Started, r.now.Boot)
--- a/citron/pool/sim_test.go
+++ b/citron/pool/sim_test.go
@@ -35,6 +35,8 @@
 	lateOrders
 	// acksBeforeRecord acknowledges ends before their record is stored.
 	acksBeforeRecord
+	// leaseUnproved lets a holder renew leases without knowing that it still holds the pool.
+	leaseUnproved
 )
 
 const (
@@ -53,16 +55,20 @@
 	start   time.Duration
 	events  []event
 	serial  int
+	lives   int
 	workers []*simWorker
 	// stored is the newest record of each job; epoch the highest producer epoch.
 	stored map[string]*work.Progress
 	epoch  citron.Epoch
 	// accepted lists the jobs in the store.
-	accepted []*work.Job
-	holders  []*simHolder
-	done     map[citron.TaskRef]bool
-	failed   map[citron.TaskRef]int
-	problem  string
+	accepted  []*work.Job
+	cancelled map[string]bool
+	holders   []*simHolder
+	done      map[citron.TaskRef]bool
+	// begun is when each task was last started.
+	begun   map[citron.TaskRef]time.Duration
+	failed  map[citron.TaskRef]int
+	problem string
 }
 
 type event struct {
@@ -76,17 +82,20 @@
 	p      *Pool
 	dead   bool
 	frozen time.Duration
-	busy   bool
-	// caughtUp is set once the holder has read the accepted jobs.
+	// storeCut is until when the holder does not reach the store.
+	storeCut time.Duration
+	busy     bool
+	// caughtUp is set once the holder has read the accepted jobs; before, it knows some of them.
 	caughtUp bool
 	known    int
-	polling  map[citron.Worker]bool
+	// told lists the cancelled jobs that the holder knows of.
+	told    map[string]bool
+	polling map[citron.Worker]bool
 }
 
 type simWorker struct {
 	w        *world
 	entry    citron.WorkerEntry
-	life     int
 	drift    float64
 	base     time.Duration
 	token    citron.Epoch
@@ -95,9 +104,14 @@
 	highest  map[citron.TaskRef]int32
 	ended    []citron.EndedTask
 	// excused is the number of the last end before the lease lapsed; the ends up to it need not be taken note of.
-	excused  int64
-	ends     int64
+	excused int64
+	ends    int64
+	// endedAt is when each listed run ended.
+	endedAt  map[int64]time.Duration
 	cutUntil time.Duration
+	// formerUntil is until when only holders up to the epoch former reach the worker.
+	formerUntil time.Duration
+	former      citron.Epoch
 }
 
 type simRun struct {
@@ -115,12 +129,12 @@
 func play(seed uint64, m mutant) (problem string) {
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 7)), mutant: m, stored: map[string]*work.Progress{}, done: map[citron.TaskRef]bool{},
-		failed: map[citron.TaskRef]int{}, start: time.Hour,
+		failed: map[citron.TaskRef]int{}, cancelled: map[string]bool{}, begun: map[citron.TaskRef]time.Duration{}, start: time.Hour,
 		now: citron.Instant{Boot: time.Hour, Wall: time.UnixMilli(1_700_000_000_000)},
 	}
-	for n := range 5 {
+	for range 5 {
 		s := &simWorker{w: w, drift: 1 - 0.02*w.rng.Float64(), entry: citron.WorkerEntry{Service: "svc", Capacity: citron.Capacity{MilliCores: 8000, MemoryMb: 8000}}}
-		s.born(n)
+		s.born()
 		w.workers = append(w.workers, s)
 	}
 	w.claim()
@@ -164,6 +178,9 @@
 	if w.now.Boot < w.start+simLoad && w.chance(0.05) {
 		w.submit()
 	}
+	if len(w.accepted) > 0 && w.chance(0.004) {
+		w.cancelled[w.accepted[w.rng.IntN(len(w.accepted))].GetID()] = true
+	}
 	if !w.quiet() {
 		w.trouble()
 	}
@@ -204,7 +221,16 @@
 		s := w.workers[w.rng.IntN(len(w.workers))]
 		s.cutUntil = w.now.Boot + time.Duration(w.rng.IntN(9000))*time.Millisecond
 	case 10:
-		w.workers[w.rng.IntN(len(w.workers))].born(w.rng.IntN(1000))
+		w.workers[w.rng.IntN(len(w.workers))].born()
+	case 13, 14, 15, 16, 17, 18:
+		s := w.workers[w.rng.IntN(len(w.workers))]
+		s.cutUntil = w.now.Boot + time.Duration(5000+w.rng.IntN(4000))*time.Millisecond
+	case 11, 12:
+		// The holder loses the store but keeps some workers that its successor does not reach.
+		newest.storeCut = w.now.Boot + time.Duration(w.rng.IntN(9000))*time.Millisecond
+		s := w.workers[w.rng.IntN(len(w.workers))]
+		s.former, s.formerUntil = newest.p.Epoch, w.now.Boot+time.Duration(w.rng.IntN(12_000))*time.Millisecond
+		w.later(700*time.Millisecond, w.claim)
 	}
 }
 
@@ -214,18 +240,20 @@
 	desk := &advice.Desk{}
 	o := testOptions
 	if w.mutant == leaseTooShort {
-		o.Lease, o.StopWithin, o.Silence = time.Second, 0, 500*time.Millisecond
+		o.Lease, o.LeaseMost, o.StopWithin, o.Silence = time.Second, time.Second, 0, 500*time.Millisecond
 	}
-	h := &simHolder{w: w, p: New(o, w.epoch, desk), polling: map[citron.Worker]bool{}}
+	h := &simHolder{w: w, p: New(o, w.epoch, desk), polling: map[citron.Worker]bool{}, told: map[string]bool{}}
+	h.p.Proved(w.now.Boot)
 	w.holders = append(w.holders, h)
 	h.list()
 	if w.mutant == completeTooSoon {
 		h.p.Complete()
 	}
-	// The jobs are read a little after the claim.
+	// Some jobs are known at the claim, all of them a little later.
+	h.read(w.rng.IntN(len(w.accepted) + 1))
 	w.later(time.Duration(w.rng.IntN(300))*time.Millisecond, func() {
 		h.caughtUp = true
-		h.read()
+		h.read(len(w.accepted))
 		h.p.Complete()
 	})
 }
@@ -240,11 +268,17 @@
 
 // read accepts the jobs that have come into the store. What a holder knows of their progress is what was stored when
 // it claimed, since nobody else can store after that.
-func (h *simHolder) read() {
-	for ; h.known < len(h.w.accepted); h.known++ {
+func (h *simHolder) read(upto int) {
+	for ; h.known < upto; h.known++ {
 		j := h.w.accepted[h.known]
 		h.p.Accept(h.w.now, j, h.w.stored[j.GetID()])
 	}
+	for _, j := range h.w.accepted[:h.known] {
+		if id := j.GetID(); h.w.cancelled[id] && !h.told[id] {
+			h.told[id] = true
+			h.p.Cancel(h.w.now, citron.JobID(id))
+		}
+	}
 }
 
 func (h *simHolder) tick() {
@@ -252,7 +286,10 @@
 		return
 	}
 	if h.caughtUp {
-		h.read()
+		h.read(len(h.w.accepted))
+	}
+	if h.w.mutant == leaseUnproved {
+		h.p.Proved(h.w.now.Boot)
 	}
 	h.list()
 	h.poll()
@@ -284,10 +321,15 @@
 		if h.dead {
 			return
 		}
+		if w.now.Boot < h.storeCut {
+			w.later(simStep, func() { h.store(e) })
+			return
+		}
 		if w.epoch != h.p.Epoch {
 			h.dead = true
 			return
 		}
+		h.p.Proved(w.now.Boot)
 		if w.chance(0.05) && !w.quiet() {
 			// The append is not answered at once; at times it takes seconds.
 			w.later(time.Duration(w.rng.IntN(1500))*time.Millisecond, func() { h.store(e) })
@@ -323,7 +365,13 @@
 	for _, s := range starts {
 		answered := false
 		h.send(func() {
-			outcome, clock := h.w.find(s.Worker.ID).take(s)
+			worker := h.w.find(s.Worker.ID)
+			if worker != nil && h.w.now.Boot < worker.cutUntil {
+				// The network delivers it once the cut is over.
+				h.w.later(worker.cutUntil-h.w.now.Boot+h.w.delay(), func() { h.w.find(s.Worker.ID).take(s) })
+				return
+			}
+			outcome, clock := worker.take(s)
 			h.w.later(h.w.delay(), func() {
 				if !answered {
 					answered = true
@@ -345,7 +393,7 @@
 		h.w.later(h.w.delay(), func() { h.p.Gone(h.w.now, s.Worker.ID) })
 		return
 	}
-	if !worker.fences(s.Order.Epoch) && worker.end(s.Order) {
+	if worker.reaches(s.Order.Epoch) && !worker.fences(s.Order.Epoch) && worker.end(s.Order) {
 		clock := worker.clock()
 		h.w.later(h.w.delay(), func() { h.p.Stopped(h.w.now, s, clock) })
 	}
@@ -395,7 +443,7 @@
 				h.p.Gone(w.now, id)
 				return
 			}
-			if s.cut() || w.chance(0.02) && !w.quiet() || s.fences(o.Epoch) {
+			if !s.reaches(o.Epoch) || w.chance(0.02) && !w.quiet() || s.fences(o.Epoch) {
 				return
 			}
 			report, clock := s.hold(o)
@@ -416,15 +464,19 @@
 }
 
 // born begins a new life.
-func (s *simWorker) born(n int) {
-	s.life++
-	s.entry.ID = citron.Worker(fmt.Sprintf("i-%d-%d", n, s.life))
+func (s *simWorker) born() {
+	s.w.lives++
+	s.entry.ID = citron.Worker(fmt.Sprintf("i-%d", s.w.lives))
 	s.entry.Address = string(s.entry.ID)
 	s.base, s.token, s.deadline = s.w.now.Boot, 0, 0
+	s.endedAt = map[int64]time.Duration{}
 	s.runs, s.highest, s.ended, s.ends = map[citron.TaskRef]*simRun{}, map[citron.TaskRef]int32{}, nil, 0
 }
 
-func (s *simWorker) cut() bool { return s.w.now.Boot < s.cutUntil }
+// reaches reports whether the holder of an epoch reaches the worker.
+func (s *simWorker) reaches(epoch citron.Epoch) bool {
+	return s.w.now.Boot >= s.cutUntil && (epoch <= s.former || s.w.now.Boot >= s.formerUntil)
+}
 
 // clock is the worker's own steady clock.
 func (s *simWorker) clock() time.Duration {
@@ -443,10 +495,10 @@
 	if s == nil {
 		return citron.StartGone, 0
 	}
-	if s.cut() {
+	order := o.Order
+	if !s.reaches(order.Epoch) {
 		return citron.StartUnknown, 0
 	}
-	order := o.Order
 	switch {
 	case s.fences(order.Epoch):
 		return citron.StartFenced, s.clock()
@@ -486,7 +538,7 @@
 	if w.failed[o.Task] >= 4 {
 		w.report("BUDGET: %s run %d after four acknowledged failures", o.Task, o.Run)
 	}
-	s.highest[o.Task] = o.Run
+	s.highest[o.Task], w.begun[o.Task] = o.Run, w.now.Boot
 	s.runs[o.Task] = &simRun{run: o.Run, need: need, gang: members, until: w.now.Boot + time.Duration(200+w.rng.IntN(1500))*time.Millisecond, fails: w.chance(0.03)}
 }
 
@@ -518,9 +570,6 @@
 }
 
 func (s *simWorker) end(o citron.StopOrder) bool {
-	if s.cut() {
-		return false
-	}
 	s.highest[o.Task] = max(s.highest[o.Task], o.Run)
 	if run := s.runs[o.Task]; run != nil && run.run <= o.Run && run.stopping == 0 {
 		run.stopping = s.w.now.Boot + time.Duration(s.w.rng.IntN(int(testOptions.StopWithin)))
@@ -533,6 +582,7 @@
 		defer s.w.breakGang(ref, run.run)
 	}
 	s.ends++
+	s.endedAt[s.ends] = s.w.now.Boot
 	s.ended = append(s.ended, citron.EndedTask{Number: s.ends, Task: ref, Run: s.runs[ref].run, Kind: how})
 	delete(s.runs, ref)
 }
@@ -621,6 +671,9 @@
 		switch end.Kind {
 		case citron.EndDone:
 			s.w.done[end.Task] = true
+			if s.w.begun[end.Task] > s.endedAt[end.Number] {
+				s.w.report("TWICE: run %d of %s was done on %s, acknowledged after a later start", end.Run, end.Task, s.entry.ID)
+			}
 		case citron.EndFailed:
 			s.w.failed[end.Task]++
 		}
@@ -662,6 +715,7 @@
 		"lease too short":            leaseTooShort,
 		"orders carried out late":    lateOrders,
 		"acks before their record":   acksBeforeRecord,
+		"leases without a proof":     leaseUnproved,
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(5 * simSeeds) {
--- a/citron/tail/tail.go
+++ b/citron/tail/tail.go
@@ -45,6 +45,8 @@
 	abort   context.CancelFunc
 	aborted bool
 	lastOK  time.Duration
+	// current is the instant up to which every record is known.
+	current time.Duration
 	failing bool
 	// wellSince is when reading began to succeed.
 	wellSince time.Duration
@@ -109,6 +111,7 @@
 	t.mu.Lock()
 	next, loaded := t.next, t.loaded
 	t.mu.Unlock()
+	asked := t.Timer.Now().Boot
 	if !loaded {
 		bounded, cancel := context.WithTimeout(ctx, newestTimeout)
 		defer cancel()
@@ -117,7 +120,7 @@
 			return err
 		}
 		t.Apply(batch, true)
-		t.advance(batch.End, true)
+		t.advance(batch.End, asked)
 		return nil
 	}
 	wait := t.Wait
@@ -134,7 +137,9 @@
 		return nil
 	}
 	if errors.Is(err, citron.ErrLost) {
-		t.advance(next, false)
+		t.mu.Lock()
+		t.loaded = false
+		t.mu.Unlock()
 		return nil
 	}
 	if err != nil {
@@ -143,17 +148,15 @@
 	if len(batch.Records) > 0 {
 		t.Apply(batch, false)
 	}
-	t.advance(batch.Start+citron.Offset(len(batch.Records)), true)
+	t.advance(batch.Start+citron.Offset(len(batch.Records)), asked)
 	return nil
 }
 
-func (t *Tail) advance(next citron.Offset, loaded bool) {
+// advance notes that every record before next has been applied, as read by a call that was sent at an instant.
+func (t *Tail) advance(next citron.Offset, asked time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.next, t.loaded = next, loaded
-	if !loaded {
-		return
-	}
+	t.next, t.loaded, t.current = next, true, asked
 	kept := t.waiters[:0]
 	for _, w := range t.waiters {
 		if w.offset <= next {
@@ -188,6 +191,13 @@
 	return t.next, t.loaded
 }
 
+// Current returns an instant such that every record stored before it has been applied.
+func (t *Tail) Current() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.current
+}
+
 // Refresh reads anew at once. A read may hang on a connection that fell silent while the store was away.
 func (t *Tail) Refresh() {
 	t.mu.Lock()
