Ends of runs that had been given up count

Ends of earlier runs now settle their task, stop the later run and release the next step; failures are recorded by run, so that a new holder which hears of one again counts it once. Ruled out: a lost start (each was placed at once).

--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -135,7 +135,7 @@
 		}
 		s := o.steps[r.GetStep()]
 		t := s.tasks[r.GetIndex()]
-		t.run, t.failures, t.checkpoint = r.GetRun(), int(r.GetFailures()), r.GetCheckpoint()
+		t.run, t.failedRuns, t.checkpoint = r.GetRun(), r.GetFailedRuns(), r.GetCheckpoint()
 		s.gangRun = max(s.gangRun, t.run)
 		switch r.GetState() {
 		case work.TaskState_TASK_STATE_DONE:
--- a/citron/pool/end.go
+++ b/citron/pool/end.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -40,6 +41,7 @@
 func (p *Pool) end(now time.Duration, w *worker, end citron.EndedTask) {
 	t := w.tasks[end.Task]
 	if t == nil || t.run != end.Run {
+		p.formerEnd(now, w, end)
 		return
 	}
 	s := t.step
@@ -48,7 +50,7 @@
 	if end.Checkpoint != "" {
 		t.checkpoint = end.Checkpoint
 	}
-	if t.state == taskLeaving || s.job.terminal {
+	if t.state == taskLeaving || t.settled || s.job.terminal {
 		p.requeue(now, t, string(end.Kind))
 		return
 	}
@@ -64,6 +66,62 @@
 	}
 }
 
+// formerEnd takes in the end of a run that had been given up, since its worker did not answer: it counts all the same.
+func (p *Pool) formerEnd(now time.Duration, w *worker, end citron.EndedTask) {
+	t := p.task(end.Task)
+	if t == nil || end.Run > t.run || t.state == taskDone || t.state == taskLeaving || t.settled ||
+		t.step.job.terminal || t.step.spec.GetService() {
+		return
+	}
+	switch end.Kind {
+	case citron.EndDone:
+		p.observe(Decision{Kind: DecidedEnd, Job: t.step.job.id, Task: t.ref, Run: end.Run, Worker: w.entry.ID, Outcome: string(end.Kind), Reason: "the run had been given up"})
+		p.doneBefore(now, t)
+	case citron.EndFailed:
+		p.observe(Decision{Kind: DecidedEnd, Job: t.step.job.id, Task: t.ref, Run: end.Run, Worker: w.entry.ID, Outcome: string(end.Kind), Reason: "the run had been given up"})
+		p.countFailure(now, t, end.Run)
+	}
+}
+
+// doneBefore settles a task, with all members of its gang, that an earlier run has done. Later runs are stopped.
+func (p *Pool) doneBefore(now time.Duration, t *task) {
+	tasks := []*task{t}
+	if t.step.spec.GetGang() {
+		tasks = t.step.tasks
+	}
+	for _, t := range tasks {
+		if t.state == taskDone || t.state == taskLeaving || t.settled {
+			continue
+		}
+		t.step.left--
+		p.dirty[t.step.job] = true
+		switch t.state {
+		case taskWaiting:
+			t.state = taskDone
+		case taskStopping:
+			t.settled = true
+		default:
+			t.settled = true
+			p.stop(now, t)
+		}
+	}
+	p.advance(now, t.step)
+}
+
+// task finds a task of an open occurrence by its name.
+func (p *Pool) task(ref citron.TaskRef) *task {
+	cut := strings.LastIndexByte(string(ref), '.')
+	if cut < 0 {
+		return nil
+	}
+	s := p.steps[citron.StepRef(ref[:cut])]
+	index, err := strconv.Atoi(string(ref[cut+1:]))
+	if s == nil || err != nil || index < 0 || index >= len(s.tasks) {
+		return nil
+	}
+	return s.tasks[index]
+}
+
 func (p *Pool) done(now time.Duration, t *task) {
 	s := t.step
 	if s.spec.GetService() {
@@ -141,20 +199,27 @@
 		w.blockedUntil = now + pause
 		p.observe(Decision{Kind: DecidedQuarantine, Worker: w.entry.ID, Reason: "tasks of several jobs failed in a row", Age: pause})
 	}
-	t.failures++
 	if t.failedOn == nil {
 		t.failedOn = map[citron.Worker]bool{}
 	}
 	t.failedOn[w.entry.ID] = true
 	p.requeue(now, t, "failed")
-	if s.spec.GetService() || s.job.terminal {
+	p.countFailure(now, t, t.run)
+}
+
+// countFailure counts a failed run once and ends the job where the attempts are used up.
+func (p *Pool) countFailure(now time.Duration, t *task, run int32) {
+	s := t.step
+	if s.spec.GetService() || s.job.terminal || slices.Contains(t.failedRuns, run) {
 		return
 	}
-	failures := t.failures
+	t.failedRuns = append(t.failedRuns, run)
+	p.dirty[s.job] = true
+	failures := len(t.failedRuns)
 	if s.spec.GetGang() {
 		failures = 0
 		for _, member := range s.tasks {
-			failures += member.failures
+			failures += len(member.failedRuns)
 		}
 	}
 	if attempts := int(s.job.spec.GetTerms().GetAttempts()); failures >= max(attempts, 1) {
@@ -176,7 +241,7 @@
 // requeue puts a task back whose run is over without being done.
 func (p *Pool) requeue(now time.Duration, t *task, reason string) {
 	s := t.step
-	over := s.job.terminal || t.state == taskLeaving
+	over := s.job.terminal || t.state == taskLeaving || t.settled
 	p.vacate(t)
 	if over {
 		t.state = taskDone
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -225,13 +225,16 @@
 )
 
 type task struct {
-	ref        citron.TaskRef
-	step       *step
-	index      int
-	state      taskState
-	run        int32
-	worker     *worker
-	failures   int
+	ref    citron.TaskRef
+	step   *step
+	index  int
+	state  taskState
+	run    int32
+	worker *worker
+	// failedRuns are the runs whose failure counts as an attempt.
+	failedRuns []int32
+	// settled is set where the task is done although its newest run is still to be stopped.
+	settled    bool
 	checkpoint string
 	since      time.Duration
 	startedAt  time.Duration
--- a/citron/pool/record.go
+++ b/citron/pool/record.go
@@ -89,14 +89,14 @@
 		Step:       int32(t.step.index),
 		Index:      int32(t.index),
 		Run:        t.run,
-		Failures:   int32(t.failures),
+		FailedRuns: t.failedRuns,
 		Checkpoint: t.checkpoint,
 	}
 	if t.worker != nil {
 		r.Worker = string(t.worker.entry.ID)
 	}
 	switch {
-	case t.state == taskLeaving:
+	case t.state == taskLeaving || t.settled && t.worker != nil:
 		r.State = work.TaskState_TASK_STATE_LEAVING
 	case t.worker != nil:
 		r.State = work.TaskState_TASK_STATE_STARTED
