A restart is seen although the clock was set back

The claim watch took only a higher one for a restart, and waited 3 s for a holder that had restarted with its clock set back; a presence with a lower one was passed over, so a daemon that came back at another address was never reached.

--- a/citron/claim/claim.go
+++ b/citron/claim/claim.go
@@ -102,7 +102,7 @@
 func (w *Watch) missed(now, pause time.Duration, p Ping) (reason string, ok bool) {
 	since := max(p.Answered, w.seen)
 	switch {
-	case p.Incarnation > w.newest.Holder.Incarnation:
+	case p.Answered > w.seen && p.Incarnation != w.newest.Holder.Incarnation:
 		return "the holder has restarted", now-w.seen >= pause
 	case p.RefusedSince > 0 && now-p.RefusedSince >= RefusedAfter+pause:
 		return "the holder refuses connections", true
--- a/citron/claim/claim_test.go
+++ b/citron/claim/claim_test.go
@@ -46,6 +46,15 @@
 	}
 }
 
+// A daemon's incarnation is the time of day at its start, which may be set back.
+func TestRestartIsSeenWithTheClockSetBack(t *testing.T) {
+	w := &Watch{}
+	w.Seen(base-time.Second, Claim{Holder: holder, Epoch: 3})
+	if reason, ok := w.Should(base, self, 0, true, Ping{Answered: base, Incarnation: holder.Incarnation - 1}); !ok {
+		t.Errorf("no claim although the holder has restarted (%s)", reason)
+	}
+}
+
 func TestFirstClaimAndOwnRestart(t *testing.T) {
 	w := &Watch{}
 	if _, ok := w.Should(base, self, 1, true, Ping{}); ok {
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -83,7 +83,8 @@
 		p.known = map[citron.VMName]*peer{}
 	}
 	old := p.known[vm]
-	if old != nil && presence.GetIncarnation() <= old.presence.GetIncarnation() && presence != nil {
+	// An incarnation is a time of day, which may have been set back: the newest record counts, whatever it says.
+	if old != nil && presence != nil && presence.GetIncarnation() == old.presence.GetIncarnation() {
 		return
 	}
 	if old != nil && old.conn != nil {
