A holder that loses a partition asks all of them at once

Now one question to all finds an open one that answers, or a new one to open. A new holder fences the partitions at once instead of one after the other.

Tried and reverted: a claim that names three partitions from the start, so that the holder goes on while the partition of the claims is silent too. Tried and reverted: refusing at once while no way to the store works. A request that waits is stored as soon as the store is back, so it is not known that it cannot be served; callers gain nothing.

--- a/citron/holder/ledger.go
+++ b/citron/holder/ledger.go
@@ -33,108 +33,147 @@
 }
 
 // fence makes the store refuse every former holder, and waits until all that they have stored is known here.
-func (h *Holder) fence(ctx context.Context) error {
+func (h *Holder) fence(ctx context.Context) (err error) {
+	fenced := make(chan error, len(h.Partitions))
 	for _, n := range h.Partitions {
 		l := &ledger{partition: h.Progress[n].Partition, tail: h.Progress[n]}
 		h.ledger = append(h.ledger, l)
-		for {
-			end, err := h.send(ctx, l, nil)
-			if err == nil {
-				err = h.Progress[n].Reach(ctx, end)
-			}
-			if err == nil {
-				break
-			}
-			if errors.Is(err, citron.ErrFenced) || ctx.Err() != nil {
-				return err
-			}
-			h.failed("fence", err)
-			h.limit.Late()
-			h.pause(ctx, appendRetry)
+		h.calls.Go(func(context.Context) { fenced <- h.fenceOne(ctx, l) })
+	}
+	for range h.Partitions {
+		if one := <-fenced; one != nil {
+			err = one
 		}
 	}
-	return nil
+	return err
+}
+
+// fenceOne does the same for one partition, until the store has answered.
+func (h *Holder) fenceOne(ctx context.Context, l *ledger) error {
+	for {
+		end, err := h.send(ctx, l, nil)
+		if err == nil {
+			err = l.tail.Reach(ctx, end)
+		}
+		if err == nil || errors.Is(err, citron.ErrFenced) || ctx.Err() != nil {
+			return err
+		}
+		h.failed("fence", err)
+		h.limit.Late()
+		h.pause(ctx, appendRetry)
+	}
 }
 
 // append stores records in the first partition that takes them, and opens another one if none does.
 func (h *Holder) append(ctx context.Context, records []citron.Keyed) error {
 	began := h.Timer.Now().Boot
+	l := h.preferred()
 	for {
-		for _, l := range h.ledger {
-			if l.failed > 0 && l.tail.AnsweredSince(l.failed) {
-				l.failed = 0
-			}
+		err := h.settle(ctx, l)
+		if err == nil {
+			_, err = h.send(ctx, l, records)
+		}
+		if err == nil {
+			h.lostSince.Store(0)
+			return nil
 		}
-		slices.SortStableFunc(h.ledger, func(a, b *ledger) int { return cmp.Compare(a.failed, b.failed) })
-		for _, l := range h.ledger {
-			err := h.settle(ctx, l)
-			if err == nil {
-				_, err = h.send(ctx, l, records)
-			}
-			if err == nil {
-				h.lostSince.Store(0)
-				return nil
-			}
-			var sequence *citron.SequenceError
-			if errors.Is(err, citron.ErrFenced) || ctx.Err() != nil || errors.As(err, &sequence) && l.numbered {
-				return err
-			}
-			h.failed("append", err)
-			h.lostSince.CompareAndSwap(0, int64(began))
-			l.failed = h.Timer.Now().Boot
+		var sequence *citron.SequenceError
+		if errors.Is(err, citron.ErrFenced) || ctx.Err() != nil || errors.As(err, &sequence) && l.numbered {
+			return err
 		}
-		if err := h.extend(ctx); err != nil {
+		h.failed("append", err)
+		h.lostSince.CompareAndSwap(0, int64(began))
+		l.failed = h.Timer.Now().Boot
+		if l, err = h.next(ctx); err != nil {
 			h.failed("extend", err)
 			h.limit.Late()
 			h.pause(ctx, appendRetry)
+			l = h.preferred()
 		}
 	}
 }
 
-// extend opens one more partition for the pool's records, one that the store answers for. The claim names it first, so
-// that a new holder knows it.
-func (h *Holder) extend(ctx context.Context) error {
+// preferred returns the open partition that has not failed, or failed first.
+func (h *Holder) preferred() *ledger {
+	for _, l := range h.ledger {
+		if l.failed > 0 && l.tail.AnsweredSince(l.failed) {
+			l.failed = 0
+		}
+	}
+	slices.SortStableFunc(h.ledger, func(a, b *ledger) int { return cmp.Compare(a.failed, b.failed) })
+	return h.ledger[0]
+}
+
+// next returns a partition that the store answers for: an open one if there is any, else a new one. The claim names a
+// new one before it is used, so that a new holder knows it.
+func (h *Holder) next(ctx context.Context) (*ledger, error) {
 	n, err := h.alive(ctx)
 	if err != nil {
-		return err
+		return nil, err
+	}
+	if l := h.open(n); l != nil {
+		return l, nil
 	}
 	if err := h.Extend(ctx, n); err != nil {
-		return err
+		return nil, err
 	}
 	l := &ledger{partition: h.Progress[n].Partition, tail: h.Progress[n]}
 	h.ledger = append(h.ledger, l)
 	_, err = h.send(ctx, l, nil)
-	return err
+	return l, err
+}
+
+// open returns the ledger of a partition; nil if it has none.
+func (h *Holder) open(n int) *ledger {
+	for _, l := range h.ledger {
+		if l.partition == h.Progress[n].Partition {
+			return l
+		}
+	}
+	return nil
 }
 
-// alive asks for the end of every partition that is not open and returns the first that answers.
+// alive asks for the end of every partition and returns the first open one that answers, or else another one.
 func (h *Holder) alive(ctx context.Context) (partition int, err error) {
 	bounded, cancel := context.WithTimeout(ctx, h.limit.Now())
 	defer cancel()
-	answered := make(chan int, len(h.Progress))
-	asked := 0
+	type answer struct {
+		n    int
+		open bool
+		err  error
+	}
+	answers := make(chan answer, len(h.Progress))
+	opens := 0
 	for n, t := range h.Progress {
-		if slices.ContainsFunc(h.ledger, func(l *ledger) bool { return l.partition == t.Partition }) {
-			continue
+		a := answer{n: n, open: h.open(n) != nil}
+		if a.open {
+			opens++
 		}
-		asked++
 		h.calls.Go(func(context.Context) {
 			next, _ := t.Next()
-			if _, err := h.Store.Read(bounded, t.Partition, next, 0); err != nil {
-				n = -1
-			}
-			answered <- n
+			_, a.err = h.Store.Read(bounded, t.Partition, next, 0)
+			answers <- a
 		})
 	}
-	for range asked {
-		if n := <-answered; n >= 0 {
-			return n, nil
+	other := -1
+	for range h.Progress {
+		a := <-answers
+		switch {
+		case a.open && a.err == nil:
+			return a.n, nil
+		case a.open:
+			opens--
+		case a.err == nil && other < 0:
+			other = a.n
+		}
+		if opens == 0 && other >= 0 {
+			return other, nil
 		}
 	}
 	return 0, errNoneAlive
 }
 
-var errNoneAlive = errors.New("the store answers for no partition that is not open yet")
+var errNoneAlive = errors.New("the store answers for no partition")
 
 // settle repeats an append that was not answered. The store drops it if it had landed. Its records may be older than
 // what other partitions hold by now; readers go by the number of each record.
--- a/citronlab/site/site_test.go
+++ b/citronlab/site/site_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -30,6 +31,19 @@
 	fronts  []string
 	client  http.Client
 	sent    int
+	log     journal
+}
+
+// journal keeps what the daemons log; it is shown where a test fails.
+type journal struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (j *journal) Write(p []byte) (int, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.text.Write(p)
 }
 
 func start(t *testing.T, net string, daemons int) *cell {
@@ -47,6 +61,9 @@
 		if err := c.site.Close(); err != nil {
 			t.Error(err)
 		}
+		if t.Failed() {
+			t.Log(c.log.text.String())
+		}
 	})
 	c.site.Publish(1, "quick", "bulk")
 	for n := range daemons {
@@ -88,7 +105,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	d := platform.New(settings, io.Discard)
+	d := platform.New(settings, &c.log)
 	if err := d.Start(); err != nil {
 		c.t.Fatal(err)
 	}
