citronctl estate: status, workers and explain over the peer port

An operator could not ask a running daemon on the users' platform anything. Two calls on the link between daemons tell what the holder knows of queues, workers and the tasks of a job; other daemons answer from the store's records.

--- /dev/null
+++ b/citron/entry/inspect.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/pool"
+	"github.com/citroncross/citroncross/citron/tail"
+	"github.com/citroncross/citroncross/schema/link"
+)
+
+// Status tells operators how this daemon is and, where it holds the pool, how that is.
+func (s *server) Status(context.Context, *link.StatusRequest) (*link.StatusReply, error) {
+	d := s.d
+	newest := d.newest()
+	reply := &link.StatusReply{
+		VM: string(d.self.VM), FailureDomain: string(d.Settings.FailureDomain), Stopping: d.stopping.Load(), Ready: d.Ready(),
+		StoreAgeMs: -1, Holder: string(newest.Holder.VM), Epoch: uint64(newest.Epoch), Peers: d.peers.Addresses(),
+	}
+	if age := d.storeAge(); age < tail.Never {
+		reply.StoreAgeMs = age.Milliseconds()
+	}
+	if c := d.config.Load(); c != nil {
+		reply.ConfigVersion = uint64(c.Version)
+	}
+	p := d.heldPool()
+	if p == nil {
+		return reply, nil
+	}
+	reply.Holds = true
+	for _, q := range p.Queues() {
+		reply.Queues = append(reply.Queues, &link.QueueStatus{
+			Queue: string(q.Queue), OpenJobs: int32(q.OpenJobs), WaitingTasks: int32(q.WaitingTasks), RunningTasks: int32(q.Running),
+		})
+	}
+	for _, w := range p.WorkerLoads(d.Timer.Now()) {
+		reply.Workers = append(reply.Workers, &link.WorkerStatus{
+			Worker: string(w.Entry.ID), Rack: string(w.Entry.Rack), Service: string(w.Entry.Service), State: w.State, Tasks: int32(w.Tasks),
+			UsedMilliCores: w.Used.MilliCores, MilliCores: w.Entry.Capacity.MilliCores,
+			UsedMemoryMb: w.Used.MemoryMb, MemoryMb: w.Entry.Capacity.MemoryMb, SilentMs: w.Silent.Milliseconds(),
+		})
+	}
+	return reply, nil
+}
+
+// heldPool returns the pool if this daemon runs it.
+func (d *Daemon) heldPool() *pool.Pool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.holding == nil || !d.holding.ready.Load() {
+		return nil
+	}
+	return d.holding.holder.Pool
+}
+
+// Explain tells operators where each task of a job is. Daemons that do not hold the pool say what the store has.
+func (s *server) Explain(ctx context.Context, r *link.ExplainRequest) (*link.ExplainReply, error) {
+	d, id := s.d, citron.JobID(r.GetJobID())
+	e, known, _ := d.Intake.Find(ctx, id)
+	if !known {
+		return &link.ExplainReply{}, nil
+	}
+	reply := &link.ExplainReply{Known: true, Queue: e.Spec.GetQueue(), State: stateWord(e.State())}
+	if p := d.heldPool(); p != nil {
+		if tasks, open := p.Explain(d.Timer.Now(), id); open {
+			reply.Holds = true
+			for _, t := range tasks {
+				reply.Tasks = append(reply.Tasks, &link.TaskStatus{
+					Task: string(t.Task), State: t.State, Run: t.Run, Worker: string(t.Worker), SinceMs: t.Since.Milliseconds(),
+					Failures: int32(t.Failures), Reason: t.Reason,
+				})
+			}
+			return reply, nil
+		}
+	}
+	for _, o := range e.Progress.GetOpen() {
+		for _, t := range o.GetTasks() {
+			reply.Tasks = append(reply.Tasks, &link.TaskStatus{
+				Task: string(pool.TaskName(id, o.GetNumber(), t.GetStep(), t.GetIndex())), State: stateWord(t.GetState()), Run: t.GetRun(),
+				Worker: t.GetWorker(), SinceMs: -1, Failures: int32(len(t.GetFailedRuns())),
+			})
+		}
+	}
+	return reply, nil
+}
+
+// stateWord is the last word of a state's name, in small letters.
+func stateWord(state fmt.Stringer) string {
+	name := state.String()
+	return strings.ToLower(name[strings.LastIndexByte(name, '_')+1:])
+}
--- a/citron/estate.go
+++ b/citron/estate.go
@@ -285,6 +285,8 @@
 
 // Report is a worker's answer to a hold.
 type Report struct {
+	// Partial is set where more runs may have ended than are listed.
+	Partial bool
 	Running []RunningTask
 	Ended   []EndedTask
 }
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -108,6 +108,17 @@
 	return all
 }
 
+// Addresses lists where the other daemons answer each other.
+func (p *Peers) Addresses() (list []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, one := range p.known {
+		list = append(list, one.presence.GetPeerAddress())
+	}
+	slices.Sort(list)
+	return list
+}
+
 // rank sorts daemons by what processor time they have, then by name.
 func (p *Peers) rank(vms []citron.VMName) {
 	strength := func(vm citron.VMName) int64 {
--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -100,7 +100,7 @@
 		}
 		s.tasks = make([]*task, spec.GetTasks())
 		for i := range s.tasks {
-			s.tasks[i] = &task{ref: citron.TaskRef(fmt.Sprintf("%s.%d", s.ref, i)), step: s, index: i, waitedFrom: now}
+			s.tasks[i] = &task{ref: TaskName(j.id, number, int32(n), int32(i)), step: s, index: i, waitedFrom: now}
 		}
 		o.steps = append(o.steps, s)
 		p.steps[s.ref] = s
@@ -110,6 +110,11 @@
 	return o
 }
 
+// TaskName returns the name of a task of one occurrence of a job.
+func TaskName(id citron.JobID, occurrence, step, index int32) citron.TaskRef {
+	return citron.TaskRef(fmt.Sprintf("%s.%d.%d.%d", id, occurrence, step, index))
+}
+
 // release makes the steps ready whose earlier steps are done.
 func (p *Pool) release(now time.Duration, o *occurrence) {
 	for _, s := range o.steps {
--- a/citron/pool/lease_test.go
+++ b/citron/pool/lease_test.go
@@ -120,3 +120,16 @@
 		t.Fatalf("%d starts after the worker has answered again", len(e.Starts))
 	}
 }
+
+// A run that a report does not show may have ended, and be listed once earlier ends are acknowledged.
+func TestPartialReportEndsNoRun(t *testing.T) {
+	r := newRig(t)
+	w := r.workers(1)[0]
+	r.accept(newJob("j", newStep(1, 1)))
+	r.plan()
+	r.advance(time.Second)
+	r.report(w, citron.Report{Partial: true})
+	if e := r.plan(); len(e.Starts) > 0 {
+		t.Fatal("started again on a report that does not list every end")
+	}
+}
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 
@@ -147,23 +146,13 @@
 
 // explain tells why a step has been waiting for long.
 func (b *board) explain(s *step) {
-	waiting := s.waitingTasks()
-	if waiting == 0 || b.now-s.readyAt < explainAfter || b.now-s.explained < explainEvery {
+	if s.waitingTasks() == 0 || b.now-s.readyAt < explainAfter || b.now-s.explained < explainEvery {
 		return
 	}
 	s.explained = b.now
-	usable, allowed, seats := 0, 0, 0
-	for _, w := range b.candidates(s) {
-		usable++
-		if b.allowed(s, w) {
-			allowed++
-			seats += b.room(s, w).Times(s.need)
-		}
-	}
 	b.p.observe(Decision{
 		Kind: DecidedWait, Job: s.job.id, Task: citron.TaskRef(s.ref), Age: b.now - s.readyAt,
-		Reason: fmt.Sprintf("%d of %d tasks wait; workers usable %d, allowed now %d with room for %d; policy answers %d, tickets %d, asking %t",
-			waiting, len(s.tasks), usable, allowed, seats, len(s.eligible), len(s.permits), s.asking),
+		Reason: b.waitsFor(s),
 	})
 }
 
--- a/citron/pool/report.go
+++ b/citron/pool/report.go
@@ -164,6 +164,9 @@
 		p.running(now.Boot, w, run)
 	}
 	p.ends(now.Boot, w, r.Ended)
+	if r.Partial {
+		return
+	}
 	for _, t := range w.sorted() {
 		if present[t.ref] != t.run {
 			p.absent(now.Boot, t, sent)
--- a/citron/tail/tail.go
+++ b/citron/tail/tail.go
@@ -238,12 +238,15 @@
 	return t.lastOK > instant
 }
 
+// Never is the age where the store has not answered yet.
+const Never time.Duration = 1 << 62
+
 // Age is how long ago the store last answered.
 func (t *Tail) Age() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.lastOK == 0 {
-		return 1 << 62
+		return Never
 	}
 	return t.Timer.Now().Boot - t.lastOK
 }
--- /dev/null
+++ b/citronctl/estate.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/citroncross/citroncross/schema/link"
+)
+
+// estateCommands look into the daemons that keep their state in the platform's store, over their peer ports.
+func estateCommands(app *kingpin.Application, f flags) []command {
+	estate := app.Command("estate", "Look into the daemons that run on the users' platform.")
+	peers := estate.Flag("peer", "IP:port of a daemon's peer port; may be repeated.").Envar("CITRON_PEER").Required().Strings()
+	return []command{estateStatus(estate, f, peers), estateWorkers(estate, f, peers), estateExplain(estate, f, peers)}
+}
+
+// daemons is the JSON form of an estate's status.
+type daemons struct {
+	Daemons []*link.StatusReply
+	// Silent lists the peer addresses that did not answer.
+	Silent []string
+}
+
+// withDaemon asks one daemon.
+func withDaemon(address string, ask func(context.Context, link.LinkClient) error) (err error) {
+	conn, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	return ask(ctx, link.NewLinkClient(conn))
+}
+
+// askDaemons asks the named daemons and every daemon that they know of.
+func askDaemons(addresses []string) (all daemons) {
+	queue := slices.Clone(addresses)
+	for n := 0; n < len(queue); n++ {
+		var reply *link.StatusReply
+		err := withDaemon(queue[n], func(ctx context.Context, c link.LinkClient) (err error) {
+			reply, err = c.Status(ctx, &link.StatusRequest{})
+			return err
+		})
+		if err != nil {
+			all.Silent = append(all.Silent, queue[n])
+			continue
+		}
+		all.Daemons = append(all.Daemons, reply)
+		for _, address := range reply.GetPeers() {
+			if !slices.Contains(queue, address) {
+				queue = append(queue, address)
+			}
+		}
+	}
+	slices.SortFunc(all.Daemons, func(a, b *link.StatusReply) int { return strings.Compare(a.GetVM(), b.GetVM()) })
+	return all
+}
+
+// holder returns the daemon that runs the pool; nil if none says so.
+func (d daemons) holder() (holder *link.StatusReply) {
+	for _, one := range d.Daemons {
+		if one.GetHolds() && one.GetEpoch() >= holder.GetEpoch() {
+			holder = one
+		}
+	}
+	return holder
+}
+
+func estateStatus(parent *kingpin.CmdClause, f flags, peers *[]string) command {
+	clause := parent.Command("status", "Show every daemon, who holds the pool, and the backlog by queue.")
+	return command{clause: clause, run: func() int {
+		all := askDaemons(*peers)
+		if len(all.Daemons) == 0 {
+			return fail(exitFailed, "no daemon answers at %v", *peers)
+		}
+		return show(f, all, estateText(all))
+	}}
+}
+
+func estateText(all daemons) string {
+	rows := [][]string{{"DAEMON", "DOMAIN", "STATE", "CONFIG", "STORE ANSWERED", "HOLDER", "EPOCH"}}
+	for _, d := range all.Daemons {
+		state := "not ready"
+		switch {
+		case d.GetStopping():
+			state = "stopping"
+		case d.GetHolds():
+			state = "holds the pool"
+		case d.GetReady():
+			state = "ready"
+		}
+		age := "never"
+		if d.GetStoreAgeMs() >= 0 {
+			age = fmt.Sprintf("%d ms ago", d.GetStoreAgeMs())
+		}
+		rows = append(rows, []string{d.GetVM(), d.GetFailureDomain(), state, fmt.Sprint(d.GetConfigVersion()), age, d.GetHolder(), fmt.Sprint(d.GetEpoch())})
+	}
+	text := table(rows)
+	for _, address := range all.Silent {
+		text += "no answer from " + address + "\n"
+	}
+	holder := all.holder()
+	if holder == nil {
+		return text + "no daemon holds the pool\n"
+	}
+	rows = [][]string{{"QUEUE", "OPEN JOBS", "WAITING TASKS", "RUNNING TASKS"}}
+	for _, q := range holder.GetQueues() {
+		rows = append(rows, []string{q.GetQueue(), fmt.Sprint(q.GetOpenJobs()), fmt.Sprint(q.GetWaitingTasks()), fmt.Sprint(q.GetRunningTasks())})
+	}
+	return text + "\n" + table(rows)
+}
+
+func estateWorkers(parent *kingpin.CmdClause, f flags, peers *[]string) command {
+	clause := parent.Command("workers", "Show every worker as the holder of the pool sees it.")
+	return command{clause: clause, run: func() int {
+		holder := askDaemons(*peers).holder()
+		if holder == nil {
+			return fail(exitFailed, "no daemon that answers holds the pool")
+		}
+		rows := [][]string{{"WORKER", "RACK", "SERVICE", "STATE", "TASKS", "CORES", "MEMORY MB", "ANSWERED"}}
+		for _, w := range holder.GetWorkers() {
+			rows = append(rows, []string{
+				w.GetWorker(), w.GetRack(), w.GetService(), w.GetState(), fmt.Sprint(w.GetTasks()),
+				fmt.Sprintf("%.1f/%.1f", cores(w.GetUsedMilliCores()), cores(w.GetMilliCores())),
+				fmt.Sprintf("%d/%d", w.GetUsedMemoryMb(), w.GetMemoryMb()), fmt.Sprintf("%d ms ago", w.GetSilentMs()),
+			})
+		}
+		return show(f, holder.GetWorkers(), table(rows))
+	}}
+}
+
+// cores turns thousandths of a core into cores.
+func cores(milli int64) float64 { return float64(milli) / 1000 }
+
+func estateExplain(parent *kingpin.CmdClause, f flags, peers *[]string) command {
+	clause := parent.Command("explain", "Say where each task of a job is and what it waits for.")
+	job := clause.Arg("job", "Job id.").Required().String()
+	return command{clause: clause, run: func() int {
+		best, answered := explainJob(askAddresses(*peers), *job)
+		switch {
+		case !answered:
+			return fail(exitFailed, "no daemon answers at %v", *peers)
+		case !best.GetKnown():
+			return fail(exitNotFound, "no daemon that answers knows job %s", *job)
+		}
+		rows := [][]string{{"TASK", "STATE", "RUN", "WORKER", "SINCE", "FAILURES", "WAITS FOR"}}
+		for _, t := range best.GetTasks() {
+			since := "-"
+			if t.GetSinceMs() >= 0 {
+				since = fmt.Sprintf("%d ms", t.GetSinceMs())
+			}
+			rows = append(rows, []string{t.GetTask(), t.GetState(), fmt.Sprint(t.GetRun()), t.GetWorker(), since, fmt.Sprint(t.GetFailures()), t.GetReason()})
+		}
+		source := "the store"
+		if best.GetHolds() {
+			source = "the pool"
+		}
+		return show(f, best, fmt.Sprintf("job %s of queue %s is %s, says %s\n%s", *job, best.GetQueue(), best.GetState(), source, table(rows)))
+	}}
+}
+
+// askAddresses returns the given addresses and those that the daemons there know of.
+func askAddresses(addresses []string) []string {
+	list := slices.Clone(addresses)
+	for _, d := range askDaemons(addresses).Daemons {
+		for _, address := range d.GetPeers() {
+			if !slices.Contains(list, address) {
+				list = append(list, address)
+			}
+		}
+	}
+	return list
+}
+
+// explainJob returns the answer of the pool, or else of any daemon that knows the job.
+func explainJob(addresses []string, job string) (best *link.ExplainReply, answered bool) {
+	for _, address := range addresses {
+		var reply *link.ExplainReply
+		err := withDaemon(address, func(ctx context.Context, c link.LinkClient) (err error) {
+			reply, err = c.Explain(ctx, &link.ExplainRequest{JobID: job})
+			return err
+		})
+		if err != nil {
+			continue
+		}
+		answered = true
+		if reply.GetHolds() {
+			return reply, true
+		}
+		if reply.GetKnown() || best == nil {
+			best = reply
+		}
+	}
+	return best, answered
+}
--- /dev/null
+++ b/citronctl/estate_test.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+
+	"google.golang.org/grpc"
+
+	"github.com/citroncross/citroncross/schema/link"
+)
+
+// daemon answers as one daemon of an estate.
+type daemon struct {
+	link.UnimplementedLinkServer
+	status  *link.StatusReply
+	explain *link.ExplainReply
+}
+
+func (d *daemon) Status(context.Context, *link.StatusRequest) (*link.StatusReply, error) {
+	return d.status, nil
+}
+
+func (d *daemon) Explain(context.Context, *link.ExplainRequest) (*link.ExplainReply, error) {
+	return d.explain, nil
+}
+
+func serve(t *testing.T, d *daemon) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer()
+	link.RegisterLinkServer(server, d)
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		server.Stop()
+		<-ended
+	})
+	return listener.Addr().String()
+}
+
+func TestEstateIsFoundFromOneDaemon(t *testing.T) {
+	holder := serve(t, &daemon{
+		status: &link.StatusReply{
+			VM: "entry-2", FailureDomain: "b", Ready: true, ConfigVersion: 7, StoreAgeMs: 12, Holder: "entry-2", Epoch: 4, Holds: true,
+			Queues: []*link.QueueStatus{{Queue: "quick", OpenJobs: 3, WaitingTasks: 2, RunningTasks: 5}},
+		},
+		explain: &link.ExplainReply{Known: true, Holds: true, State: "running"},
+	})
+	first := serve(t, &daemon{
+		status: &link.StatusReply{
+			VM: "entry-1", FailureDomain: "a", Ready: true, ConfigVersion: 7, StoreAgeMs: -1, Holder: "entry-2", Epoch: 4,
+			Peers: []string{holder, "127.0.0.1:1"},
+		},
+		explain: &link.ExplainReply{Known: true, State: "queued"},
+	})
+	got := estateText(askDaemons([]string{first}))
+	want := `DAEMON   DOMAIN  STATE           CONFIG  STORE ANSWERED  HOLDER   EPOCH
+entry-1  a       ready           7       never           entry-2  4
+entry-2  b       holds the pool  7       12 ms ago       entry-2  4
+no answer from 127.0.0.1:1
+
+QUEUE  OPEN JOBS  WAITING TASKS  RUNNING TASKS
+quick  3          2              5
+`
+	if got != want {
+		t.Errorf("status\n%s\nwant\n%s", got, want)
+	}
+	best, answered := explainJob(askAddresses([]string{first}), "0a")
+	if !answered || best.GetState() != "running" {
+		t.Errorf("explained as %v; the pool knows more than the store", best)
+	}
+	if best, answered := explainJob([]string{"127.0.0.1:1"}, "0a"); answered || best != nil {
+		t.Errorf("a daemon that does not answer explains %v", best)
+	}
+	if !strings.Contains(estateText(daemons{}), "no daemon holds the pool") {
+		t.Error("an estate without a holder is not reported")
+	}
+}
--- a/citronctl/main.go
+++ b/citronctl/main.go
@@ -56,6 +56,7 @@
 		explainCommand(app, f),
 		drainCommand(app),
 	}
+	commands = append(commands, estateCommands(app, f)...)
 	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
 	for _, c := range commands {
 		if c.clause.FullCommand() == chosen {
--- a/citronlab/site/site_test.go
+++ b/citronlab/site/site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -14,9 +15,13 @@
 	"testing"
 	"time"
 
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/platform"
+	"github.com/citroncross/citroncross/schema/link"
 )
 
 // The tests of this package run real daemons against the stand-in on loopback. They wait for events by polling and
@@ -29,6 +34,7 @@
 	folder  string
 	daemons []*platform.Daemon
 	fronts  []string
+	peers   []string
 	client  http.Client
 	sent    int
 	log     journal
@@ -68,6 +74,7 @@
 	c.site.Publish(1, "quick", "bulk")
 	for n := range daemons {
 		c.fronts = append(c.fronts, c.freeAddress())
+		c.peers = append(c.peers, "")
 		c.daemons = append(c.daemons, nil)
 		c.launch(n)
 	}
@@ -89,7 +96,8 @@
 // launch starts daemon n, at the address that it had before.
 func (c *cell) launch(n int) {
 	c.t.Helper()
-	_, port, err := net.SplitHostPort(c.freeAddress())
+	c.peers[n] = c.freeAddress()
+	_, port, err := net.SplitHostPort(c.peers[n])
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -255,6 +263,33 @@
 	c.starts()
 }
 
+func TestOperatorsSeeWhereAJobIs(t *testing.T) {
+	c := start(t, "127.0.0.39", 2)
+	id := c.submit(`{"spec":"x","steps":[{"count":1,"cpu":900000,"mem_mb":100}]}`)
+	holder := c.holder()
+	conn, err := grpc.NewClient(c.peers[holder], grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	client := link.NewLinkClient(conn)
+	var reply *link.ExplainReply
+	c.await(func() bool {
+		reply, err = client.Explain(context.Background(), &link.ExplainRequest{JobID: id})
+		return err == nil && reply.GetHolds()
+	})
+	if len(reply.GetTasks()) != 1 || reply.GetTasks()[0].GetState() != "waiting" || !strings.Contains(reply.GetTasks()[0].GetReason(), "workers usable 0") {
+		t.Errorf("explained as %v; no worker is large enough", reply)
+	}
+	status, err := client.Status(context.Background(), &link.StatusRequest{})
+	if err != nil || !status.GetHolds() || len(status.GetWorkers()) != 4 || len(status.GetPeers()) != 1 {
+		t.Errorf("status %v, error %v", status, err)
+	}
+	if unknown, err := client.Explain(context.Background(), &link.ExplainRequest{JobID: "ffffffffffffffff"}); err != nil || unknown.GetKnown() {
+		t.Errorf("an unknown job is explained as %v, error %v", unknown, err)
+	}
+}
+
 func TestStoreLosesAnswersIsBusyAndSilent(t *testing.T) {
 	c := start(t, "127.0.0.33", 3)
 	var mode, calls atomic.Int64
