Waves of upkeep

Machines of a wave were never taken down: each late wave is a duty missed. The holder now carries waves out: at most so many machines at once, emptied while the time of the wave allows, tasks of services only as far as their step may miss them; orders recorded before they are given and finished by the next holder. The stand-in takes machines down.

Stand-in: a worker listed a run as lapsed that had ended before its lease, when it was asked late.

--- a/citron/entry/claims.go
+++ b/citron/entry/claims.go
@@ -145,6 +145,7 @@
 			entries := d.entries
 			d.mu.Unlock()
 			h.holder.Listed(entries)
+			d.calls.Go(func(context.Context) { d.runWaves(ctx, epoch, p) })
 			d.Log.Emit(event.PoolRuns, event.Fields{"Epoch": epoch, "Workers": len(entries)})
 		})
 		d.hurryClaims()
--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,6 +61,8 @@
 	// MilliCores is the processor time that this VM has, in thousandths of a core.
 	MilliCores int64
 	Pool       pool.Options
+	// MachineLease separates the orders of two holders for machines; UpkeepTakes is how long one upkeep lasts.
+	MachineLease, UpkeepTakes time.Duration
 }
 
 // Daemon is one process of the scheduler.
@@ -68,6 +71,7 @@
 	Store    citron.Store
 	Workers  citron.Workers
 	Adviser  citron.Adviser
+	Machines citron.Machines
 	Timer    citron.Timer
 	Log      *event.Logger
 	Stats    *stats.Set
@@ -100,6 +104,9 @@
 	// partitions are those of the pool's records that the newest claim names.
 	partitions []int32
 	entries    []citron.WorkerEntry
+	// waves are the operator's, waveProgress what holders have recorded of them.
+	waves        map[int64]citron.Wave
+	waveProgress map[int64]*work.WaveProgress
 	// resigned is the epoch that this daemon gave up by itself, and when.
 	resigned   citron.Epoch
 	resignedAt time.Duration
@@ -257,6 +264,8 @@
 		switch {
 		case r.Key == claimKey:
 			d.applyClaim(r)
+		case strings.HasPrefix(r.Key, waveKey):
+			d.applyWave(r)
 		case len(r.Key) > len(peerKey) && r.Key[:len(peerKey)] == peerKey:
 			d.applyPresence(citron.VMName(r.Key[len(peerKey):]), r)
 		}
--- a/citron/estate.go
+++ b/citron/estate.go
@@ -313,3 +313,72 @@
 	// where too many questions wait.
 	Advise(ctx context.Context, step StepRef, workers []Worker) ([]Permit, time.Duration, error)
 }
+
+// Machine names the hardware that a worker runs on, over all its lives.
+type Machine string
+
+// MachineState is what the platform says of a machine.
+type MachineState int
+
+// States of a machine.
+const (
+	// MachineAway is neither up nor in upkeep: it is off, moving, or in a state that is not known here.
+	MachineAway MachineState = iota
+	MachineUp
+	MachineUpkeep
+)
+
+// MachineEntry is one machine in the platform's list.
+type MachineEntry struct {
+	Machine Machine
+	State   MachineState
+	// Worker is the machine's worker; empty while it has none.
+	Worker Worker
+}
+
+// Wave asks for the upkeep of machines within a time, with at most so many down at once.
+type Wave struct {
+	Number   int64
+	Machines []Machine
+	Within   time.Duration
+	Most     int
+}
+
+// UpkeepOrder takes one machine down for a wave.
+type UpkeepOrder struct {
+	Machine Machine
+	Wave    int64
+	Holder  VMName
+	Epoch   Epoch
+}
+
+// UpkeepOutcome is the answer to an upkeep order.
+type UpkeepOutcome int
+
+// Outcomes of an upkeep order.
+const (
+	// UpkeepUnknown: no answer; it may have begun, or begin yet.
+	UpkeepUnknown UpkeepOutcome = iota
+	// UpkeepBegan: it has begun, now or by an earlier order.
+	UpkeepBegan
+	// UpkeepBusy: the machine is not up, or the platform takes no more orders at the moment. Nothing was done.
+	UpkeepBusy
+	// UpkeepNeedless: the machine does not exist or is not of the wave.
+	UpkeepNeedless
+	// UpkeepFenced: a holder with a higher epoch has given orders for the machine.
+	UpkeepFenced
+)
+
+var upkeepOutcomes = [...]string{"unknown", "began", "busy", "needless", "fenced"}
+
+func (o UpkeepOutcome) String() string { return upkeepOutcomes[o] }
+
+// Machines reaches the platform's machines.
+type Machines interface {
+	// List returns all machines.
+	List(ctx context.Context) ([]MachineEntry, error)
+	// Upkeep takes a machine down. Everything that runs there ends.
+	Upkeep(ctx context.Context, o UpkeepOrder) (UpkeepOutcome, error)
+	// Report tells the operator how a wave stands.
+	Report(ctx context.Context, wave int64, completed bool) error
+}
--- a/citron/event/catalog.go
+++ b/citron/event/catalog.go
@@ -75,6 +75,13 @@
 	ExchangeFailed    = add(613, logrus.WarnLevel, "exchange failed")
 )
 
+// Events of upkeep.
+var (
+	WaveAsked     = add(800, logrus.InfoLevel, "wave of upkeep asked for")
+	UpkeepOrdered = add(801, logrus.InfoLevel, "machine ordered down for upkeep")
+	WaveReported  = add(802, logrus.InfoLevel, "wave reported to the operator")
+)
+
 // Events of the ports.
 var (
 	PeerRefused = add(700, logrus.WarnLevel, "peer message refused")
--- a/citron/pool/inspect.go
+++ b/citron/pool/inspect.go
@@ -108,6 +108,8 @@
 		return "unreported"
 	case w.silent:
 		return "silent"
+	case w.cordoned:
+		return "cordoned"
 	case w.strangers:
 		return "runs what is not recorded"
 	case now < w.blockedUntil:
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -266,6 +266,8 @@
 	acked      int64
 	// silent is set where the last exchanges were not answered.
 	silent bool
+	// cordoned is set while the worker's machine is about to go down.
+	cordoned bool
 	// strangers is set where the last report showed a run that is not recorded. How much room it takes is not known.
 	strangers bool
 	// blockedUntil is when the worker may take tasks again.
@@ -291,7 +293,7 @@
 
 // usable reports whether new tasks may go to the worker.
 func (w *worker) usable(now time.Duration) bool {
-	return w.listed && !w.dead && !w.entry.Draining && w.reported && !w.silent && !w.strangers && now >= w.blockedUntil
+	return w.listed && !w.dead && !w.entry.Draining && w.reported && !w.silent && !w.strangers && !w.cordoned && now >= w.blockedUntil
 }
 
 // New returns the pool of one epoch.
--- a/citronlab/site/executor.go
+++ b/citronlab/site/executor.go
@@ -206,10 +206,10 @@
 	now := e.clock()
 	for task, r := range e.runs {
 		switch {
+		case now >= r.until && r.until <= e.deadline:
+			e.list(task, citron.EndDone)
 		case now > e.deadline:
 			e.list(task, citron.EndLapsed)
-		case now >= r.until:
-			e.list(task, citron.EndDone)
 		}
 	}
 }
--- a/citronlab/site/policy.go
+++ b/citronlab/site/policy.go
@@ -53,32 +53,3 @@
 	}
 	writeJSON(w, http.StatusOK, reply)
 }
-
-// Cloud is the list of machines. Moves and upkeep are not played yet.
-type Cloud struct {
-	Site *Site
-}
-
-// ServeHTTP lists the machines.
-func (c *Cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.Method != http.MethodGet || strings.TrimPrefix(r.URL.Path, "/citroncross/") != "machines" {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	type machine struct {
-		Machine string `json:"machine"`
-		Pool    string `json:"pool"`
-		State   string `json:"state"`
-		ID      string `json:"id"`
-	}
-	reply := struct {
-		Machines  []machine `json:"machines"`
-		NextToken *string   `json:"next_token"`
-	}{Machines: []machine{}}
-	for _, e := range c.Site.Lives() {
-		if !e.Gone() {
-			reply.Machines = append(reply.Machines, machine{e.Machine, "svc", "up", e.ID})
-		}
-	}
-	writeJSON(w, http.StatusOK, reply)
-}
--- a/citronlab/site/site.go
+++ b/citronlab/site/site.go
@@ -91,13 +91,46 @@
 		return err
 	}
 	e.Address = address
+	beat := s.beat(e)
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.executors = append(s.executors, e)
-	s.mu.Unlock()
-	s.ended = append(s.ended, s.beat(e))
+	s.ended = append(s.ended, beat)
 	return nil
 }
 
+// later does something after a time, unless the site is closed before.
+func (s *Site) later(d time.Duration, do func()) {
+	ended := make(chan error, 1)
+	s.mu.Lock()
+	s.ended = append(s.ended, ended)
+	s.mu.Unlock()
+	go func() {
+		due, stop := s.Timer.After(d)
+		defer stop()
+		select {
+		case <-due:
+			do()
+		case <-s.ctx.Done():
+		}
+		ended <- nil
+	}()
+}
+
+// AskUpkeep writes a wave of upkeep, as the operator does.
+func (s *Site) AskUpkeep(wave int64, within time.Duration, most int, machines ...string) {
+	raw, err := json.Marshal(struct {
+		Wave      int64    `json:"wave"`
+		Machines  []string `json:"machines"`
+		DurationS float64  `json:"duration_s"`
+		MaxCount  int      `json:"max_count"`
+	}{wave, machines, within.Seconds(), most})
+	if err != nil {
+		panic(err)
+	}
+	s.Store.Put("keyed.op", fmt.Sprintf("wave/%d", wave), raw)
+}
+
 // beat writes a worker's entry until it is gone.
 func (s *Site) beat(e *Executor) <-chan error {
 	ended := make(chan error, 1)
@@ -143,6 +176,8 @@
 		}
 		ended <- err
 	}()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.servers = append(s.servers, server)
 	s.ended = append(s.ended, ended)
 	return listener.Addr().String(), nil
@@ -151,11 +186,14 @@
 // Close ends everything.
 func (s *Site) Close() error {
 	s.cancel()
-	errs := make([]error, 0, len(s.ended))
-	for _, server := range s.servers {
+	s.mu.Lock()
+	servers, parts := s.servers, s.ended
+	s.mu.Unlock()
+	errs := make([]error, 0, len(parts))
+	for _, server := range servers {
 		errs = append(errs, server.Close())
 	}
-	for _, ended := range s.ended {
+	for _, ended := range parts {
 		errs = append(errs, <-ended)
 	}
 	return errors.Join(errs...)
@@ -206,6 +244,8 @@
 metrics = %q
 [bounds]
 hold_max_ms = 6000
+lease_ms = 300
+upkeep_s = 0.2
 stop_grace_ms = 200
 grace_s = 4
 early_ms = 250
--- a/citronlab/site/site_test.go
+++ b/citronlab/site/site_test.go
@@ -263,6 +263,36 @@
 	c.starts()
 }
 
+func TestWaveOfUpkeepIsCarriedOutOverAChangeOfHolder(t *testing.T) {
+	c := start(t, "127.0.0.40", 2)
+	c.site.Cloud.Lose(func(call int) (before, after bool) { return call%4 == 1, call%4 == 2 })
+	var ids []string
+	for range 5 {
+		ids = append(ids, c.submit(twoSteps))
+	}
+	c.site.AskUpkeep(1, 8*time.Second, 1, "m-00", "m-01", "m-02", "m-77")
+	c.await(func() bool {
+		had, _ := c.site.Cloud.Upkeeps()
+		return len(had) > 0
+	})
+	lost := c.holder()
+	c.daemons[lost].Kill()
+	c.daemons[lost] = nil
+	c.await(func() bool { return c.site.Store.Value("keyed.status", "wave/1") == `{"state":"completed"}` })
+	had, most := c.site.Cloud.Upkeeps()
+	if most != 1 || len(had) != 3 {
+		t.Errorf("upkeeps %v, %d at once; three machines of four exist, one may be down", had, most)
+	}
+	for key, n := range had {
+		if n != 1 {
+			t.Errorf("%s was taken down %d times", key, n)
+		}
+	}
+	ids = append(ids, c.submit(twoSteps))
+	c.awaitAll(ids)
+	c.starts()
+}
+
 func TestOperatorsSeeWhereAJobIs(t *testing.T) {
 	c := start(t, "127.0.0.39", 2)
 	id := c.submit(`{"spec":"x","steps":[{"count":1,"cpu":900000,"mem_mb":100}]}`)
--- a/citronlab/site/store.go
+++ b/citronlab/site/store.go
@@ -87,6 +87,13 @@
 	s.part(topic, "0").add([][]byte{append(record, value...)})
 }
 
+// Value returns the newest value of a key; empty if there is none.
+func (s *Store) Value(topic, key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.part(topic, "0").newest[key].value)
+}
+
 // Fail sets how calls to a topic and partition are treated.
 func (s *Store) Fail(fail func(call, topic, part string) Failure) {
 	s.mu.Lock()
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -23,3 +23,4 @@
 fuzz FuzzDecodeServer ./platform
 fuzz FuzzDecodeConfig ./platform
 fuzz FuzzDecodeRecords ./platform
+fuzz FuzzDecodeWave ./platform
