One wait for all: timer.Pause

The same wait for a time or the end of a context stood in ten places, and the time of a job's end had a struct of its own.

--- a/citron/calls/keyed.go
+++ b/citron/calls/keyed.go
@@ -10,6 +10,7 @@
 	"github.com/citroncross/citroncross/citron/ledger"
 	"github.com/citroncross/citroncross/citron/mesh"
 	"github.com/citroncross/citroncross/citron/state"
+	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/schema/peer"
 	"github.com/citroncross/citroncross/schema/record"
 )
@@ -307,12 +308,7 @@
 		if err == nil {
 			return
 		}
-		due, stop := k.s.Timer.After(closeRetry)
-		select {
-		case <-due:
-		case <-ctx.Done():
-			stop()
-		}
+		timer.Pause(ctx, k.s.Timer, closeRetry)
 		if ctx.Err() != nil || !k.s.Owner.MayAct(k.id) {
 			k.s.Log.Emit(event.CallUnknown, event.Fields{"Team": k.key.Team, "Class": k.request.Class, "Error": "outcome not recorded"})
 			return
--- a/citron/daemon/beat.go
+++ b/citron/daemon/beat.go
@@ -9,6 +9,7 @@
 	"github.com/citroncross/citroncross/citron/event"
 	"github.com/citroncross/citroncross/citron/ledger"
 	"github.com/citroncross/citroncross/citron/shard"
+	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/schema/peer"
 	"github.com/citroncross/citroncross/schema/record"
 
@@ -59,7 +60,7 @@
 		d.exchanges.Bind(d.run)
 		for {
 			d.beatAll()
-			d.pause(d.run, leastBeat)
+			timer.Pause(d.run, d.timer, leastBeat)
 			select {
 			case <-tick:
 			case <-d.beatNow:
--- a/citron/daemon/daemon.go
+++ b/citron/daemon/daemon.go
@@ -191,7 +191,7 @@
 	bounded, cancel := context.WithTimeout(d.run, time.Duration(d.settings.GetLimits().GetDrainMs())*time.Millisecond)
 	defer cancel()
 	d.caller.StopKeeping()
-	d.pause(bounded, readyGrace)
+	timer.Pause(bounded, d.timer, readyGrace)
 	d.manager.Drain(bounded)
 	err = d.caller.Stop(bounded)
 	d.awaitFlights(bounded)
@@ -224,18 +224,9 @@
 			d.log.Emit(event.DrainTimedOut, event.Fields{"InFlight": d.calls.InFlight()})
 			return
 		}
-		d.pause(ctx, flightPoll)
+		timer.Pause(ctx, d.timer, flightPoll)
 	}
 }
 
 // flightPoll is how often a stopping daemon looks whether requests are under way.
 const flightPoll = 10 * time.Millisecond
-
-func (d *Daemon) pause(ctx context.Context, t time.Duration) {
-	due, stop := d.timer.After(t)
-	defer stop()
-	select {
-	case <-due:
-	case <-ctx.Done():
-	}
-}
--- a/citron/entry/claims.go
+++ b/citron/entry/claims.go
@@ -13,6 +13,7 @@
 	"github.com/citroncross/citroncross/citron/event"
 	"github.com/citroncross/citroncross/citron/holder"
 	"github.com/citroncross/citroncross/citron/pool"
+	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/schema/work"
 )
 
@@ -310,7 +311,7 @@
 			continue
 		}
 		for d.newest().Holder == d.self && ctx.Err() == nil {
-			d.pause(ctx, claimEvery)
+			timer.Pause(ctx, d.Timer, claimEvery)
 		}
 		return
 	}
--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/citroncross/citroncross/citron/spawn"
 	"github.com/citroncross/citroncross/citron/stats"
 	"github.com/citroncross/citroncross/citron/tail"
+	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/citron/view"
 	"github.com/citroncross/citroncross/schema/work"
 )
@@ -201,7 +202,7 @@
 			return
 		}
 		d.Log.Emit(event.LogAppendFailed, event.Fields{"Topic": cellPartition.Topic, "Error": err})
-		d.pause(ctx, announceRetry)
+		timer.Pause(ctx, d.Timer, announceRetry)
 	}
 }
 
@@ -365,12 +366,3 @@
 	defer d.mu.Unlock()
 	return d.watch.Newest()
 }
-
-func (d *Daemon) pause(ctx context.Context, t time.Duration) {
-	due, stop := d.Timer.After(t)
-	defer stop()
-	select {
-	case <-due:
-	case <-ctx.Done():
-	}
-}
--- a/citron/entry/notify.go
+++ b/citron/entry/notify.go
@@ -7,6 +7,7 @@
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/event"
+	"github.com/citroncross/citroncross/citron/timer"
 )
 
 const (
@@ -76,7 +77,7 @@
 	d.calls.Go(func(ctx context.Context) {
 		for {
 			if collect > 0 {
-				d.pause(ctx, collect)
+				timer.Pause(ctx, d.Timer, collect)
 			}
 			records := d.outbox.take(vm)
 			if len(records) == 0 {
--- a/citron/entry/upkeep.go
+++ b/citron/entry/upkeep.go
@@ -13,6 +13,7 @@
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/event"
 	"github.com/citroncross/citroncross/citron/pool"
+	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/citron/upkeep"
 	"github.com/citroncross/citroncross/schema/work"
 )
@@ -73,7 +74,7 @@
 // holder may have given its last one just now.
 func (d *Daemon) runWaves(ctx context.Context, epoch citron.Epoch, p *pool.Pool) {
 	u := &waves{d: d, pool: p, epoch: epoch, open: map[int64]*upkeep.Wave{}, reported: map[int64]bool{}}
-	d.pause(ctx, d.Settings.MachineLease)
+	timer.Pause(ctx, d.Timer, d.Settings.MachineLease)
 	for ctx.Err() == nil {
 		u.know()
 		if len(u.open) > 0 {
@@ -81,7 +82,7 @@
 				return
 			}
 		}
-		d.pause(ctx, upkeepEvery)
+		timer.Pause(ctx, d.Timer, upkeepEvery)
 	}
 }
 
--- a/citron/feed/feed.go
+++ b/citron/feed/feed.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/schema/record"
 )
 
@@ -159,7 +160,7 @@
 		for ctx.Err() == nil {
 			if err := f.step(ctx); err != nil && ctx.Err() == nil {
 				f.failed(err)
-				f.pause(ctx)
+				timer.Pause(ctx, f.Timer, retryAfter)
 			}
 		}
 		ended <- nil
@@ -232,12 +233,3 @@
 		f.Failed(err)
 	}
 }
-
-func (f *Follower) pause(ctx context.Context) {
-	due, stop := f.Timer.After(retryAfter)
-	defer stop()
-	select {
-	case <-due:
-	case <-ctx.Done():
-	}
-}
--- a/citron/group/group.go
+++ b/citron/group/group.go
@@ -9,6 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/schema/record"
 )
 
@@ -122,17 +123,10 @@
 func (a *Appender) pause(ctx context.Context) error {
 	now := a.Timer.Now().Wall
 	wait := a.limiter.ReserveN(now, 1).DelayFrom(now)
-	if wait <= 0 {
-		return nil
-	}
-	due, stop := a.Timer.After(wait)
-	defer stop()
-	select {
-	case <-due:
-		return nil
-	case <-ctx.Done():
+	if !timer.Pause(ctx, a.Timer, wait) {
 		return ctx.Err()
 	}
+	return nil
 }
 
 func (a *Appender) flight(ctx context.Context, stream citron.Stream, group []item) {
--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -14,6 +14,7 @@
 	"github.com/citroncross/citroncross/citron/pool"
 	"github.com/citroncross/citroncross/citron/spawn"
 	"github.com/citroncross/citroncross/citron/tail"
+	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/citron/view"
 	"github.com/citroncross/citroncross/citron/waits"
 )
@@ -99,7 +100,7 @@
 			if ctx.Err() != nil {
 				return
 			}
-			h.pause(ctx, catchUpRetry)
+			timer.Pause(ctx, h.Timer, catchUpRetry)
 		}
 	}
 	h.Pool.Complete()
@@ -154,7 +155,7 @@
 			return ctx.Err()
 		}
 		stop()
-		h.pause(ctx, planPause)
+		timer.Pause(ctx, h.Timer, planPause)
 	}
 }
 
@@ -218,15 +219,6 @@
 	return err
 }
 
-func (h *Holder) pause(ctx context.Context, d time.Duration) {
-	due, stop := h.Timer.After(d)
-	defer stop()
-	select {
-	case <-due:
-	case <-ctx.Done():
-	}
-}
-
 // publish passes on the records that change what callers see.
 func (h *Holder) publish(e pool.Effects) {
 	for n, r := range e.Records {
@@ -248,7 +240,7 @@
 		cancel()
 		if err != nil {
 			h.failed("start", err)
-			h.pause(ctx, orderRetry)
+			timer.Pause(ctx, h.Timer, orderRetry)
 		}
 		if outcome == citron.StartUnknown {
 			unanswered++
--- a/citron/holder/ledger.go
+++ b/citron/holder/ledger.go
@@ -9,6 +9,7 @@
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/tail"
+	"github.com/citroncross/citroncross/citron/timer"
 )
 
 const (
@@ -60,7 +61,7 @@
 		}
 		h.failed("fence", err)
 		h.limit.Late()
-		h.pause(ctx, appendRetry)
+		timer.Pause(ctx, h.Timer, appendRetry)
 	}
 }
 
@@ -87,7 +88,7 @@
 		if l, err = h.next(ctx); err != nil {
 			h.failed("extend", err)
 			h.limit.Late()
-			h.pause(ctx, appendRetry)
+			timer.Pause(ctx, h.Timer, appendRetry)
 			l = h.preferred()
 		}
 	}
--- a/citron/intake/writer.go
+++ b/citron/intake/writer.go
@@ -9,6 +9,7 @@
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/spawn"
+	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/citron/waits"
 )
 
@@ -115,12 +116,7 @@
 		if !unknown {
 			return citron.ErrNotDone
 		}
-		due, stop := w.Timer.After(retryPause)
-		select {
-		case <-due:
-		case <-ctx.Done():
-		}
-		stop()
+		timer.Pause(ctx, w.Timer, retryPause)
 	}
 	return citron.ErrUnavailable
 }
--- a/citron/jobs/link.go
+++ b/citron/jobs/link.go
@@ -9,6 +9,7 @@
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/event"
 	"github.com/citroncross/citroncross/citron/place"
+	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/schema/lab"
 	"github.com/citroncross/citroncross/schema/record"
 )
@@ -113,12 +114,7 @@
 		}
 		if err := l.sync(ctx); err != nil && ctx.Err() == nil {
 			l.failed(err)
-			due, stop := l.p.s.Timer.After(syncRetry)
-			select {
-			case <-due:
-			case <-ctx.Done():
-				stop()
-			}
+			timer.Pause(ctx, l.p.s.Timer, syncRetry)
 		}
 	}
 	return nil
--- a/citron/ledger/ledger.go
+++ b/citron/ledger/ledger.go
@@ -11,6 +11,7 @@
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/feed"
 	"github.com/citroncross/citroncross/citron/group"
+	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/schema/record"
 )
 
@@ -147,11 +148,7 @@
 		if err == nil {
 			return offset, true
 		}
-		due, stop := l.options.Timer.After(openRetry)
-		select {
-		case <-due:
-		case <-ctx.Done():
-			stop()
+		if !timer.Pause(ctx, l.options.Timer, openRetry) {
 			return 0, false
 		}
 	}
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -59,8 +59,9 @@
 	waiting []*step
 	dirty   map[*job]bool
 	stops   []Stop
-	ended   map[citron.JobID]endedJob
-	learnt  durations
+	// ended is when each job ended.
+	ended  map[citron.JobID]time.Duration
+	learnt durations
 	// expired is when jobs were last removed.
 	expired time.Duration
 	fenced  bool
@@ -148,10 +149,6 @@
 	ListedWorkers int
 }
 
-type endedJob struct {
-	at time.Duration
-}
-
 // job is an accepted job that has not ended.
 type job struct {
 	id       citron.JobID
@@ -306,7 +303,7 @@
 		workers:  map[citron.Worker]*worker{},
 		steps:    map[citron.StepRef]*step{},
 		dirty:    map[*job]bool{},
-		ended:    map[citron.JobID]endedJob{},
+		ended:    map[citron.JobID]time.Duration{},
 		learnt:   durations{},
 	}
 }
--- a/citron/pool/record.go
+++ b/citron/pool/record.go
@@ -109,7 +109,7 @@
 // forget drops a job that has ended and of which nothing runs.
 func (p *Pool) forget(now time.Duration, j *job) {
 	delete(p.jobs, j.id)
-	p.ended[j.id] = endedJob{at: now}
+	p.ended[j.id] = now
 	for _, o := range j.open {
 		p.dropSteps(o)
 	}
@@ -136,8 +136,8 @@
 		return
 	}
 	p.expired = now
-	for id, over := range p.ended {
-		if now-over.at > p.Options.Keep+expireSlack && len(e.Expired) < expireMost {
+	for id, at := range p.ended {
+		if now-at > p.Options.Keep+expireSlack && len(e.Expired) < expireMost {
 			e.Expired = append(e.Expired, id)
 			delete(p.ended, id)
 		}
--- /dev/null
+++ b/citron/timer/pause_test.go
@@ -0,0 +1,19 @@
+package timer
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+func TestPauseEndsWithTheTimeOrTheContext(t *testing.T) {
+	clock := &Instant{}
+	if !Pause(context.Background(), clock, time.Second) {
+		t.Error("the context has not ended")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if Pause(ctx, &Manual{}, time.Second) || Pause(ctx, &Manual{}, 0) {
+		t.Error("the context has ended")
+	}
+}
--- a/citronlab/load/load.go
+++ b/citronlab/load/load.go
@@ -19,6 +19,7 @@
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/front"
+	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/schema/prefs"
 )
 
@@ -80,7 +81,7 @@
 	var group sync.WaitGroup
 	began := s.Timer.Now().Boot
 	for n := range calls {
-		if !s.pause(ctx, calls[n].At-(s.Timer.Now().Boot-began)) {
+		if !timer.Pause(ctx, s.Timer, calls[n].At-(s.Timer.Now().Boot-began)) {
 			break
 		}
 		target := s.Targets[n%len(s.Targets)]
@@ -97,7 +98,7 @@
 	began := s.Timer.Now().Boot
 	c.Outcome, c.ComeBack = s.post(ctx, c, target)
 	c.Took = s.Timer.Now().Boot - began
-	if c.Outcome == "Done" || !s.Settings.GetArrivals()[c.Stream].GetComeBack() || !s.pause(ctx, c.ComeBack) {
+	if c.Outcome == "Done" || !s.Settings.GetArrivals()[c.Stream].GetComeBack() || !timer.Pause(ctx, s.Timer, c.ComeBack) {
 		return
 	}
 	again, _ := s.post(ctx, c, next)
@@ -124,17 +125,3 @@
 	ms, _ := strconv.ParseInt(response.Header.Get(front.HeaderRetryAfter), 10, 64)
 	return response.Header.Get(front.HeaderOutcome), time.Duration(ms) * time.Millisecond
 }
-
-func (s *Sender) pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	due, stop := s.Timer.After(d)
-	defer stop()
-	select {
-	case <-due:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
