A worker that was silent is asked to answer at once

Since silent workers take no tasks, how soon they answer again counts: the hold after an unanswered one asked the worker to wait up to a second for an end. Test seen failing first.

--- a/citron/holder/poll.go
+++ b/citron/holder/poll.go
@@ -74,6 +74,8 @@
 			return
 		}
 		switch {
+		case retry > retryFirst:
+			// It was silent: that it answers again should be known at once.
 		case load.Unsettled:
 			order.Wait = unsettledWait
 		case load.Tasks > 0:
--- a/citron/holder/start_test.go
+++ b/citron/holder/start_test.go
@@ -46,3 +46,40 @@
 		t.Errorf("starts %v, stops %v, error %v; the run of the first try is there", again.Starts, again.Stops, err)
 	}
 }
+
+// silentOnce leaves the first hold unanswered.
+type silentOnce struct {
+	citron.Workers
+	waits []time.Duration
+	end   context.CancelFunc
+}
+
+func (s *silentOnce) Hold(_ context.Context, _ *citron.WorkerEntry, o citron.HoldOrder) (citron.Report, time.Duration, error) {
+	s.waits = append(s.waits, o.Wait)
+	if len(s.waits) == 1 {
+		return citron.Report{}, 0, citron.ErrUnavailable
+	}
+	s.end()
+	return citron.Report{Running: []citron.RunningTask{{Task: "j.0.0.0", Run: 1}}}, time.Second, nil
+}
+
+func TestWorkerThatWasSilentIsAskedToAnswerAtOnce(t *testing.T) {
+	clock := &timer.Instant{}
+	clock.Advance(time.Hour)
+	p := pool.New(pool.Options{Lease: 4 * time.Second, StartWithin: 1500 * time.Millisecond, Silence: 2 * time.Second}, 1, &advice.Desk{})
+	p.Listed(clock.Now(), []citron.WorkerEntry{{ID: "w", Address: "a", Service: "s", Capacity: citron.Capacity{MilliCores: 1000}}})
+	p.Held(clock.Now(), "w", clock.Now().Boot, citron.Report{}, time.Second)
+	p.Accept(clock.Now(), &work.Job{ID: "j", Steps: []*work.Step{{Tasks: 1, MilliCores: 1000}}, Terms: &work.Terms{Service: "s"}}, nil)
+	e, err := p.Plan(clock.Now())
+	if err != nil || len(e.Starts) != 1 {
+		t.Fatalf("%d starts, error %v", len(e.Starts), err)
+	}
+	p.Started(clock.Now(), e.Starts[0], citron.Started, time.Second)
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &silentOnce{end: cancel}
+	h := &Holder{Workers: w, Timer: clock, Pool: p, kick: make(chan struct{}, 1), Confirmed: func() time.Duration { return clock.Now().Boot }}
+	h.poll(ctx, "w", &poll{nudged: make(chan struct{}, 1)})
+	if len(w.waits) != 2 || w.waits[0] != pollWait || w.waits[1] != 0 {
+		t.Errorf("holds waited %v", w.waits)
+	}
+}
