--- a/citron/entry/upkeep.go
+++ b/citron/entry/upkeep.go
@@ -76,7 +76,7 @@
 	u := &waves{d: d, pool: p, epoch: epoch, open: map[int64]*upkeep.Wave{}, reported: map[int64]bool{}}
 	timer.Pause(ctx, d.Timer, d.Settings.MachineLease)
 	for ctx.Err() == nil {
-		u.know()
+		u.openNew()
 		if len(u.open) > 0 {
 			if err := u.round(ctx); errors.Is(err, citron.ErrFenced) {
 				return
@@ -86,8 +86,8 @@
 	}
 }
 
-// know opens the waves that are not completed.
-func (u *waves) know() {
+// openNew opens the waves that are not completed.
+func (u *waves) openNew() {
 	now := u.d.Timer.Now().Boot
 	u.d.mu.Lock()
 	defer u.d.mu.Unlock()
--- a/citron/pool/end.go
+++ b/citron/pool/end.go
@@ -41,7 +41,7 @@
 func (p *Pool) end(now time.Duration, w *worker, end citron.EndedTask) {
 	t := w.tasks[end.Task]
 	if t == nil || t.run != end.Run {
-		p.formerEnd(now, w, end)
+		p.endOfFormerRun(now, w, end)
 		return
 	}
 	s := t.step
@@ -66,8 +66,8 @@
 	}
 }
 
-// formerEnd takes in the end of a run that had been given up, since its worker did not answer: it counts all the same.
-func (p *Pool) formerEnd(now time.Duration, w *worker, end citron.EndedTask) {
+// endOfFormerRun takes in the end of a run that had been given up, since its worker did not answer: it counts all the same.
+func (p *Pool) endOfFormerRun(now time.Duration, w *worker, end citron.EndedTask) {
 	t := p.task(end.Task)
 	if t == nil || end.Run > t.run || t.state == taskDone || t.state == taskLeaving || t.settled ||
 		t.step.job.terminal || t.step.spec.GetService() {
@@ -76,15 +76,15 @@
 	switch end.Kind {
 	case citron.EndDone:
 		p.observe(Decision{Kind: DecidedEnd, Job: t.step.job.id, Task: t.ref, Run: end.Run, Worker: w.entry.ID, Outcome: string(end.Kind), Reason: "the run had been given up"})
-		p.doneBefore(now, t)
+		p.settleByFormerRun(now, t)
 	case citron.EndFailed:
 		p.observe(Decision{Kind: DecidedEnd, Job: t.step.job.id, Task: t.ref, Run: end.Run, Worker: w.entry.ID, Outcome: string(end.Kind), Reason: "the run had been given up"})
 		p.countFailure(now, t, end.Run)
 	}
 }
 
-// doneBefore settles a task, with all members of its gang, that an earlier run has done. Later runs are stopped.
-func (p *Pool) doneBefore(now time.Duration, t *task) {
+// settleByFormerRun settles a task, with all members of its gang, that an earlier run has done. Later runs are stopped.
+func (p *Pool) settleByFormerRun(now time.Duration, t *task) {
 	tasks := []*task{t}
 	if t.step.spec.GetGang() {
 		tasks = t.step.tasks
@@ -122,6 +122,7 @@
 	return s.tasks[index]
 }
 
+// done settles a task, with its whole gang, whose run has ended as done.
 func (p *Pool) done(now time.Duration, t *task) {
 	s := t.step
 	if s.spec.GetService() {
@@ -193,6 +194,7 @@
 	})
 }
 
+// failed puts a task back whose run has failed, and counts the attempt.
 func (p *Pool) failed(now time.Duration, w *worker, t *task) {
 	s := t.step
 	if pause := w.fails.failed(s.job.id); pause > 0 {
--- a/citron/upkeep/upkeep.go
+++ b/citron/upkeep/upkeep.go
@@ -51,8 +51,8 @@
 	due time.Duration
 	// chosen are the machines that are being emptied, and since when.
 	chosen map[citron.Machine]time.Duration
-	// ended is when a machine's upkeep began for certain in this epoch.
-	ended map[citron.Machine]time.Duration
+	// began is when a machine's upkeep began for certain in this epoch.
+	began map[citron.Machine]time.Duration
 	// missing is since when a machine has not been listed.
 	missing map[citron.Machine]time.Duration
 	// first are the machines of which no call was sent before the one under way.
@@ -69,7 +69,7 @@
 	}
 	return &Wave{
 		Spec: spec, Progress: p, due: now + spec.Within,
-		chosen: map[citron.Machine]time.Duration{}, ended: map[citron.Machine]time.Duration{}, first: map[citron.Machine]bool{}, missing: map[citron.Machine]time.Duration{},
+		chosen: map[citron.Machine]time.Duration{}, began: map[citron.Machine]time.Duration{}, first: map[citron.Machine]bool{}, missing: map[citron.Machine]time.Duration{},
 	}
 }
 
@@ -82,7 +82,7 @@
 		gone := w.gone(now, m, listed)
 		switch {
 		case w.Progress.Done[m]:
-			if now < w.ended[m]+takes || listed && h.State != citron.MachineUp {
+			if now < w.began[m]+takes || listed && h.State != citron.MachineUp {
 				down++
 			}
 		case gone:
@@ -179,7 +179,7 @@
 // Began notes the platform's word that a machine's upkeep has begun, or that there is none to do.
 func (w *Wave) Began(now time.Duration, m citron.Machine) {
 	w.Progress.Done[m] = true
-	w.ended[m] = now
+	w.began[m] = now
 	delete(w.chosen, m)
 }
 
