One way to run an HTTP server, one word for a task that is over

The conditions under which nothing is expected of a task stood in four places of citron/pool, in three forms: task.over. A gang or task that an earlier run has done is settled by settle, as the others are. advice.backlog wrapped one instant; citronctl walked the daemons twice for one explanation; the search in await and the sorting of names were written by hand. Behaviour and tests' assertions stay.

--- a/citron/advice/advice.go
+++ b/citron/advice/advice.go
@@ -24,12 +24,8 @@
 type Desk struct {
 	mu    sync.Mutex
 	order []citron.VMName
-	busy  map[citron.VMName]*backlog
-}
-
-type backlog struct {
-	// until is when the daemon's questions will have been answered.
-	until time.Duration
+	// busy is when the questions of each daemon will have been answered.
+	busy map[citron.VMName]time.Duration
 }
 
 // Daemons sets the live daemons.
@@ -38,12 +34,7 @@
 	defer d.mu.Unlock()
 	d.order = append(d.order[:0], vms...)
 	if d.busy == nil {
-		d.busy = map[citron.VMName]*backlog{}
-	}
-	for _, vm := range vms {
-		if d.busy[vm] == nil {
-			d.busy[vm] = &backlog{}
-		}
+		d.busy = map[citron.VMName]time.Duration{}
 	}
 }
 
@@ -61,16 +52,14 @@
 		if cost >= longQuestion && float64(n) >= longShare*float64(len(d.order)) && len(d.order) > 1 {
 			break
 		}
-		b := d.busy[candidate]
-		if wait := max(b.until-now, 0); wait < best {
+		if wait := max(d.busy[candidate]-now, 0); wait < best {
 			best, vm, ok = wait, candidate, true
 		}
 	}
 	if !ok {
 		return "", false
 	}
-	b := d.busy[vm]
-	b.until = max(b.until, now) + cost
+	d.busy[vm] = max(d.busy[vm], now) + cost
 	return vm, true
 }
 
@@ -78,12 +67,8 @@
 func (d *Desk) Answered(vm citron.VMName, now, cost time.Duration, failed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	b := d.busy[vm]
-	if b == nil {
-		return
-	}
-	if failed {
+	if failed && d.busy != nil {
 		// A daemon that does not answer is left alone for the time of a few short questions.
-		b.until = max(b.until, now+cost)
+		d.busy[vm] = max(d.busy[vm], now+cost)
 	}
 }
--- a/citron/entry/upkeep.go
+++ b/citron/entry/upkeep.go
@@ -4,8 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -218,9 +218,8 @@
 }
 
 func names(s map[citron.Machine]bool) (list []string) {
-	for m := range s {
+	for _, m := range slices.Sorted(maps.Keys(s)) {
 		list = append(list, string(m))
 	}
-	slices.SortFunc(list, strings.Compare)
 	return list
 }
--- a/citron/pool/end.go
+++ b/citron/pool/end.go
@@ -50,7 +50,7 @@
 	if end.Checkpoint != "" {
 		t.checkpoint = end.Checkpoint
 	}
-	if t.state == taskLeaving || t.settled || s.job.terminal {
+	if t.over() {
 		p.requeue(now, t, string(end.Kind))
 		return
 	}
@@ -69,18 +69,20 @@
 // endOfFormerRun takes in the end of a run that had been given up, since its worker did not answer: it counts all the same.
 func (p *Pool) endOfFormerRun(now time.Duration, w *worker, end citron.EndedTask) {
 	t := p.task(end.Task)
-	if t == nil || end.Run > t.run || t.state == taskDone || t.state == taskLeaving || t.settled ||
-		t.step.job.terminal || t.step.spec.GetService() {
+	if t == nil || end.Run > t.run || t.over() || t.step.spec.GetService() || end.Kind != citron.EndDone && end.Kind != citron.EndFailed {
 		return
 	}
-	switch end.Kind {
-	case citron.EndDone:
-		p.observe(Decision{Kind: DecidedEnd, Job: t.step.job.id, Task: t.ref, Run: end.Run, Worker: w.entry.ID, Outcome: string(end.Kind), Reason: "the run had been given up"})
-		p.settleByFormerRun(now, t)
-	case citron.EndFailed:
-		p.observe(Decision{Kind: DecidedEnd, Job: t.step.job.id, Task: t.ref, Run: end.Run, Worker: w.entry.ID, Outcome: string(end.Kind), Reason: "the run had been given up"})
+	p.observe(Decision{Kind: DecidedEnd, Job: t.step.job.id, Task: t.ref, Run: end.Run, Worker: w.entry.ID, Outcome: string(end.Kind), Reason: "the run had been given up"})
+	if end.Kind == citron.EndFailed {
 		p.countFailure(now, t, end.Run)
+		return
 	}
+	p.settleByFormerRun(now, t)
+}
+
+// over reports whether nothing is expected of a task any more, though a run of it may still be on a worker.
+func (t *task) over() bool {
+	return t.state == taskDone || t.state == taskLeaving || t.settled || t.step.job.terminal
 }
 
 // settleByFormerRun settles a task, with all members of its gang, that an earlier run has done. Later runs are stopped.
@@ -90,18 +92,17 @@
 		tasks = t.step.tasks
 	}
 	for _, t := range tasks {
-		if t.state == taskDone || t.state == taskLeaving || t.settled {
+		if t.over() {
+			continue
+		}
+		state := t.state
+		p.settle(t)
+		if state == taskWaiting {
 			continue
 		}
-		t.step.left--
-		p.dirty[t.step.job] = true
-		switch t.state {
-		case taskWaiting:
-			t.state = taskDone
-		case taskStopping:
-			t.settled = true
-		default:
-			t.settled = true
+		// Its room stays taken until its worker lists the end.
+		t.state, t.settled = taskStopping, true
+		if state != taskStopping {
 			p.stop(now, t)
 		}
 	}
@@ -243,7 +244,7 @@
 // requeue puts a task back whose run is over without being done.
 func (p *Pool) requeue(now time.Duration, t *task, reason string) {
 	s := t.step
-	over := s.job.terminal || t.state == taskLeaving || t.settled
+	over := t.over()
 	p.vacate(t)
 	if over {
 		t.state = taskDone
@@ -268,10 +269,7 @@
 }
 
 func (p *Pool) await(s *step) {
-	for _, w := range p.waiting {
-		if w == s {
-			return
-		}
+	if !slices.Contains(p.waiting, s) {
+		p.waiting = append(p.waiting, s)
 	}
-	p.waiting = append(p.waiting, s)
 }
--- a/citron/serve/serve.go
+++ b/citron/serve/serve.go
@@ -20,7 +20,7 @@
 // Server answers HTTP on one listener.
 type Server struct {
 	http  *http.Server
-	ended chan error
+	ended <-chan error
 }
 
 // Start serves routes on a listener. Its end is reported on Ended.
@@ -38,17 +38,23 @@
 		return nil, err
 	}
 	s = &Server{
-		http:  &http.Server{Handler: http.HandlerFunc(handler.Serve), ReadHeaderTimeout: headerTimeout},
-		ended: make(chan error, 1),
+		http: &http.Server{Handler: http.HandlerFunc(handler.Serve), ReadHeaderTimeout: headerTimeout},
 	}
+	s.ended = Run(s.http, listener)
+	return s, nil
+}
+
+// Run serves on a listener and reports the end; a server that was closed ended without an error.
+func Run(server *http.Server, listener net.Listener) <-chan error {
+	ended := make(chan error, 1)
 	go func() {
-		err := s.http.Serve(listener)
+		err := server.Serve(listener)
 		if errors.Is(err, http.ErrServerClosed) {
 			err = nil
 		}
-		s.ended <- err
+		ended <- err
 	}()
-	return s, nil
+	return ended
 }
 
 // Ended reports the end of the server.
--- a/citronctl/estate.go
+++ b/citronctl/estate.go
@@ -39,9 +39,9 @@
 	return ask(ctx, link.NewLinkClient(conn))
 }
 
-// askDaemons asks the named daemons and every daemon that they know of.
-func askDaemons(addresses []string) (all daemons) {
-	queue := slices.Clone(addresses)
+// askDaemons asks the named daemons and every daemon that they know of. It returns the addresses that it asked.
+func askDaemons(addresses []string) (all daemons, queue []string) {
+	queue = slices.Clone(addresses)
 	for n := 0; n < len(queue); n++ {
 		var reply *link.StatusReply
 		err := withDaemon(queue[n], func(ctx context.Context, c link.LinkClient) (err error) {
@@ -60,7 +60,7 @@
 		}
 	}
 	slices.SortFunc(all.Daemons, func(a, b *link.StatusReply) int { return strings.Compare(a.GetVM(), b.GetVM()) })
-	return all
+	return all, queue
 }
 
 // holder returns the daemon that runs the pool; nil if none says so.
@@ -76,7 +76,7 @@
 func estateStatus(parent *kingpin.CmdClause, f flags, peers *[]string) command {
 	clause := parent.Command("status", "Show every daemon, who holds the pool, and the backlog by queue.")
 	return command{clause: clause, run: func() int {
-		all := askDaemons(*peers)
+		all, _ := askDaemons(*peers)
 		if len(all.Daemons) == 0 {
 			return fail(exitFailed, "no daemon answers at %v", *peers)
 		}
@@ -120,7 +120,8 @@
 func estateWorkers(parent *kingpin.CmdClause, f flags, peers *[]string) command {
 	clause := parent.Command("workers", "Show every worker as the holder of the pool sees it.")
 	return command{clause: clause, run: func() int {
-		holder := askDaemons(*peers).holder()
+		all, _ := askDaemons(*peers)
+		holder := all.holder()
 		if holder == nil {
 			return fail(exitFailed, "no daemon that answers holds the pool")
 		}
@@ -143,7 +144,8 @@
 	clause := parent.Command("explain", "Say where each task of a job is and what it waits for.")
 	job := clause.Arg("job", "Job id.").Required().String()
 	return command{clause: clause, run: func() int {
-		best, answered := explainJob(askAddresses(*peers), *job)
+		_, addresses := askDaemons(*peers)
+		best, answered := explainJob(addresses, *job)
 		switch {
 		case !answered:
 			return fail(exitFailed, "no daemon answers at %v", *peers)
@@ -166,19 +168,6 @@
 	}}
 }
 
-// askAddresses returns the given addresses and those that the daemons there know of.
-func askAddresses(addresses []string) []string {
-	list := slices.Clone(addresses)
-	for _, d := range askDaemons(addresses).Daemons {
-		for _, address := range d.GetPeers() {
-			if !slices.Contains(list, address) {
-				list = append(list, address)
-			}
-		}
-	}
-	return list
-}
-
 // explainJob returns the answer of the pool, or else of any daemon that knows the job.
 func explainJob(addresses []string, job string) (best *link.ExplainReply, answered bool) {
 	for _, address := range addresses {
--- a/citronctl/estate_test.go
+++ b/citronctl/estate_test.go
@@ -58,7 +58,8 @@
 		},
 		explain: &link.ExplainReply{Known: true, State: "queued"},
 	})
-	got := estateText(askDaemons([]string{first}))
+	all, addresses := askDaemons([]string{first})
+	got := estateText(all)
 	want := `DAEMON   DOMAIN  STATE           CONFIG  STORE ANSWERED  HOLDER   EPOCH
 entry-1  a       ready           7       never           entry-2  4
 entry-2  b       holds the pool  7       12 ms ago       entry-2  4
@@ -70,7 +71,7 @@
 	if got != want {
 		t.Errorf("status\n%s\nwant\n%s", got, want)
 	}
-	best, answered := explainJob(askAddresses([]string{first}), "0a")
+	best, answered := explainJob(addresses, "0a")
 	if !answered || best.GetState() != "running" {
 		t.Errorf("explained as %v; the pool knows more than the store", best)
 	}
--- a/citronlab/site/site.go
+++ b/citronlab/site/site.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/serve"
 )
 
 const (
@@ -168,14 +169,7 @@
 		return "", err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
-	ended := make(chan error, 1)
-	go func() {
-		err := server.Serve(listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			err = nil
-		}
-		ended <- err
-	}()
+	ended := serve.Run(server, listener)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.servers = append(s.servers, server)
