Fault test: each sending of a repeatable call is counted by itself

Cause, from its trace: a daemon passes a call on and crashes; the call runs at the other daemon beside the caller's next sending, which is refused truthfully. The check counted both by the request's id and took the first one's run for the second's. Ruled out: a false refusal of the daemon, since the refused sending never reached the endpoint. The check is stricter otherwise: a sending said not run may not run later either; a mutant that denies runs of repeatable calls is caught.

--- a/citronlab/fault/broken_test.go
+++ b/citronlab/fault/broken_test.go
@@ -52,6 +52,13 @@
 	}
 }
 
+func TestCheckOfRepeatableCallsCatchesADeniedRun(t *testing.T) {
+	r := newRig(t, nil)
+	defer r.end()
+	r.broken = deniesRuns
+	expect(t, scenarios[0].play(r), "said not run although it ran")
+}
+
 // expect fails unless a check has found what was broken.
 func expect(t *testing.T, broken []string, want string) {
 	t.Helper()
@@ -105,7 +112,7 @@
 		if b == nothingBroken {
 			r.list(at)
 		}
-		_, _, _ = r.call(0, "again", "q", true)
+		_, _, _ = r.call(0, "again", "q", true, "q")
 		broken := r.overCapacity()
 		if b == ignoresLeaving {
 			expect(t, broken, "after it was leaving")
--- a/citronlab/fault/calls_test.go
+++ b/citronlab/fault/calls_test.go
@@ -28,13 +28,14 @@
 	return nil
 }
 
-// call sends one request to one node as a caller would and returns its outcome.
-func (r *rig) call(n int, class citron.Class, id citron.RequestID, repeatable bool) (record.Outcome, string, *citron.Refusal) {
+// call sends one request to one node as a caller would and returns its outcome. The sending is named in the body, so
+// that the endpoints record which sending of a request they ran.
+func (r *rig) call(n int, class citron.Class, id citron.RequestID, repeatable bool, sending string) (record.Outcome, string, *citron.Refusal) {
 	x := r.nodes[n]
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	var a answer
-	refusal := x.calls.Serve(ctx, calls.Request{Team: "t", Class: class, ID: id, Repeatable: repeatable}, &a)
+	refusal := x.calls.Serve(ctx, calls.Request{Team: "t", Class: class, ID: id, Repeatable: repeatable, Body: []byte(sending)}, &a)
 	if x.isDead() {
 		// The caller's connection broke; whatever the dead daemon meant to say never came.
 		return record.Outcome_OUTCOME_UNKNOWN, "", nil
@@ -88,18 +89,23 @@
 	}
 	r.settle()
 	const id = "q"
+	var denied []string
 	for try := range 4 {
 		n := try % len(r.nodes)
 		if r.nodes[n].isDead() {
 			continue
 		}
-		before := 0
+		// Of a repeatable call no record is kept: "not run" speaks of this sending of it. An earlier sending that a
+		// daemon passed on before it crashed may run at any time.
+		sending := id
 		if s.class == "again" {
-			// Of a repeatable call no record is kept: "not run" speaks of this sending of it.
-			before = r.runsOf(id)
+			sending = fmt.Sprintf("%s, sending %d", id, try)
+		}
+		outcome, got, refusal := r.call(n, s.class, id, s.class == "again", sending)
+		runs := r.runsOf(sending)
+		if outcome == record.Outcome_OUTCOME_NOT_RUN && s.class == "again" {
+			denied = append(denied, sending)
 		}
-		outcome, got, refusal := r.call(n, s.class, id, s.class == "again")
-		runs := r.runsOf(id) - before
 		switch {
 		case outcome == record.Outcome_OUTCOME_DONE && refusal == nil && got != body(id):
 			broken = append(broken, fmt.Sprintf("wrong or partial answer %q", got))
@@ -110,6 +116,11 @@
 			break
 		}
 	}
+	for _, sending := range denied {
+		if r.runsOf(sending) > 0 {
+			broken = append(broken, "said not run and ran later")
+		}
+	}
 	if runs := r.runsOf(id); s.class == "once" && runs > 1 {
 		broken = append(broken, fmt.Sprintf("non-repeatable request ran %d times", runs))
 	}
@@ -225,3 +236,13 @@
 	}
 	playAll(t, all)
 }
+
+// TestEarlierSendingRunsBesideTheNext plays a daemon that passes a call on and crashes: the passed-on sending may run
+// while the caller's next one is refused.
+func TestEarlierSendingRunsBesideTheNext(t *testing.T) {
+	var all []trial
+	for range 100 {
+		all = append(all, trial{scenarios[1].play, scenarios[1].name, map[int]kind{3: crashAfter, 5: failBefore}})
+	}
+	playAll(t, all)
+}
--- a/citronlab/fault/fakes_test.go
+++ b/citronlab/fault/fakes_test.go
@@ -26,7 +26,8 @@
 	most     int
 	leaving  bool
 	late     int
-	runs     map[citron.RequestID]int
+	// runs counts the runs of each sending, which the body of a call names.
+	runs map[string]int
 	// gate, if set, holds every run until it is closed.
 	gate chan struct{}
 }
@@ -40,7 +41,7 @@
 	e.mu.Lock()
 	e.inFlight++
 	e.most = max(e.most, e.inFlight)
-	e.runs[call.RequestID]++
+	e.runs[string(call.Body)]++
 	if e.leaving {
 		e.late++
 	}
@@ -70,7 +71,7 @@
 // addEndpoint lists an endpoint of a shard in every node.
 func (r *rig) addEndpoint(name string, id citron.ShardID) {
 	r.mu.Lock()
-	r.endpoints[name] = &endpoint{name: name, slots: r.slots, runs: map[citron.RequestID]int{}}
+	r.endpoints[name] = &endpoint{name: name, slots: r.slots, runs: map[string]int{}}
 	r.mu.Unlock()
 	r.list(id)
 }
@@ -89,13 +90,13 @@
 	}
 }
 
-// runsOf counts the runs of a request over all endpoints.
-func (r *rig) runsOf(id citron.RequestID) (n int) {
+// runsOf counts the runs of a sending over all endpoints.
+func (r *rig) runsOf(sending string) (n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, e := range r.endpoints {
 		e.mu.Lock()
-		n += e.runs[id]
+		n += e.runs[sending]
 		e.mu.Unlock()
 	}
 	return n
