A claim names one partition again once everything is recorded in it

Others are used again only after a new claim, with the numbers they had. Ruled out: naming several partitions from the start (tried before: each takeover then waits for all); waiting less long for a silent partition (what was recorded there last stands nowhere else). Tests that fail first: TestHolderIsLostWhileAPartitionStaysSilent (never ended without the merge), TestUnansweredFenceIsRepeated. holder_patience_ms: the tests of citronlab/site no longer replace a holder because the machine is busy; killed ones are replaced at once.

--- a/citron/claim/claim.go
+++ b/citron/claim/claim.go
@@ -54,6 +54,9 @@
 
 // Watch decides for one pool. The zero value works.
 type Watch struct {
+	// Patience is added to SilentAfter and StoreLostAfter, where daemons are known to be short of processor time.
+	Patience time.Duration
+
 	newest  Claim
 	seen    time.Duration
 	again   time.Duration
@@ -106,9 +109,9 @@
 		return "the holder has restarted", now-w.seen >= pause
 	case p.RefusedSince > 0 && now-p.RefusedSince >= RefusedAfter+pause:
 		return "the holder refuses connections", true
-	case now-since >= SilentAfter+pause:
+	case now-since >= SilentAfter+w.Patience+pause:
 		return "the holder does not answer", true
-	case p.Answered > w.seen && p.StoreLost >= StoreLostAfter+pause:
+	case p.Answered > w.seen && p.StoreLost >= StoreLostAfter+w.Patience+pause:
 		return ReasonStoreLost, true
 	case p.Answered > w.seen+AdoptWithin+pause && p.Holds < w.newest.Epoch:
 		return "the holder has given up", true
--- a/citron/claim/claim_test.go
+++ b/citron/claim/claim_test.go
@@ -46,6 +46,22 @@
 	}
 }
 
+func TestPatienceIsAddedToBothWaits(t *testing.T) {
+	silent := Ping{Answered: base - SilentAfter, Incarnation: 7, Holds: 3}
+	storeLost := Ping{Answered: base, Incarnation: 7, Holds: 3, StoreLost: StoreLostAfter}
+	for _, p := range []Ping{silent, storeLost} {
+		w := seen()
+		w.Patience = time.Second
+		if reason, ok := w.Should(base, self, 0, true, p); ok {
+			t.Errorf("claims at once: %s", reason)
+		}
+		p.StoreLost += time.Second
+		if _, ok := w.Should(base+time.Second, self, 0, true, p); !ok {
+			t.Errorf("does not claim after its patience: %+v", p)
+		}
+	}
+}
+
 // A daemon's incarnation is the time of day at its start, which may be set back.
 func TestRestartIsSeenWithTheClockSetBack(t *testing.T) {
 	w := &Watch{}
--- a/citron/entry/claims.go
+++ b/citron/entry/claims.go
@@ -123,6 +123,7 @@
 		Progress:  d.progress,
 		Jobs:      d.jobs,
 		Extend:    d.extend,
+		Narrow:    d.narrow,
 		Confirmed: func() time.Duration { return d.confirmed(epoch) },
 		Published: d.publish,
 		Pool:      p,
@@ -245,21 +246,39 @@
 	if newest.Holder != d.self {
 		return citron.ErrFenced
 	}
-	if slices.Contains(partitions, int32(partition)) {
-		return nil
+	partitions = slices.Clone(partitions)
+	if !slices.Contains(partitions, int32(partition)) {
+		partitions = append(partitions, int32(partition))
 	}
-	err := d.appendClaim(ctx, newest.Epoch, append(slices.Clone(partitions), int32(partition)), next)
+	// The claim is stored anew even if it names the partition already: an earlier claim without it may be on its way to
+	// the store, which takes one of the two.
+	return d.restate(ctx, newest, partitions, next)
+}
+
+// narrow leaves one partition in this daemon's claim. It fails where another daemon has claimed the pool.
+func (d *Daemon) narrow(ctx context.Context, partition int) error {
+	next, _ := d.cell.Next()
+	newest := d.newest()
+	if newest.Holder != d.self {
+		return citron.ErrFenced
+	}
+	return d.restate(ctx, newest, []int32{int32(partition)}, next)
+}
+
+// restate stores this daemon's claim with other partitions, if the cell's records end at an offset.
+func (d *Daemon) restate(ctx context.Context, newest claim.Claim, partitions []int32, at citron.Offset) error {
+	err := d.appendClaim(ctx, newest.Epoch, partitions, at)
 	if err != nil && !errors.Is(err, citron.ErrConflict) && !errors.Is(err, citron.ErrUnavailable) {
 		return err
 	}
 	bounded, cancel := context.WithTimeout(ctx, claimSettle)
 	defer cancel()
-	if err := d.cell.Reach(bounded, next+1); err != nil {
+	if err := d.cell.Reach(bounded, at+1); err != nil {
 		return err
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.watch.Newest() != newest || !slices.Contains(d.partitions, int32(partition)) {
+	if d.watch.Newest() != newest || !slices.Equal(d.partitions, partitions) {
 		return citron.ErrConflict
 	}
 	return nil
--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -59,9 +59,16 @@
 	// Extend names one more partition in the pool's claim; after a nil error it may be used.
 	Extend func(ctx context.Context, partition int) error
 
-	kick   chan struct{}
-	ledger []*ledger
-	limit  waits.Limit
+	// Narrow leaves one partition in the pool's claim. After an error the claim may name any.
+	Narrow func(ctx context.Context, partition int) error
+
+	kick chan struct{}
+	// ledger lists the partitions that the claim names for certain, closed those that were used before.
+	ledger, closed []*ledger
+	// named is the greatest number of partitions that the claim may name.
+	named int
+	merge merge
+	limit waits.Limit
 	// lostSince is when the store began to take no records; zero while it takes them.
 	lostSince atomic.Int64
 	calls     spawn.Group
@@ -80,6 +87,7 @@
 	}()
 	h.kick = make(chan struct{}, 1)
 	h.limit.Least, h.limit.Most = appendLeast, appendMost
+	h.named = len(h.Partitions)
 	h.polls = map[citron.Worker]*poll{}
 	h.calls.Bind(run)
 	if err := h.fence(run); err != nil {
@@ -181,6 +189,7 @@
 		h.publish(e)
 	}
 	h.Pool.Committed(e)
+	h.consolidate(ctx, e)
 	for _, s := range e.Starts {
 		h.calls.Go(func(ctx context.Context) { h.start(ctx, s) })
 	}
--- a/citron/holder/ledger.go
+++ b/citron/holder/ledger.go
@@ -27,8 +27,10 @@
 	sequence  int64
 	// numbered is set once an append of this epoch has been answered, so the next number is known.
 	numbered bool
-	// pending is an append that was not answered. It has to be repeated before the next number can be used.
-	pending []citron.Keyed
+	// unanswered is set where the last append, of pending, was not answered. It has to be repeated before the next number
+	// can be used; so has one without records, which takes a number as well.
+	unanswered bool
+	pending    []citron.Keyed
 	// failed is when the partition last took no record; zero once the store has answered for it since.
 	failed time.Duration
 }
@@ -76,6 +78,7 @@
 		}
 		if err == nil {
 			h.lostSince.Store(0)
+			h.merge.stored(h.Timer.Now().Boot, l)
 			return nil
 		}
 		var sequence *citron.SequenceError
@@ -115,9 +118,14 @@
 	if l := h.open(n); l != nil {
 		return l, nil
 	}
+	h.named, h.merge = h.named+1, merge{}
 	if err := h.Extend(ctx, n); err != nil {
 		return nil, err
 	}
+	if l := h.reopened(n); l != nil {
+		h.ledger = append(h.ledger, l)
+		return l, nil
+	}
 	l := &ledger{partition: h.Progress[n].Partition, tail: h.Progress[n]}
 	h.ledger = append(h.ledger, l)
 	_, err = h.send(ctx, l, nil)
@@ -179,7 +187,7 @@
 // settle repeats an append that was not answered. The store drops it if it had landed. Its records may be older than
 // what other partitions hold by now; readers go by the number of each record.
 func (h *Holder) settle(ctx context.Context, l *ledger) error {
-	if l.pending == nil {
+	if !l.unanswered {
 		return nil
 	}
 	_, err := h.send(ctx, l, l.pending)
@@ -195,7 +203,7 @@
 	end, err = h.Store.Append(bounded, l.partition, records, c)
 	if err == nil {
 		h.limit.Answered(h.Timer.Now().Boot - began)
-		if l.pending == nil {
+		if !l.unanswered {
 			// The store answers a repeat as it answered the first time, whoever holds the pool by then.
 			h.Pool.Proved(began)
 		}
@@ -205,11 +213,11 @@
 	case err == nil:
 		l.sequence++
 		l.numbered = l.numbered || len(records) > 0
-		l.pending = nil
+		l.unanswered, l.pending = false, nil
 	case errors.As(err, &sequence) && !l.numbered:
 		l.sequence = sequence.Expected
-	case errors.Is(err, citron.ErrUnavailable) && len(records) > 0:
-		l.pending = records
+	case errors.Is(err, citron.ErrUnavailable):
+		l.unanswered, l.pending = true, records
 	}
 	return end, err
 }
--- a/citron/holder/ledger_test.go
+++ b/citron/holder/ledger_test.go
@@ -148,3 +148,22 @@
 		t.Error("no lease is renewed after a new record was stored")
 	}
 }
+
+// TestUnansweredFenceIsRepeated: the store counts an append without records too, and would answer the next one under
+// its number without taking the records.
+func TestUnansweredFenceIsRepeated(t *testing.T) {
+	s := &scripted{answer: func(n int, p citron.Partition) error {
+		if p.Number == 0 || n == 2 {
+			return citron.ErrUnavailable
+		}
+		return nil
+	}}
+	h := newHolder(s, 2)
+	h.Extend = func(context.Context, int) error { return nil }
+	if err := h.append(context.Background(), record("a")); err != nil {
+		t.Fatal(err)
+	}
+	if want := []string{"0:0:a", "1:0:-", "1:0:-", "1:1:a"}; !slices.Equal(s.appends, want) {
+		t.Errorf("appends %v, want %v", s.appends, want)
+	}
+}
--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -24,7 +24,7 @@
 	}
 	over := Ended(progress.GetState())
 	if over && len(progress.GetOpen()) == 0 {
-		p.ended[id] = now.Boot
+		p.ended[id] = ending{now.Boot, progress.GetState(), progress.GetNextOccurrence(), progress.GetEndedMs()}
 		return
 	}
 	waited := max(now.Wall.Sub(time.UnixMilli(spec.GetAcceptedMs())), 0)
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -59,9 +59,8 @@
 	waiting []*step
 	dirty   map[*job]bool
 	stops   []Stop
-	// ended is when each job ended.
-	ended  map[citron.JobID]time.Duration
-	learnt durations
+	ended   map[citron.JobID]ending
+	learnt  durations
 	// expired is when jobs were last removed.
 	expired time.Duration
 	fenced  bool
@@ -70,8 +69,11 @@
 	// complete is set once every job is known that a former holder may have started.
 	complete bool
 	// number counts the records of this epoch.
-	number   uint64
-	lastPlan Plan
+	number uint64
+	// rewrite lists the jobs whose progress is still to be recorded again, while rewriting is set.
+	rewrite   []citron.JobID
+	rewriting bool
+	lastPlan  Plan
 }
 
 // DecisionKind says what was decided.
@@ -130,9 +132,11 @@
 	Records []citron.Keyed
 	// Visible tells for each record whether it changes what callers see.
 	Visible []bool
-	Starts  []Start
-	Stops   []Stop
-	Asks    []Ask
+	// Rewritten is set where Records are the last of a rewriting.
+	Rewritten bool
+	Starts    []Start
+	Stops     []Stop
+	Asks      []Ask
 	// Acks are the ends that Records cover, by worker.
 	Acks map[citron.Worker]int64
 	// Expired lists jobs whose records are to be removed.
@@ -303,7 +307,7 @@
 		workers:  map[citron.Worker]*worker{},
 		steps:    map[citron.StepRef]*step{},
 		dirty:    map[*job]bool{},
-		ended:    map[citron.JobID]time.Duration{},
+		ended:    map[citron.JobID]ending{},
 		learnt:   durations{},
 	}
 }
--- a/citron/pool/record.go
+++ b/citron/pool/record.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/schema/work"
 )
@@ -26,25 +24,23 @@
 func (p *Pool) records(now citron.Instant, e *Effects) (err error) {
 	changed := slices.SortedFunc(maps.Keys(p.dirty), func(a, b *job) int { return cmp.Compare(a.id, b.id) })
 	for _, j := range changed {
-		p.number++
 		r := j.progress()
-		r.Epoch, r.Number = uint64(p.Epoch), p.number
 		if j.terminal && len(r.GetOpen()) == 0 {
 			r.EndedMs = now.Wall.UnixMilli()
 		}
-		value, err := proto.Marshal(r)
+		k, err := p.encode(r)
 		if err != nil {
 			return err
 		}
-		e.Records = append(e.Records, citron.Keyed{Key: ProgressKey + string(j.id), Value: value})
+		e.Records = append(e.Records, k)
 		e.Visible = append(e.Visible, j.state != j.recorded)
 		j.recorded = j.state
 		delete(p.dirty, j)
 		if j.terminal && len(r.GetOpen()) == 0 {
-			p.forget(now.Boot, j)
+			p.forget(now, j)
 		}
 	}
-	return nil
+	return p.recordAgain(e)
 }
 
 // progress is the record of a job. An ended job keeps an occurrence only while runs of it are being stopped.
@@ -107,9 +103,9 @@
 }
 
 // forget drops a job that has ended and of which nothing runs.
-func (p *Pool) forget(now time.Duration, j *job) {
+func (p *Pool) forget(now citron.Instant, j *job) {
 	delete(p.jobs, j.id)
-	p.ended[j.id] = now
+	p.ended[j.id] = ending{now.Boot, j.state, j.next, now.Wall.UnixMilli()}
 	for _, o := range j.open {
 		p.dropSteps(o)
 	}
@@ -136,8 +132,8 @@
 		return
 	}
 	p.expired = now
-	for id, at := range p.ended {
-		if now-at > p.Options.Keep+expireSlack && len(e.Expired) < expireMost {
+	for id, over := range p.ended {
+		if now-over.at > p.Options.Keep+expireSlack && len(e.Expired) < expireMost {
 			e.Expired = append(e.Expired, id)
 			delete(p.ended, id)
 		}
--- /dev/null
+++ b/citron/pool/rewrite.go
@@ -0,0 +1,84 @@
+package pool
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/schema/work"
+)
+
+// rewriteBytes bounds what one Plan records anew, so that the records of that plan are stored about as soon as others.
+const rewriteBytes = 64 << 10
+
+// ending is what is kept of a job that is over.
+type ending struct {
+	at    time.Duration
+	state work.State
+	// next is the first occurrence that has not begun.
+	next    int32
+	endedMs int64
+}
+
+// Rewrite has the following plans record the progress of every job again, so that no earlier record is needed. It
+// returns false while jobs may be unknown.
+func (p *Pool) Rewrite() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.complete {
+		return false
+	}
+	p.rewrite = slices.AppendSeq(slices.Collect(maps.Keys(p.jobs)), maps.Keys(p.ended))
+	slices.Sort(p.rewrite)
+	p.rewriting = true
+	return true
+}
+
+// recordAgain adds the progress of some of the jobs that are still to be recorded again.
+func (p *Pool) recordAgain(e *Effects) error {
+	if !p.rewriting {
+		return nil
+	}
+	size := 0
+	for len(p.rewrite) > 0 && size < rewriteBytes {
+		id := p.rewrite[0]
+		p.rewrite = p.rewrite[1:]
+		r := p.progressAgain(id)
+		if r == nil {
+			continue
+		}
+		k, err := p.encode(r)
+		if err != nil {
+			return err
+		}
+		size += len(k.Value)
+		e.Records, e.Visible = append(e.Records, k), append(e.Visible, false)
+	}
+	if len(p.rewrite) == 0 {
+		p.rewriting, e.Rewritten = false, true
+	}
+	return nil
+}
+
+// progressAgain returns how far a job is; nil if its records have been removed.
+func (p *Pool) progressAgain(id citron.JobID) *work.Progress {
+	if over, ok := p.ended[id]; ok {
+		return &work.Progress{JobID: string(id), State: over.state, NextOccurrence: over.next, EndedMs: over.endedMs}
+	}
+	if j, ok := p.jobs[id]; ok {
+		return j.progress()
+	}
+	return nil
+}
+
+// encode numbers the progress of a job and returns it as a record.
+func (p *Pool) encode(r *work.Progress) (k citron.Keyed, err error) {
+	p.number++
+	r.Epoch, r.Number = uint64(p.Epoch), p.number
+	k.Key = ProgressKey + r.GetJobID()
+	k.Value, err = proto.Marshal(r)
+	return k, err
+}
--- a/citronlab/site/site_test.go
+++ b/citronlab/site/site_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,11 +18,13 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/platform"
 	"github.com/citroncross/citroncross/schema/link"
+	"github.com/citroncross/citroncross/schema/work"
 )
 
 // The tests of this package run real daemons against the stand-in on loopback. They wait for events by polling and
@@ -93,6 +96,10 @@
 	return l.Addr().String()
 }
 
+// patience keeps daemons from being replaced because the machine of the test is busy. Those that a test ends are
+// replaced at once all the same: their ports refuse connections.
+const patience = time.Minute
+
 // launch starts daemon n, at the address that it had before.
 func (c *cell) launch(n int) {
 	c.t.Helper()
@@ -113,6 +120,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	settings.HolderPatienceMs = patience.Milliseconds()
 	d := platform.New(settings, &c.log)
 	if err := d.Start(); err != nil {
 		c.t.Fatal(err)
@@ -366,6 +374,39 @@
 	c.starts()
 }
 
+func TestHolderIsLostWhileAPartitionStaysSilent(t *testing.T) {
+	c := start(t, "127.0.0.41", 2)
+	ids := []string{c.submit(twoSteps)}
+	c.awaitAll(ids)
+	c.site.Store.Fail(func(_, topic, part string) Failure {
+		if part == "0" && (topic == "keyed.citron.jobs" || topic == "keyed.citron.progress") {
+			return Silent
+		}
+		return Well
+	})
+	ids = append(ids, c.submit(twoSteps))
+	c.awaitAll(ids)
+	c.await(func() bool {
+		var claim work.Claim
+		if err := proto.Unmarshal([]byte(c.site.Store.Value("keyed.citron.cell", "claim/0")), &claim); err != nil {
+			t.Fatal(err)
+		}
+		return !slices.Contains(claim.GetPartitions(), 0)
+	})
+	lost := c.holder()
+	c.daemons[lost].Kill()
+	c.daemons[lost] = nil
+	for range 3 {
+		ids = append(ids, c.submit(twoSteps))
+	}
+	c.awaitAll(ids)
+	for task, n := range c.starts() {
+		if n != 1 {
+			t.Errorf("%s was started %d times although no worker was lost", task, n)
+		}
+	}
+}
+
 func TestAllDaemonsAreLostAtOnce(t *testing.T) {
 	c := start(t, "127.0.0.35", 3)
 	var ids []string
