--- a/citron/holder/merge_test.go
+++ b/citron/holder/merge_test.go
@@ -324,6 +324,8 @@
 }
 
 func (p *play) trouble() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	now := p.clock.Now().Boot
 	q := &p.parts[p.rng.IntN(playPartitions)]
 	switch p.rng.IntN(20) {
