Soak over real processes; ports bear slow, cut and garbled senders

citronlab soak: daemons as processes of their own beside the stand-in site, faults drawn from a seed (kill, freeze, stop, cuts by loopback proxies, store troubles, workers cut and crashed), checks from what callers and workers see. Found on reading: a front read bodies without a time limit and took connections without a bound, so slow senders could use up its descriptors. TestBadInputHarmsNobodyElse sends garbage, cut and huge input and half-open connections to every port; without the limit on bodies it waits for ever.

--- a/citron/event/catalog.go
+++ b/citron/event/catalog.go
@@ -86,6 +86,9 @@
 var (
 	PeerRefused = add(700, logrus.WarnLevel, "peer message refused")
 	KeysLoaded  = add(701, logrus.InfoLevel, "TLS keys loaded")
+	// ConnectionSilent is written for senders that are slow, cut or send no HTTP.
+	ConnectionSilent = add(702, logrus.InfoLevel, "connection ended without a whole request")
+	ServerError      = add(703, logrus.WarnLevel, "HTTP server error")
 )
 
 var catalog []Event
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
@@ -37,6 +38,10 @@
 	probeAfter = 10 * time.Second
 	// silentLimit is the number of unanswered calls in a row after which a connection is replaced.
 	silentLimit = 2
+	// greetTimeout bounds how long a new connection may take to say that it speaks HTTP/2.
+	greetTimeout = 3 * time.Second
+	// maxPeers is the number of connections to the peer port: one from each daemon of a large cell, and operators.
+	maxPeers = 1024
 	// liveFor is how long a daemon counts as live after it last answered.
 	liveFor = 1500 * time.Millisecond
 )
@@ -62,8 +67,9 @@
 // Serve answers other daemons on a listener until the context ends, and reports its end.
 func Serve(ctx context.Context, listener net.Listener, server link.LinkServer) <-chan error {
 	ended := make(chan error, 1)
-	g := grpc.NewServer(grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: probeAfter / 2, PermitWithoutStream: true}))
+	g := grpc.NewServer(grpc.ConnectionTimeout(greetTimeout), grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: probeAfter / 2, PermitWithoutStream: true}))
 	link.RegisterLinkServer(g, server)
+	listener = netutil.LimitListener(listener, maxPeers)
 	stop := context.AfterFunc(ctx, g.Stop)
 	go func() {
 		defer stop()
--- a/citron/stats/stats.go
+++ b/citron/stats/stats.go
@@ -88,6 +88,11 @@
 	s.set.GetOrCreateHistogram("citron_decision_seconds").Update(d.Seconds())
 }
 
+// SilentConnection counts a connection to a port that ended without a whole request.
+func (s *Set) SilentConnection(port string) {
+	s.counter(`citron_silent_connections_total{Port=%q}`, port).Inc()
+}
+
 // Accepted notes how long a job took to be stored, or that it was refused with a status.
 func (s *Set) Accepted(queue citron.QueueName, status int, took time.Duration) {
 	s.counter(`citron_job_answers_total{Queue=%q,Status="%d"}`, queue, status).Inc()
--- a/citronlab/main.go
+++ b/citronlab/main.go
@@ -25,6 +25,7 @@
 		workerCommand(app),
 		settingsCommand(app),
 		loadCommand(app),
+		soakCommand(app),
 	}
 	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
 	for _, c := range commands {
--- a/citronlab/site/executor.go
+++ b/citronlab/site/executor.go
@@ -21,8 +21,11 @@
 	Rack     string
 	RunTime  time.Duration
 	Capacity citron.Capacity
+	// Watch, if set, is called with everything that happens here, before the call that led to it is answered.
+	Watch func(Event)
 
 	mu       sync.Mutex
+	seen     []Event
 	need     func(task string) citron.Capacity
 	lose     func(call string) bool
 	token    uint64
@@ -38,6 +41,59 @@
 	changed  chan struct{}
 }
 
+// EventKind says what happened on a worker.
+type EventKind int
+
+// Kinds of events.
+const (
+	RunStarted EventKind = iota
+	RunEnded
+	// EndForgotten follows once the scheduler has taken note of an end.
+	EndForgotten
+	// WorkerGone ends all runs without a list.
+	WorkerGone
+)
+
+// Event is something that happened on a worker.
+type Event struct {
+	Kind   EventKind
+	Worker *Executor
+	At     time.Duration
+	Task   string
+	Run    int
+	// How is the way in which a run ended.
+	How citron.EndKind
+	// Token is the fencing token of the order that started the run.
+	Token uint64
+}
+
+// note keeps an event until it is passed on. The lock is held.
+func (e *Executor) note(v Event) {
+	if e.Watch != nil {
+		v.Worker, v.At = e, e.Timer.Now().Boot
+		e.seen = append(e.seen, v)
+	}
+}
+
+// tell passes events on. The lock is not held.
+func (e *Executor) tell() {
+	e.mu.Lock()
+	seen := e.seen
+	e.seen = nil
+	e.mu.Unlock()
+	for _, v := range seen {
+		e.Watch(v)
+	}
+}
+
+// Settle ends the runs whose time or lease is over.
+func (e *Executor) Settle() {
+	e.mu.Lock()
+	e.settle()
+	e.mu.Unlock()
+	e.tell()
+}
+
 type run struct {
 	number int
 	until  time.Duration
@@ -87,9 +143,11 @@
 
 // Crash ends the life; everything on it is lost.
 func (e *Executor) Crash() {
+	defer e.tell()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.gone, e.runs = true, nil
+	e.note(Event{Kind: WorkerGone})
 }
 
 // Gone reports whether the life has ended.
@@ -174,6 +232,7 @@
 	clock := e.clock().Milliseconds()
 	lost := e.lose != nil && e.lose(call)
 	e.mu.Unlock()
+	e.tell()
 	if lost {
 		<-r.Context().Done()
 		return
@@ -217,6 +276,7 @@
 func (e *Executor) list(task string, how citron.EndKind) {
 	e.ended++
 	e.ends = append(e.ends, end{e.ended, task, e.runs[task].number, how})
+	e.note(Event{Kind: RunEnded, Task: task, Run: e.runs[task].number, How: how})
 	delete(e.runs, task)
 	if e.changed != nil {
 		close(e.changed)
@@ -246,6 +306,7 @@
 	e.highest[o.Task] = o.Run
 	e.runs[o.Task] = &run{number: o.Run, until: e.clock() + e.RunTime}
 	e.starts = append(e.starts, o.Task)
+	e.note(Event{Kind: RunStarted, Task: o.Task, Run: o.Run, Token: o.Token})
 	e.checkRoom(o.Task)
 	return ""
 }
@@ -276,7 +337,12 @@
 // hold renews the lease, forgets acknowledged ends and waits for one. The lock is held, but for the wait.
 func (e *Executor) hold(r *http.Request, o order) {
 	e.deadline = max(e.deadline, time.Duration(o.DeadlineMs)*time.Millisecond)
-	e.ends = slices.DeleteFunc(e.ends, func(one end) bool { return one.number <= o.AckedUpto })
+	e.ends = slices.DeleteFunc(e.ends, func(one end) bool {
+		if one.number <= o.AckedUpto {
+			e.note(Event{Kind: EndForgotten, Task: one.task, Run: one.run, How: one.how})
+		}
+		return one.number <= o.AckedUpto
+	})
 	if len(e.ends) > 0 || o.WaitMs == 0 {
 		return
 	}
--- a/citronlab/site/site.go
+++ b/citronlab/site/site.go
@@ -35,6 +35,10 @@
 	Executors int
 	// RunTime is how long a task runs.
 	RunTime time.Duration
+	// Watch, if set, is called with everything that happens on the workers.
+	Watch func(Event)
+	// Via, if set, returns the address under which a worker at another address is listed.
+	Via func(worker, address string) (string, error)
 
 	Store  *Store
 	Policy *Policy
@@ -87,7 +91,11 @@
 		Capacity: citron.Capacity{MilliCores: coresOfWorker, MemoryMb: memoryOfWorker},
 		Rack:     fmt.Sprintf("r%d", n/2),
 	}
+	e.Watch = s.Watch
 	address, err := s.serve(e)
+	if err == nil && s.Via != nil {
+		address, err = s.Via(e.ID, address)
+	}
 	if err != nil {
 		return err
 	}
@@ -224,8 +232,25 @@
 	s.Store.Put("keyed.op", "config", raw)
 }
 
-// WriteSettings writes the settings file of a daemon whose ports are given, and returns its path.
-func (s *Site) WriteSettings(folder, node string, front, ready, metrics string, peerPort int) (file string, err error) {
+// StoreAddress is where the store listens.
+func (s *Site) StoreAddress() string {
+	return s.storeAt
+}
+
+// Node is what the settings file of one daemon says of it.
+type Node struct {
+	Name                  string
+	Front, Ready, Metrics string
+	PeerPort              int
+	// Store is where the daemon reaches the store; empty for the store itself.
+	Store string
+}
+
+// WriteSettings writes the settings file of a daemon and returns its path.
+func (s *Site) WriteSettings(folder string, n Node) (file string, err error) {
+	if n.Store == "" {
+		n.Store = s.storeAt
+	}
 	text := fmt.Sprintf(`node = %q
 ip = %q
 zone = "z"
@@ -248,8 +273,8 @@
 address = %q
 [cloud]
 address = %q
-`, node, s.Net, peerPort, peerPort, s.adviceAt, front, ready, metrics, s.storeAt, s.cloudAt)
-	file = filepath.Join(folder, node+".toml")
+`, n.Name, s.Net, n.PeerPort, n.PeerPort, s.adviceAt, n.Front, n.Ready, n.Metrics, n.Store, s.cloudAt)
+	file = filepath.Join(folder, n.Name+".toml")
 	return file, os.WriteFile(file, []byte(text), 0o600)
 }
 
--- a/citronlab/site/site_test.go
+++ b/citronlab/site/site_test.go
@@ -38,6 +38,8 @@
 	daemons []*platform.Daemon
 	fronts  []string
 	peers   []string
+	ready   []string
+	metrics []string
 	client  http.Client
 	sent    int
 	log     journal
@@ -77,7 +79,7 @@
 	c.site.Publish(1, "quick", "bulk")
 	for n := range daemons {
 		c.fronts = append(c.fronts, c.freeAddress())
-		c.peers = append(c.peers, "")
+		c.peers, c.ready, c.metrics = append(c.peers, ""), append(c.ready, ""), append(c.metrics, "")
 		c.daemons = append(c.daemons, nil)
 		c.launch(n)
 	}
@@ -103,7 +105,7 @@
 // launch starts daemon n, at the address that it had before.
 func (c *cell) launch(n int) {
 	c.t.Helper()
-	c.peers[n] = c.freeAddress()
+	c.peers[n], c.ready[n], c.metrics[n] = c.freeAddress(), c.freeAddress(), c.freeAddress()
 	_, port, err := net.SplitHostPort(c.peers[n])
 	if err != nil {
 		c.t.Fatal(err)
@@ -112,7 +114,9 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	file, err := c.site.WriteSettings(c.folder, fmt.Sprintf("entry-%d", n), c.fronts[n], c.freeAddress(), c.freeAddress(), peerPort)
+	file, err := c.site.WriteSettings(c.folder, Node{
+		Name: fmt.Sprintf("entry-%d", n), Front: c.fronts[n], Ready: c.ready[n], Metrics: c.metrics[n], PeerPort: peerPort,
+	})
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -500,3 +504,77 @@
 	})
 	c.awaitAll([]string{c.submit(twoSteps)})
 }
+
+// ports lists the addresses of daemon n that outsiders may reach.
+func (c *cell) ports(n int) map[string]string {
+	return map[string]string{"front": c.fronts[n], "ready": c.ready[n], "metrics": c.metrics[n], "peer": c.peers[n]}
+}
+
+// TestBadInputHarmsNobodyElse sends what no client should to every port, and leaves many connections half open.
+func TestBadInputHarmsNobodyElse(t *testing.T) {
+	c := start(t, "127.0.0.42", 2)
+	const halfOpen = 300
+	var open []net.Conn
+	defer func() {
+		for _, conn := range open {
+			_ = conn.Close()
+		}
+	}()
+	post := "POST /quick/00000000000000aa HTTP/1.1\r\nHost: jobs.example\r\nContent-Length: 1000\r\n\r\n"
+	for port, address := range c.ports(0) {
+		for name, input := range map[string]string{
+			"garbage":           strings.Repeat("\x00\xff\x16\x03", 400),
+			"truncated request": "GET /quick/ HT",
+			"huge header":       "GET / HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("a", 1<<20) + "\r\n\r\n",
+			"no such length":    "POST /quick/00000000000000aa HTTP/1.1\r\nHost: jobs.example\r\nContent-Length: -5\r\n\r\n",
+			"HTTP/2 preface":    "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\xff\xff\xff\xff\xff\xff\xff",
+		} {
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatalf("%s: %v", port, err)
+			}
+			// The server may close the connection before it has read everything.
+			_, _ = io.WriteString(conn, input)
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				_ = tcp.CloseWrite()
+			}
+			_, _ = io.Copy(io.Discard, conn)
+			_ = conn.Close()
+			t.Logf("%s: %s: the connection was closed", port, name)
+		}
+		for range halfOpen {
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatalf("%s: %v", port, err)
+			}
+			open = append(open, conn)
+			_, _ = io.WriteString(conn, "GET /quick/ HTTP/1.1\r\nHos")
+		}
+	}
+	slow, err := net.Dial("tcp", c.fronts[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	open = append(open, slow)
+	if _, err := io.WriteString(slow, post+"{"); err != nil {
+		t.Fatal(err)
+	}
+	c.awaitAll([]string{c.submit(twoSteps), c.submit(twoSteps)})
+	answer, err := io.ReadAll(slow)
+	if err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 400") {
+		t.Errorf("a body that does not come is answered with %q, error %v", answer, err)
+	}
+	for _, conn := range open {
+		_, _ = io.Copy(io.Discard, conn)
+	}
+	response, err := c.client.Get("http://" + c.metrics[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(response.Body)
+	if err != nil || !strings.Contains(string(raw), `citron_silent_connections_total{Port="front"}`) {
+		t.Errorf("connections without a request are not counted, error %v", err)
+	}
+	c.starts()
+}
--- /dev/null
+++ b/citronlab/soak/caller.go
@@ -0,0 +1,131 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/citroncross/citroncross/citron/timer"
+)
+
+const (
+	// callTimeout is how long a caller waits for an answer.
+	callTimeout = 3 * time.Second
+	// handEvery separates the jobs of one caller.
+	handEvery = 60 * time.Millisecond
+	// tries is how often a caller hands a job in.
+	tries = 5
+)
+
+// job is what its caller was told.
+type job struct {
+	tasks int
+	// accepted is set after an answer that says so, refused where every answer was a refusal.
+	accepted, refused bool
+	cancelled         bool
+}
+
+// caller hands in jobs at one daemon after the other until it is ended.
+type caller struct {
+	soak   *soak
+	n      int
+	rng    *rand.Rand
+	jobs   map[string]*job
+	client http.Client
+	cancel context.CancelFunc
+	ended  chan error
+}
+
+func (c *caller) begin(ctx context.Context) {
+	run, cancel := context.WithCancel(ctx)
+	c.jobs, c.cancel, c.ended = map[string]*job{}, cancel, make(chan error, 1)
+	c.client.Timeout = callTimeout
+	go func() {
+		for n := 0; run.Err() == nil; n++ {
+			c.hand(run, fmt.Sprintf("%04x%012x", c.n, n))
+			timer.Pause(run, clock, handEvery)
+		}
+		c.ended <- nil
+	}()
+}
+
+// end ends the caller; it may be called again.
+func (c *caller) end() {
+	if c.cancel == nil {
+		return
+	}
+	c.cancel()
+	<-c.ended
+	c.cancel = nil
+}
+
+// kinds of jobs by their number of tasks.
+var kinds = []struct {
+	tasks int
+	body  string
+}{
+	{1, `{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":120}]}`},
+	{3, `{"spec":"x","steps":[{"count":3,"cpu":2000,"mem_mb":100,"estimate_ms":120,"gang":true}]}`},
+	{4, `{"spec":"x","steps":[{"count":2,"cpu":1000,"mem_mb":100,"estimate_ms":120},{"count":2,"cpu":1000,"mem_mb":100,"after":[0]}]}`},
+}
+
+// hand sends one job until it is accepted, and cancels some.
+func (c *caller) hand(ctx context.Context, id string) {
+	kind := kinds[c.rng.IntN(len(kinds))]
+	j := &job{tasks: kind.tasks, refused: true}
+	c.jobs[id] = j
+	for range tries {
+		status := c.call(http.MethodPost, id, kind.body, nil)
+		if status != http.StatusTooManyRequests && status != http.StatusServiceUnavailable {
+			j.refused = false
+		}
+		if status == http.StatusOK {
+			j.accepted = true
+			break
+		}
+		timer.Pause(ctx, clock, handEvery)
+	}
+	if j.accepted && c.rng.IntN(12) == 0 {
+		j.cancelled = true
+		c.call(http.MethodDelete, id, "", nil)
+	}
+}
+
+// call sends a request to some daemon; status 0 means that no answer came.
+func (c *caller) call(method, id, body string, answer any) (status int) {
+	d := c.soak.daemons[c.rng.IntN(len(c.soak.daemons))]
+	request, err := http.NewRequest(method, "http://"+d.front+"/quick/"+id, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	request.Host = "jobs.example"
+	response, err := c.client.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(response.Body)
+	if err != nil || answer != nil && response.StatusCode == http.StatusOK && json.Unmarshal(raw, answer) != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// state asks for a job's state; "none" if it is not known, empty without an answer.
+func (c *caller) state(id string) string {
+	var body struct {
+		State string `json:"state"`
+	}
+	switch c.call(http.MethodGet, id, "", &body) {
+	case http.StatusOK:
+		return body.State
+	case http.StatusGone:
+		return "none"
+	}
+	return ""
+}
--- /dev/null
+++ b/citronlab/soak/soak_test.go
@@ -0,0 +1,161 @@
+package soak
+
+import (
+	"context"
+	"io"
+	"net"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citronlab/site"
+)
+
+// TestSeedKeepsEveryPromise plays one seed against real processes. It asserts only what must never happen, and that all
+// work has ended after a time which is far longer than any fault.
+func TestSeedKeepsEveryPromise(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "citrond")
+	build := exec.Command("go", "build", "-o", binary, "github.com/citroncross/citroncross/citrond")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	r, err := Run(context.Background(), Options{
+		Binary: binary, Folder: t.TempDir(), Net: "127.0.0.91", Seed: 7, Daemons: 3, Workers: 4, For: 5 * time.Second, Quiet: 2 * time.Minute,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(r.Broken) > 0 {
+		t.Errorf("%s\nfaults:\n%s", strings.Join(r.Broken, "\n"), strings.Join(r.Faults, "\n"))
+	}
+	if r.Accepted == 0 || r.Starts == 0 || len(r.Faults) == 0 {
+		t.Errorf("%d jobs, %d starts, %d faults: nothing was played", r.Accepted, r.Starts, len(r.Faults))
+	}
+}
+
+func TestLedgerNotesBrokenPromises(t *testing.T) {
+	a, b := &site.Executor{ID: "a", Timer: clock}, &site.Executor{ID: "b", Timer: clock}
+	started := func(e *site.Executor, run int, at time.Duration) site.Event {
+		return site.Event{Kind: site.RunStarted, Worker: e, At: at, Task: "t", Run: run, Token: 1}
+	}
+	ended := func(kind site.EventKind, e *site.Executor, run int, at time.Duration, how citron.EndKind) site.Event {
+		return site.Event{Kind: kind, Worker: e, At: at, Task: "t", Run: run, How: how}
+	}
+	for name, one := range map[string]struct {
+		events []site.Event
+		want   string
+	}{
+		"two runs at once":        {[]site.Event{started(a, 1, 1), started(b, 2, 2)}, "runs on a and is started on b"},
+		"one after the other":     {[]site.Event{started(a, 1, 1), ended(site.RunEnded, a, 1, 2, citron.EndFailed), started(b, 2, 3)}, ""},
+		"worker is gone":          {[]site.Event{started(a, 1, 1), {Kind: site.WorkerGone, Worker: a}, started(b, 2, 3)}, ""},
+		"started after its end":   {[]site.Event{started(a, 1, 1), ended(site.RunEnded, a, 1, 2, citron.EndDone), ended(site.EndForgotten, a, 1, 3, citron.EndDone), started(b, 2, 4)}, "although its end was taken note of"},
+		"end taken note of later": {[]site.Event{started(a, 1, 1), ended(site.RunEnded, a, 1, 2, citron.EndDone), started(b, 2, 3), ended(site.EndForgotten, a, 1, 4, citron.EndDone)}, "started again after it had ended"},
+		"end never taken note of": {[]site.Event{started(a, 1, 1), ended(site.RunEnded, a, 1, 2, citron.EndDone), started(b, 2, 3)}, ""},
+	} {
+		l := newLedger()
+		for _, v := range one.events {
+			l.take(v)
+		}
+		got := strings.Join(l.broken(), "; ")
+		if one.want == "" && got != "" || !strings.Contains(got, one.want) {
+			t.Errorf("%s: noted %q, want %q", name, got, one.want)
+		}
+	}
+}
+
+func TestJudgeTellsWhatCallersWereToldWrongly(t *testing.T) {
+	for name, one := range map[string]struct {
+		job   job
+		state string
+		runs  int
+		want  string
+	}{
+		"completed":             {job{tasks: 1, accepted: true}, "completed", 1, ""},
+		"completed without run": {job{tasks: 2, accepted: true}, "completed", 1, "1 of 2 tasks have run"},
+		"lost":                  {job{tasks: 1, accepted: true}, "none", 0, `its state is "none"`},
+		"stuck":                 {job{tasks: 1, accepted: true}, "queued", 0, `its state is "queued"`},
+		"cancelled":             {job{tasks: 1, accepted: true, cancelled: true}, "canceled", 0, ""},
+		"refused":               {job{tasks: 1, refused: true}, "none", 0, ""},
+		"refused and runs":      {job{tasks: 1, refused: true}, "running", 1, "every try was refused, and it runs"},
+	} {
+		s := &soak{ledger: newLedger()}
+		for n := range one.runs {
+			s.ledger.tasks["j.0.0."+string(rune('0'+n))] = &task{}
+		}
+		s.judge("j", &one.job, one.state)
+		got := strings.Join(s.report.Broken, "; ")
+		if one.want == "" && got != "" || !strings.Contains(got, one.want) {
+			t.Errorf("%s: noted %q, want %q", name, got, one.want)
+		}
+	}
+}
+
+// echo answers each connection with what it gets.
+func echo(t *testing.T) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func TestProxyPassesAndBreaks(t *testing.T) {
+	p, err := NewProxy("127.0.0.1", echo(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", p.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return conn
+	}
+	ask := func(conn net.Conn) error {
+		if _, err := conn.Write([]byte("hello")); err != nil {
+			return err
+		}
+		_, err := io.ReadFull(conn, make([]byte, 5))
+		return err
+	}
+	conn := dial()
+	defer func() { _ = conn.Close() }()
+	if err := ask(conn); err != nil {
+		t.Fatal(err)
+	}
+	p.Set(Delay, time.Millisecond)
+	if err := ask(conn); err != nil {
+		t.Fatal(err)
+	}
+	p.Set(Reset, 0)
+	if ask(conn) == nil {
+		t.Error("an open connection outlives a reset")
+	}
+	p.Set(Silent, 0)
+	silent := dial()
+	defer func() { _ = silent.Close() }()
+	if _, err := silent.Write([]byte("hello")); err != nil {
+		t.Fatal(err)
+	}
+	p.Set(Pass, 0)
+	again := dial()
+	defer func() { _ = again.Close() }()
+	if err := ask(again); err != nil {
+		t.Fatal(err)
+	}
+}
