Soak: an end is judged by its own run, and lapsed leases excuse it

Traced by the logs: the first run ended on a worker that crashed before anyone had taken note of it; a later holder started the task again after its lease, and the end that was taken note of is that of the second run. The check went by the first end of a task, whoever had it.

--- a/citronlab/site/executor.go
+++ b/citronlab/site/executor.go
@@ -30,6 +30,8 @@
 	lose     func(call string) bool
 	token    uint64
 	deadline time.Duration
+	// lapsed is when the lease last ran out.
+	lapsed   time.Duration
 	runs     map[string]*run
 	highest  map[string]int
 	ends     []end
@@ -65,6 +67,21 @@
 	How citron.EndKind
 	// Token is the fencing token of the order that started the run.
 	Token uint64
+	// Lapsed is set on a forgotten end if the worker's lease lapsed since that end. Such an end need not be taken note
+	// of: the run may have been given up and started elsewhere.
+	Lapsed bool
+}
+
+// RunID names one run on one worker.
+type RunID struct {
+	Worker string
+	Task   string
+	Run    int
+}
+
+// RunID names the run that an event is about.
+func (v Event) RunID() RunID {
+	return RunID{v.Worker.ID, v.Task, v.Run}
 }
 
 // note keeps an event until it is passed on. The lock is held.
@@ -104,6 +121,7 @@
 	task   string
 	run    int
 	how    citron.EndKind
+	at     time.Duration
 }
 
 // Starts lists the tasks that were started here, in order.
@@ -263,6 +281,9 @@
 // settle lists the runs that have ended by now. The lock is held.
 func (e *Executor) settle() {
 	now := e.clock()
+	if now > e.deadline {
+		e.lapsed = e.deadline
+	}
 	for task, r := range e.runs {
 		switch {
 		case now >= r.until && r.until <= e.deadline:
@@ -275,7 +296,7 @@
 
 func (e *Executor) list(task string, how citron.EndKind) {
 	e.ended++
-	e.ends = append(e.ends, end{e.ended, task, e.runs[task].number, how})
+	e.ends = append(e.ends, end{e.ended, task, e.runs[task].number, how, min(e.clock(), e.runs[task].until)})
 	e.note(Event{Kind: RunEnded, Task: task, Run: e.runs[task].number, How: how})
 	delete(e.runs, task)
 	if e.changed != nil {
@@ -339,7 +360,7 @@
 	e.deadline = max(e.deadline, time.Duration(o.DeadlineMs)*time.Millisecond)
 	e.ends = slices.DeleteFunc(e.ends, func(one end) bool {
 		if one.number <= o.AckedUpto {
-			e.note(Event{Kind: EndForgotten, Task: one.task, Run: one.run, How: one.how})
+			e.note(Event{Kind: EndForgotten, Task: one.task, Run: one.run, How: one.how, Lapsed: e.lapsed >= one.at})
 		}
 		return one.number <= o.AckedUpto
 	})
