--- a/citron/claim/claim.go
+++ b/citron/claim/claim.go
@@ -17,19 +17,32 @@
 	StoreLostAfter = 700 * time.Millisecond
 	// AdoptWithin is how long a daemon may take from being named to holding the pool.
 	AdoptWithin = 3 * time.Second
+	// VouchedFor is how long ago a holder may have answered another daemon for its silence here to count for nothing:
+	// one ping and its time limit. The fault is then in between, or with this daemon.
+	VouchedFor = 300 * time.Millisecond
+	// AloneAfter is how long a holder has to be silent if no other daemon answers either: more likely it is this daemon
+	// that hears nobody.
+	AloneAfter = 3 * time.Second
+	// Watchers is the number of daemons, the strongest, that watch a holder closely; weakPause is how much longer the
+	// others wait. They are slow at taking over, and sooner too busy to hear an answer in time.
+	Watchers  = 6
+	weakPause = time.Second
 	// rankPause separates the claims of several daemons that miss the same holder.
 	rankPause = 80 * time.Millisecond
 	// firstPause is how long daemons that start together wait to hear of one another before the first claim.
 	firstPause = 100 * time.Millisecond
 	// againFirst and againMost are the pauses between a claim and the next; they double while claims follow closely.
 	againFirst = 500 * time.Millisecond
-	againMost  = 8 * time.Second
+	againMost  = 4 * time.Second
 )
 
 // ReasonStoreLost is why a holder is replaced that the store turns away. It holds only if the store answers the daemon
 // that claims: a store that is slow or away for all is no reason.
 const ReasonStoreLost = "the holder does not reach the store"
 
+// ReasonSilent is why a holder is replaced that does not answer. Others should be asked whether it answers them.
+const ReasonSilent = "the holder does not answer"
+
 // Claim is the newest claim of a pool; the zero value means that nobody has claimed it.
 type Claim struct {
 	Holder citron.Member
@@ -61,6 +74,8 @@
 	seen    time.Duration
 	again   time.Duration
 	started time.Duration
+	// vouched is when the holder last answered another daemon, as far as known.
+	vouched time.Duration
 }
 
 // Seen takes in the newest claim.
@@ -73,7 +88,19 @@
 	} else {
 		w.again = againFirst
 	}
-	w.newest, w.seen = c, now
+	w.newest, w.seen, w.vouched = c, now, 0
+}
+
+// Vouched notes when a holder last answered another daemon.
+func (w *Watch) Vouched(holder citron.Member, at time.Duration) {
+	if holder == w.newest.Holder {
+		w.vouched = max(w.vouched, at)
+	}
+}
+
+// SilentFor is how long the holder has answered neither this daemon nor, as far as known, another one.
+func (w *Watch) SilentFor(now time.Duration, p Ping) time.Duration {
+	return now - max(p.Answered, w.seen, w.vouched)
 }
 
 // Newest returns the newest claim.
@@ -93,6 +120,9 @@
 		return "nobody holds the pool", now-w.started >= firstPause+time.Duration(rank)*rankPause
 	}
 	pause := time.Duration(rank) * rankPause
+	if rank >= Watchers {
+		pause += weakPause
+	}
 	if w.newest.Holder.VM == self.VM {
 		return "an earlier run of this daemon held the pool", true
 	}
@@ -103,14 +133,13 @@
 }
 
 func (w *Watch) missed(now, pause time.Duration, p Ping) (reason string, ok bool) {
-	since := max(p.Answered, w.seen)
 	switch {
 	case p.Answered > w.seen && p.Incarnation != w.newest.Holder.Incarnation:
 		return "the holder has restarted", now-w.seen >= pause
 	case p.RefusedSince > 0 && now-p.RefusedSince >= RefusedAfter+pause:
 		return "the holder refuses connections", true
-	case now-since >= SilentAfter+w.Patience+pause:
-		return "the holder does not answer", true
+	case w.SilentFor(now, p) >= SilentAfter+w.Patience+pause:
+		return ReasonSilent, true
 	case p.Answered > w.seen && p.StoreLost >= StoreLostAfter+w.Patience+pause:
 		return ReasonStoreLost, true
 	case p.Answered > w.seen+AdoptWithin+pause && p.Holds < w.newest.Epoch:
--- a/citron/claim/claim_test.go
+++ b/citron/claim/claim_test.go
@@ -62,6 +62,41 @@
 	}
 }
 
+func TestSilenceCountsForNothingWhileOthersAreAnswered(t *testing.T) {
+	silent := Ping{Answered: base - time.Second, Incarnation: 7, Holds: 3}
+	w := seen()
+	w.Vouched(holder, base-100*time.Millisecond)
+	if reason, ok := w.Should(base, self, 0, true, silent); ok {
+		t.Errorf("claims although the holder answers others: %s", reason)
+	}
+	if reason, ok := w.Should(base-100*time.Millisecond+SilentAfter, self, 0, true, silent); !ok || reason != ReasonSilent {
+		t.Errorf("claims %t (%s) once the others are not answered either", ok, reason)
+	}
+	w = seen()
+	w.Vouched(citron.Member{VM: "former", Incarnation: 1}, base)
+	if _, ok := w.Should(base, self, 0, true, silent); !ok {
+		t.Error("an answer of a former holder counts for the present one")
+	}
+}
+
+func TestWeakDaemonsWaitForStrongOnes(t *testing.T) {
+	refuses := Ping{RefusedSince: base - RefusedAfter, Incarnation: 7, Holds: 3}
+	after := func(rank int) time.Duration {
+		for d := time.Duration(0); d < time.Minute; d += 10 * time.Millisecond {
+			p := refuses
+			p.Answered = base
+			if _, ok := seen().Should(base+d, self, rank, true, p); ok {
+				return d
+			}
+		}
+		return time.Minute
+	}
+	strong, weak := after(Watchers-1), after(Watchers)
+	if strong > time.Second || weak < strong+weakPause {
+		t.Errorf("the last strong daemon claims after %v, the first weak one after %v", strong, weak)
+	}
+}
+
 // A daemon's incarnation is the time of day at its start, which may be set back.
 func TestRestartIsSeenWithTheClockSetBack(t *testing.T) {
 	w := &Watch{}
--- a/citron/entry/claims.go
+++ b/citron/entry/claims.go
@@ -22,6 +22,8 @@
 	claimEvery = 40 * time.Millisecond
 	// pingEvery is how often the holder is pinged by the others, and they by the holder.
 	pingEvery = 130 * time.Millisecond
+	// weakPings is how much more rarely a daemon pings that does not watch the holder closely.
+	weakPings = 3
 	// reclaimAfter is when a daemon that gave up a pool claims it again if nobody else has.
 	reclaimAfter = 4 * time.Second
 )
@@ -173,11 +175,70 @@
 		reason, ok = "nobody has claimed the pool that this daemon gave up", true
 	}
 	d.mu.Unlock()
-	if ok && (reason != claim.ReasonStoreLost || d.storeIsQuick()) {
+	switch {
+	case !ok:
+	case reason == claim.ReasonStoreLost && !d.storeIsQuick():
+	case reason == claim.ReasonSilent && !d.silent(newest.Holder, ping, rank):
+	default:
 		d.claim(newest, reason)
 	}
 }
 
+const (
+	// witnesses is the number of daemons that are asked whether a holder answers them, of the strongest ones.
+	witnesses = 4
+	// askWatcher and askWeak bound these questions, put by a daemon that watches the holder closely and by another one,
+	// which may be busier and has less bandwidth.
+	askWatcher = 150 * time.Millisecond
+	askWeak    = time.Second
+)
+
+// silent asks other daemons whether a holder that is silent here has answered them lately, and reports whether it is
+// silent for all.
+func (d *Daemon) silent(holder citron.Member, p claim.Ping, rank int) bool {
+	timeout := askWatcher
+	if rank >= claim.Watchers {
+		timeout = askWeak
+	}
+	bounded, cancel := context.WithTimeout(d.run, timeout)
+	defer cancel()
+	type answer struct {
+		age   time.Duration
+		heard bool
+		err   error
+	}
+	answers := make(chan answer, witnesses)
+	asked := 0
+	for _, vm := range d.peers.All() {
+		if vm == d.self.VM || vm == holder.VM || asked == witnesses {
+			continue
+		}
+		asked++
+		d.calls.Go(func(context.Context) {
+			var a answer
+			a.age, a.heard, a.err = d.peers.Heard(bounded, vm, holder.VM)
+			answers <- a
+		})
+	}
+	answered := 0
+	for range asked {
+		a := <-answers
+		if a.err != nil {
+			continue
+		}
+		answered++
+		if a.heard && a.age < claim.VouchedFor {
+			d.mu.Lock()
+			d.watch.Vouched(holder, d.Timer.Now().Boot-a.age)
+			d.mu.Unlock()
+			return false
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return asked == 0 || answered > 0 || d.watch.SilentFor(d.Timer.Now().Boot, p) >= claim.AloneAfter
+}
+
 // quickStore is how soon the store has to answer for this daemon to take over from one that it turns away.
 const quickStore = 120 * time.Millisecond
 
@@ -293,7 +354,7 @@
 	go func() {
 		tick, stop := d.Timer.Every(pingEvery)
 		defer stop()
-		for {
+		for turn := 0; ; turn++ {
 			select {
 			case <-d.run.Done():
 				ended <- nil
@@ -302,6 +363,9 @@
 			}
 			newest := d.newest().Holder
 			if newest != d.self {
+				if turn%weakPings != 0 && slices.Index(d.peers.All(), d.self.VM) >= claim.Watchers {
+					continue
+				}
 				if newest.VM != "" && newest.VM != d.self.VM {
 					d.calls.Go(func(ctx context.Context) { d.peers.Ping(ctx, newest.VM) })
 				}
--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -67,6 +67,15 @@
 	return &link.AppendReply{Outcome: peers.Unknown}, nil
 }
 
+// Heard tells how long ago a daemon last answered this one.
+func (s *server) Heard(_ context.Context, r *link.HeardRequest) (*link.HeardReply, error) {
+	if vm := citron.VMName(r.GetVM()); vm != s.d.self.VM {
+		answered := s.d.peers.LastPing(vm).Answered
+		return &link.HeardReply{Known: answered > 0, AgeMs: (s.d.Timer.Now().Boot - answered).Milliseconds()}, nil
+	}
+	return &link.HeardReply{Known: true}, nil
+}
+
 // Lookup tells what is known of a job.
 func (s *server) Lookup(ctx context.Context, r *link.LookupRequest) (*link.LookupReply, error) {
 	id := citron.JobID(r.GetJobID())
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
@@ -125,7 +126,8 @@
 	return list
 }
 
-// rank sorts daemons by what processor time they have, then by name.
+// rank sorts daemons by what processor time they have. Equal ones come in an order that has nothing to do with their
+// names, since neighbours by name tend to be lost together.
 func (p *Peers) rank(vms []citron.VMName) {
 	strength := func(vm citron.VMName) int64 {
 		if vm == p.Self.VM {
@@ -134,7 +136,7 @@
 		return p.known[vm].presence.GetMilliCores()
 	}
 	slices.SortFunc(vms, func(a, b citron.VMName) int {
-		return cmp.Or(cmp.Compare(strength(b), strength(a)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(strength(b), strength(a)), cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))), cmp.Compare(a, b))
 	})
 }
 
@@ -197,6 +199,17 @@
 	}
 }
 
+// Heard returns how long ago a daemon last answered another one; false if it never has, or is not known there.
+func (p *Peers) Heard(ctx context.Context, vm, about citron.VMName) (age time.Duration, ok bool, err error) {
+	defer func() { err = eris.Wrapf(err, "ask %s about %s", vm, about) }()
+	var reply *link.HeardReply
+	err = p.call(vm, func(c link.LinkClient) (err error) {
+		reply, err = c.Heard(ctx, &link.HeardRequest{VM: string(about)})
+		return err
+	})
+	return time.Duration(reply.GetAgeMs()) * time.Millisecond, reply.GetKnown(), err
+}
+
 // Advise has a daemon put a question to the policy service.
 func (p *Peers) Advise(ctx context.Context, vm citron.VMName, step citron.StepRef, workers []citron.Worker, timeout time.Duration) (permits []citron.Permit, valid time.Duration, err error) {
 	defer func() { err = eris.Wrapf(err, "advise through %s", vm) }()
--- a/citron/tail/tail.go
+++ b/citron/tail/tail.go
@@ -65,15 +65,18 @@
 	go func() {
 		pause := retryFirst
 		for ctx.Err() == nil {
-			err := t.step(ctx)
+			behind, err := t.step(ctx)
 			if ctx.Err() != nil {
 				break
 			}
 			t.note(err)
 			wait := t.Pause
-			if err != nil {
+			switch {
+			case err != nil:
 				wait, pause = pause, min(2*pause, retryMost)
-			} else {
+			case behind:
+				wait, pause = 0, retryFirst
+			default:
 				pause = retryFirst
 			}
 			t.rest(ctx, wait, hurry)
@@ -106,8 +109,8 @@
 	}
 }
 
-// step reads once.
-func (t *Tail) step(ctx context.Context) error {
+// step reads once and reports whether the store holds more records than it has returned.
+func (t *Tail) step(ctx context.Context) (behind bool, err error) {
 	t.mu.Lock()
 	next, loaded := t.next, t.loaded
 	t.mu.Unlock()
@@ -117,11 +120,11 @@
 		defer cancel()
 		batch, err := t.Store.Newest(bounded, t.Partition)
 		if err != nil {
-			return err
+			return false, err
 		}
 		t.Apply(batch, true)
 		t.advance(batch.End, asked)
-		return nil
+		return false, nil
 	}
 	wait := t.Wait
 	if wait == 0 {
@@ -134,22 +137,23 @@
 	t.mu.Unlock()
 	batch, err := t.Store.Read(bounded, t.Partition, next, wait)
 	if err != nil && t.wasAborted() {
-		return nil
+		return false, nil
 	}
 	if errors.Is(err, citron.ErrLost) {
 		t.mu.Lock()
 		t.loaded = false
 		t.mu.Unlock()
-		return nil
+		return false, nil
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	if len(batch.Records) > 0 {
 		t.Apply(batch, false)
 	}
-	t.advance(batch.Start+citron.Offset(len(batch.Records)), asked)
-	return nil
+	next = batch.Start + citron.Offset(len(batch.Records))
+	t.advance(next, asked)
+	return len(batch.Records) > 0 && next < batch.End, nil
 }
 
 // advance notes that every record before next has been applied, as read by a call that was sent at an instant.
--- a/citron/tail/tail_test.go
+++ b/citron/tail/tail_test.go
@@ -129,3 +129,42 @@
 		t.Errorf("well for %v after the store is back for 1ms", got)
 	}
 }
+
+// TestReadsOnAtOnceWhileBehind: an answer is bounded in size, and a pause after each would let a reader fall behind
+// for good.
+func TestReadsOnAtOnceWhileBehind(t *testing.T) {
+	l := &log{newest: make(chan citron.KeyedBatch, 1), reads: make(chan read)}
+	paused := make(chan struct{})
+	tail := &Tail{Store: l, Timer: neverDue{}, Pause: time.Hour, Apply: func(b citron.KeyedBatch, fresh bool) {
+		if fresh {
+			close(paused)
+		}
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := tail.Run(ctx)
+	defer func() {
+		cancel()
+		<-ended
+	}()
+	l.newest <- citron.KeyedBatch{End: 5}
+	<-paused
+	// The first read comes after a pause, which waiting for an offset cuts short.
+	go func() { _ = tail.Reach(ctx, 7) }()
+	one := citron.Keyed{Key: "a"}
+	for from := citron.Offset(5); from < 8; from++ {
+		r := <-l.reads
+		if r.from != from {
+			t.Fatalf("read from %d, want %d", r.from, from)
+		}
+		r.answer <- answer{batch: citron.KeyedBatch{Start: from, Records: []citron.Keyed{one}, End: 9}}
+	}
+}
+
+// neverDue is a timer on which no pause ends.
+type neverDue struct{ citron.Timer }
+
+func (neverDue) Now() citron.Instant { return timer.Service{}.Now() }
+
+func (neverDue) After(time.Duration) (c <-chan citron.Instant, stop func()) {
+	return nil, func() {}
+}
--- a/citronlab/soak/caller.go
+++ b/citronlab/soak/caller.go
@@ -64,13 +64,14 @@
 	c.cancel = nil
 }
 
-// kinds of jobs by their number of tasks.
+// kinds of jobs by their number of tasks. There are no gangs among them: the stand-in's workers let each member run by
+// itself, so one may end done that never began to work on the platform.
 var kinds = []struct {
 	tasks int
 	body  string
 }{
 	{1, `{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":120}]}`},
-	{3, `{"spec":"x","steps":[{"count":3,"cpu":2000,"mem_mb":100,"estimate_ms":120,"gang":true}]}`},
+	{3, `{"spec":"x","steps":[{"count":3,"cpu":2000,"mem_mb":100,"estimate_ms":120}]}`},
 	{4, `{"spec":"x","steps":[{"count":2,"cpu":1000,"mem_mb":100,"estimate_ms":120},{"count":2,"cpu":1000,"mem_mb":100,"after":[0]}]}`},
 }
 
