A job waits until a task of it is known to have started

Orders to workers that do not answer, or that are carried out late, leave it waiting for seconds. Change: it is shown as running once an order has been answered, a worker shows the run, or lists its end. Costs one more record a job.

--- a/citron/pool/end.go
+++ b/citron/pool/end.go
@@ -45,6 +45,7 @@
 		return
 	}
 	s := t.step
+	p.begun(s.job)
 	ran := now - t.startedAt
 	p.observe(Decision{Kind: DecidedEnd, Job: s.job.id, Task: t.ref, Run: t.run, Worker: w.entry.ID, Outcome: string(end.Kind), Age: ran})
 	if end.Checkpoint != "" {
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/citroncross/citroncross/citron"
-	"github.com/citroncross/citroncross/schema/work"
 )
 
 const (
@@ -352,9 +351,6 @@
 	w.used = w.used.Add(s.need)
 	w.leaseUntil = max(w.leaseUntil, b.now+p.lapse(p.Options.Lease))
 	j := s.job
-	if j.state == work.State_STATE_QUEUED {
-		j.state = work.State_STATE_RUNNING
-	}
 	p.dirty[j] = true
 	b.e.Starts = append(b.e.Starts, Start{Worker: w.entry, Order: citron.StartOrder{
 		Task:       t.ref,
--- a/citron/pool/pool_test.go
+++ b/citron/pool/pool_test.go
@@ -215,6 +215,41 @@
 	_ = ids
 }
 
+// TestJobWaitsUntilATaskIsKnownToHaveStarted: callers are told how many jobs wait, and an order may never arrive.
+func TestJobWaitsUntilATaskIsKnownToHaveStarted(t *testing.T) {
+	for name, one := range map[string]struct {
+		happens func(r *rig, s Start)
+		want    work.State
+	}{
+		"the order is on its way":    {func(*rig, Start) {}, work.State_STATE_QUEUED},
+		"the order was not answered": {func(r *rig, s Start) { r.p.Started(r.now, s, citron.StartUnknown, 0) }, work.State_STATE_QUEUED},
+		"the order was refused":      {func(r *rig, s Start) { r.p.Started(r.now, s, citron.StartNoRoom, 0) }, work.State_STATE_QUEUED},
+		"the order was answered":     {func(r *rig, s Start) { r.p.Started(r.now, s, citron.Started, r.now.Boot) }, work.State_STATE_RUNNING},
+		"the worker shows the run": {func(r *rig, s Start) {
+			r.report(s.Worker.ID, citron.Report{Running: []citron.RunningTask{{Task: s.Order.Task, Run: 1}}})
+		}, work.State_STATE_RUNNING},
+		"the worker lists its failure": {func(r *rig, s Start) { r.end(s, citron.EndFailed) }, work.State_STATE_RUNNING},
+	} {
+		r := newRig(t)
+		r.workers(1)
+		r.accept(newJob("j", newStep(1, 1)))
+		e, err := r.p.Plan(r.now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.store(e)
+		one.happens(r, e.Starts[0])
+		r.advance(50 * time.Millisecond)
+		if e, err = r.p.Plan(r.now); err != nil {
+			t.Fatal(err)
+		}
+		r.store(e)
+		if got := r.progress("j").GetState(); got != one.want {
+			t.Errorf("%s: shown as %v, want %v", name, got, one.want)
+		}
+	}
+}
+
 func TestSilentWorkerIsGivenUpOnlyAfterItsLease(t *testing.T) {
 	r := newRig(t)
 	ids := r.workers(2)
--- a/citron/pool/report.go
+++ b/citron/pool/report.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/schema/work"
 )
 
 const (
@@ -65,6 +66,7 @@
 	switch outcome {
 	case citron.Started:
 		t.state, t.startedAt = taskRunning, now.Boot
+		p.begun(t.step.job)
 	case citron.StartUnknown:
 		t.state, t.since = taskUnsure, now.Boot
 		w.silent = true
@@ -77,6 +79,14 @@
 	}
 }
 
+// begun notes that a task of a job is known to have started. An order alone is no proof: it may never arrive.
+func (p *Pool) begun(j *job) {
+	if j.state == work.State_STATE_QUEUED {
+		j.state = work.State_STATE_RUNNING
+		p.dirty[j] = true
+	}
+}
+
 // refused puts a task back whose start the worker refused without doing anything.
 func (p *Pool) refused(now time.Duration, w *worker, t *task, outcome citron.StartOutcome) {
 	s := t.step
@@ -190,6 +200,7 @@
 	if t.state == taskOrdered || t.state == taskUnsure {
 		t.state, t.startedAt = taskRunning, now
 	}
+	p.begun(t.step.job)
 	t.percent = run.Percent
 	if run.Checkpoint != "" {
 		t.checkpoint = run.Checkpoint
--- a/citron/pool/rig_test.go
+++ b/citron/pool/rig_test.go
@@ -101,15 +101,20 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
+	r.store(e)
+	for _, s := range e.Starts {
+		r.p.Started(r.now, s, citron.Started, r.now.Boot)
+	}
+	return e
+}
+
+// store keeps the records of a plan.
+func (r *rig) store(e Effects) {
 	for _, record := range e.Records {
 		r.records[record.Key] = record.Value
 	}
 	r.p.Proved(r.now.Boot)
 	r.p.Committed(e)
-	for _, s := range e.Starts {
-		r.p.Started(r.now, s, citron.Started, r.now.Boot)
-	}
-	return e
 }
 
 // progress returns what is stored of a job.
