--- a/citronlab/site/site_test.go
+++ b/citronlab/site/site_test.go
@@ -486,6 +486,21 @@
 	c.await(func() bool { return c.state(0, waiting) == "canceled" && c.state(1, waiting) == "canceled" })
 }
 
+// TestLargeConfigurationIsRead: answers of the store are bounded, and one record may be larger than the bound.
+func TestLargeConfigurationIsRead(t *testing.T) {
+	c := start(t, "127.0.0.43", 1)
+	prefixes := []string{"quick", "added"}
+	for n := range 1500 {
+		prefixes = append(prefixes, fmt.Sprintf("route%06d", n))
+	}
+	c.site.Publish(2, prefixes...)
+	c.await(func() bool {
+		status, _ := c.call(0, http.MethodGet, "/added/", "")
+		return status == http.StatusOK
+	})
+	c.awaitAll([]string{c.submit(twoSteps)})
+}
+
 func TestUnreadableEntriesAreFeltByNobodyElse(t *testing.T) {
 	c := start(t, "127.0.0.38", 2)
 	for key, value := range map[string]string{
--- a/citronlab/site/store.go
+++ b/citronlab/site/store.go
@@ -246,9 +246,16 @@
 	return records, true
 }
 
+// defaultKilobytes bounds an answer where the caller does not.
+const defaultKilobytes = 1024
+
 func (s *Store) read(w http.ResponseWriter, r *http.Request, topic, part string) {
 	from, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	most := defaultKilobytes
+	if asked, err := strconv.Atoi(r.URL.Query().Get("max_kb")); err == nil {
+		most = asked
+	}
 	s.mu.Lock()
 	p := s.part(topic, part)
 	if from >= p.end() && wait > 0 {
@@ -267,6 +274,9 @@
 	body := binary.BigEndian.AppendUint64(nil, uint64(p.end()))
 	body = binary.BigEndian.AppendUint64(body, uint64(p.first))
 	for _, record := range p.records[min(from-p.first, int64(len(p.records))):] {
+		if len(body)+len(record) > most<<10 {
+			break
+		}
 		body = binary.BigEndian.AppendUint32(body, uint32(len(record)))
 		body = append(body, record...)
 	}
