--- a/citron/serve/serve.go
+++ b/citron/serve/serve.go
@@ -24,11 +24,17 @@
 	ended   <-chan error
 }
 
+// Quiet keeps go-zero from writing lines of its own beside the numbered events. A program calls it first: go-zero looks at
+// the machine as soon as it is loaded.
+func Quiet() {
+	logx.Disable()
+	stat.DisableLog()
+}
+
 // Start serves routes on a listener. Its end is reported on Ended.
 func Start(listener net.Listener, routes []rest.Route) (s *Server, err error) {
 	defer func() { err = eris.Wrap(err, "start HTTP server") }()
-	logx.Disable()
-	stat.DisableLog()
+	Quiet()
 	engine, err := rest.NewServer(rest.RestConf{}, rest.WithNotFoundHandler(http.NotFoundHandler()))
 	if err != nil {
 		return nil, err
--- a/citrond/main.go
+++ b/citrond/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/citroncross/citroncross/citron/conf"
 	"github.com/citroncross/citroncross/citron/daemon"
+	"github.com/citroncross/citroncross/citron/serve"
 	"github.com/citroncross/citroncross/platform"
 	"github.com/citroncross/citroncross/schema/prefs"
 )
@@ -23,10 +24,12 @@
 )
 
 func main() {
+	serve.Quiet()
 	app := kingpin.New("citrond", "The scheduler daemon of one entry VM.")
 	run := app.Command("run", "Run the daemon until SIGINT or SIGTERM.")
 	runFile := run.Arg("settings", "TOML settings file.").Required().String()
 	check := app.Command("check", "Check a settings file and report every problem.")
+	checkPlatform := check.Flag("platform", "The file is one that the users' platform has written.").Bool()
 	checkFile := check.Arg("settings", "TOML settings file.").Required().String()
 	onPlatform := app.Command("platform", "Run the daemon on the users' platform, which names its settings file in "+platform.SettingsVariable+".")
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
@@ -35,12 +38,22 @@
 	case onPlatform.FullCommand():
 		os.Exit(runOnPlatform(os.Getenv(platform.SettingsVariable)))
 	case check.FullCommand():
-		_, code := read(*checkFile)
-		if code == exitOK {
-			fmt.Println("settings are valid")
+		os.Exit(checkSettings(*checkFile, *checkPlatform))
+	}
+}
+
+// checkSettings reports every problem of a settings file.
+func checkSettings(file string, ofPlatform bool) (code int) {
+	if ofPlatform {
+		if _, err := platform.ReadSettings(file); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitSettings
 		}
-		os.Exit(code)
+	} else if _, code := read(file); code != exitOK {
+		return code
 	}
+	fmt.Println("settings are valid")
+	return exitOK
 }
 
 func read(file string) (*prefs.Daemon, int) {
