--- a/citron/tail/tail_test.go
+++ b/citron/tail/tail_test.go
@@ -135,7 +135,7 @@
 func TestReadsOnAtOnceWhileBehind(t *testing.T) {
 	l := &log{newest: make(chan citron.KeyedBatch, 1), reads: make(chan read)}
 	paused := make(chan struct{})
-	tail := &Tail{Store: l, Timer: neverDue{}, Pause: time.Hour, Apply: func(b citron.KeyedBatch, fresh bool) {
+	tail := &Tail{Store: l, Timer: neverDue{}, Pause: time.Hour, Apply: func(_ citron.KeyedBatch, fresh bool) {
 		if fresh {
 			close(paused)
 		}
