A daemon that hears nobody waits 2 s before it claims, by the target for silent losses

The target for a holder that is lost silently is 2.5 s; 3 s was over it where all other daemons are lost with it. The decision is claim's own, with a test.

--- a/citron/claim/claim.go
+++ b/citron/claim/claim.go
@@ -21,8 +21,8 @@
 	// one ping and its time limit. The fault is then in between, or with this daemon.
 	VouchedFor = 300 * time.Millisecond
 	// AloneAfter is how long a holder has to be silent if no other daemon answers either: more likely it is this daemon
-	// that hears nobody.
-	AloneAfter = 3 * time.Second
+	// that hears nobody. A holder that is lost silently, with all others, has to be replaced within 2.5 s.
+	AloneAfter = 2 * time.Second
 	// Watchers is the number of daemons, the strongest, that watch a holder closely; weakPause is how much longer the
 	// others wait. They are slow at taking over, and sooner too busy to hear an answer in time.
 	Watchers  = 6
@@ -103,6 +103,12 @@
 	return now - max(p.Answered, w.seen, w.vouched)
 }
 
+// Confirmed reports whether the silence of a holder is reason enough to replace it, after so many other daemons were
+// asked and so many of them answered that they have not heard of it lately either.
+func (w *Watch) Confirmed(now time.Duration, p Ping, asked, answered int) bool {
+	return asked == 0 || answered > 0 || w.SilentFor(now, p) >= AloneAfter
+}
+
 // Newest returns the newest claim.
 func (w *Watch) Newest() Claim {
 	return w.newest
--- a/citron/claim/claim_test.go
+++ b/citron/claim/claim_test.go
@@ -79,6 +79,25 @@
 	}
 }
 
+func TestDaemonThatHearsNobodyWaitsLonger(t *testing.T) {
+	silentFor := func(d time.Duration) Ping { return Ping{Answered: base - d, Incarnation: 7, Holds: 3} }
+	for name, one := range map[string]struct {
+		silent          time.Duration
+		asked, answered int
+		want            bool
+	}{
+		"others miss it too":               {SilentAfter, 4, 1, true},
+		"nobody answers":                   {SilentAfter, 4, 0, false},
+		"nobody has answered for long":     {AloneAfter, 4, 0, true},
+		"there are no others":              {SilentAfter, 0, 0, true},
+		"nobody answers, and not for long": {AloneAfter - 1, 1, 0, false},
+	} {
+		if got := seen().Confirmed(base, silentFor(one.silent), one.asked, one.answered); got != one.want {
+			t.Errorf("%s: %t, want %t", name, got, one.want)
+		}
+	}
+}
+
 func TestWeakDaemonsWaitForStrongOnes(t *testing.T) {
 	refuses := Ping{RefusedSince: base - RefusedAfter, Incarnation: 7, Holds: 3}
 	after := func(rank int) time.Duration {
--- a/citron/entry/claims.go
+++ b/citron/entry/claims.go
@@ -236,7 +236,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return asked == 0 || answered > 0 || d.watch.SilentFor(d.Timer.Now().Boot, p) >= claim.AloneAfter
+	return d.watch.Confirmed(d.Timer.Now().Boot, p, asked, answered)
 }
 
 // quickStore is how soon the store has to answer for this daemon to take over from one that it turns away.
