--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -54,7 +54,7 @@
 	// Observed, if set, is called for each exchange with a worker or the store that failed.
 	Observed func(what string, err error)
 
-	// Partitions are those of Progress that former holders may have used.
+	// Partitions are those of Progress that the claim names: what former holders recorded lies in them.
 	Partitions []int
 	// Extend names one more partition in the pool's claim; after a nil error it may be used.
 	Extend func(ctx context.Context, partition int) error
--- a/citronlab/site/store.go
+++ b/citronlab/site/store.go
@@ -29,6 +29,11 @@
 	Lost
 )
 
+// String names the failure.
+func (f Failure) String() string {
+	return [...]string{"well", "busy", "silent", "answers lost"}[f]
+}
+
 // Store is the platform's log. The zero value with a Timer works.
 type Store struct {
 	Timer citron.Timer
--- a/citronlab/soak/faults.go
+++ b/citronlab/soak/faults.go
@@ -15,18 +15,17 @@
 	"github.com/citroncross/citroncross/schema/work"
 )
 
-// fault is one kind of trouble. It returns what was done and what ends it; its end is due after a drawn time.
+// fault is one kind of trouble. Begin returns what was done and what ends it; the end is due after a drawn time.
 type fault struct {
+	// name is for the reader of the list below.
 	name string
 	// longest bounds how long it lasts.
 	longest time.Duration
 	begin   func(s *soak, rng *rand.Rand) (what string, end func() error, err error)
 }
 
-const (
-	// betweenFaults is the mean pause between two faults; they overlap.
-	betweenFaults = 900 * time.Millisecond
-)
+// betweenFaults is the mean pause between two faults; they overlap.
+const betweenFaults = 900 * time.Millisecond
 
 var faults = []fault{
 	{"kill holder", 2 * time.Second, func(s *soak, _ *rand.Rand) (string, func() error, error) {
@@ -40,8 +39,8 @@
 	}},
 	{"cut holder from the store", 4 * time.Second, func(s *soak, rng *rand.Rand) (string, func() error, error) {
 		n := s.holding()
-		end := s.loss("store "+disturb(s.store[n], rng), n)
-		return fmt.Sprintf("%s from the store: %v", s.daemons[n].name, s.store[n].current()), end, nil
+		mode := disturb(s.store[n], rng)
+		return fmt.Sprintf("%s from the store: %s", s.daemons[n].name, mode), s.loss("store "+mode, n), nil
 	}},
 	{"freeze a daemon", 3 * time.Second, func(s *soak, rng *rand.Rand) (string, func() error, error) {
 		return s.strike("freeze", rng.IntN(len(s.daemons)), syscall.SIGSTOP)
@@ -82,7 +81,7 @@
 	}},
 }
 
-// disturb puts a drawn disturbance on a proxy.
+// disturb puts a drawn disturbance on a proxy and names it.
 func disturb(p *Proxy, rng *rand.Rand) string {
 	mode := Delay + Mode(rng.IntN(int(modes-Delay)))
 	p.Set(mode, time.Duration(50+rng.IntN(400))*time.Millisecond)
@@ -103,14 +102,7 @@
 		}
 		return how
 	})
-	return fmt.Sprintf("store failure %d for %d of 4 partitions", how, share), func() error { s.site.Store.Fail(nil); return nil }, nil
-}
-
-// current is what the proxy does at the moment.
-func (p *Proxy) current() Mode {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.mode
+	return fmt.Sprintf("store %s for %d of 4 partitions", how, share), func() error { s.site.Store.Fail(nil); return nil }, nil
 }
 
 // holder returns the place and the epoch of the pool's holder as the store has it; the epoch is 0 if there is none.
