Watching the holder has a file of its own; one way to restate a claim

Read once more: claims.go held two things, when to claim and how. extend and narrow were the same steps with other partitions; they hand restate what the claim shall name. Holds asked what heldPool asks. The list of all followed partitions was put together three times. A daemon's rank was found by sorting all daemons, every 40 ms; it is counted. No change of behaviour.

--- a/citron/entry/claims.go
+++ b/citron/entry/claims.go
@@ -17,16 +17,8 @@
 	"github.com/citroncross/citroncross/schema/work"
 )
 
-const (
-	// claimEvery is how often a daemon looks whether the holder is well.
-	claimEvery = 40 * time.Millisecond
-	// pingEvery is how often the holder is pinged by the others, and they by the holder.
-	pingEvery = 130 * time.Millisecond
-	// weakPings is how much more rarely a daemon pings that does not watch the holder closely.
-	weakPings = 3
-	// reclaimAfter is when a daemon that gave up a pool claims it again if nobody else has.
-	reclaimAfter = 4 * time.Second
-)
+// claimEvery is how often a daemon looks whether the holder is well.
+const claimEvery = 40 * time.Millisecond
 
 func (d *Daemon) hurryClaims() {
 	select {
@@ -156,108 +148,6 @@
 	}()
 }
 
-// maybeClaim claims the pool where its holder is lost.
-func (d *Daemon) maybeClaim() {
-	if d.stopping.Load() {
-		return
-	}
-	now := d.Timer.Now().Boot
-	newest := d.newest()
-	ping := d.peers.LastPing(newest.Holder.VM)
-	rank := slices.Index(d.peers.All(), d.self.VM)
-	well := !d.cell.Failing()
-	d.mu.Lock()
-	reason, ok := d.watch.Should(now, d.self, rank, well, ping)
-	if d.takeOver && newest.Holder != d.self {
-		reason, ok = "the holder is about to stop", true
-	}
-	if newest.Holder == d.self && d.holding == nil && d.resigned == newest.Epoch && now-d.resignedAt > reclaimAfter {
-		reason, ok = "nobody has claimed the pool that this daemon gave up", true
-	}
-	d.mu.Unlock()
-	switch {
-	case !ok:
-	case reason == claim.ReasonStoreLost && !d.storeIsQuick():
-	case reason == claim.ReasonSilent && !d.silent(newest.Holder, ping, rank):
-	default:
-		d.claim(newest, reason)
-	}
-}
-
-const (
-	// witnesses is the number of daemons that are asked whether a holder answers them, of the strongest ones.
-	witnesses = 4
-	// askWatcher and askWeak bound these questions, put by a daemon that watches the holder closely and by another one,
-	// which may be busier and has less bandwidth.
-	askWatcher = 150 * time.Millisecond
-	askWeak    = time.Second
-)
-
-// silent asks other daemons whether a holder that is silent here has answered them lately, and reports whether it is
-// silent for all.
-func (d *Daemon) silent(holder citron.Member, p claim.Ping, rank int) bool {
-	timeout := askWatcher
-	if rank >= claim.Watchers {
-		timeout = askWeak
-	}
-	bounded, cancel := context.WithTimeout(d.run, timeout)
-	defer cancel()
-	type answer struct {
-		age   time.Duration
-		heard bool
-		err   error
-	}
-	answers := make(chan answer, witnesses)
-	asked := 0
-	for _, vm := range d.peers.All() {
-		if vm == d.self.VM || vm == holder.VM || asked == witnesses {
-			continue
-		}
-		asked++
-		d.calls.Go(func(context.Context) {
-			var a answer
-			a.age, a.heard, a.err = d.peers.Heard(bounded, vm, holder.VM)
-			answers <- a
-		})
-	}
-	answered := 0
-	for range asked {
-		a := <-answers
-		if a.err != nil {
-			continue
-		}
-		answered++
-		if a.heard && a.age < claim.VouchedFor {
-			d.mu.Lock()
-			d.watch.Vouched(holder, d.Timer.Now().Boot-a.age)
-			d.mu.Unlock()
-			return false
-		}
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.watch.Confirmed(d.Timer.Now().Boot, p, asked, answered)
-}
-
-// quickStore is how soon the store has to answer for this daemon to take over from one that it turns away.
-const quickStore = 120 * time.Millisecond
-
-// storeBackFor is how long the store has to answer this daemon before another one counts as turned away: when it comes
-// back, the holder reaches it a moment sooner or later than the others.
-const storeBackFor = 600 * time.Millisecond
-
-// storeIsQuick asks the store for the end of the cell's records.
-func (d *Daemon) storeIsQuick() bool {
-	next, loaded := d.cell.Next()
-	if !loaded || d.cell.WellFor() < storeBackFor {
-		return false
-	}
-	bounded, cancel := context.WithTimeout(d.run, quickStore)
-	defer cancel()
-	_, err := d.Store.Read(bounded, cellPartition, next, 0)
-	return err == nil
-}
-
 // claim names this daemon as holder unless the cell's records have changed meanwhile.
 func (d *Daemon) claim(newest claim.Claim, reason string) {
 	next, loaded := d.cell.Next()
@@ -298,43 +188,40 @@
 	return d.appendCell(ctx, citron.Keyed{Key: claimKey, Value: value}, citron.Condition{At: &at})
 }
 
-// extend names one more partition in this daemon's claim. It fails where another daemon has claimed the pool.
+// extend names one more partition in this daemon's claim.
 func (d *Daemon) extend(ctx context.Context, partition int) error {
-	next, _ := d.cell.Next()
-	d.mu.Lock()
-	newest, partitions := d.watch.Newest(), d.partitions
-	d.mu.Unlock()
-	if newest.Holder != d.self {
-		return citron.ErrFenced
-	}
-	partitions = slices.Clone(partitions)
-	if !slices.Contains(partitions, int32(partition)) {
-		partitions = append(partitions, int32(partition))
-	}
-	// The claim is stored anew even if it names the partition already: an earlier claim without it may be on its way to
-	// the store, which takes one of the two.
-	return d.restate(ctx, newest, partitions, next)
+	return d.restate(ctx, func(named []int32) []int32 {
+		if slices.Contains(named, int32(partition)) {
+			// The claim is stored anew all the same: an earlier one without it may be on its way to the store, which takes
+			// one of the two.
+			return named
+		}
+		return append(slices.Clone(named), int32(partition))
+	})
 }
 
-// narrow leaves one partition in this daemon's claim. It fails where another daemon has claimed the pool.
+// narrow leaves one partition in this daemon's claim.
 func (d *Daemon) narrow(ctx context.Context, partition int) error {
+	return d.restate(ctx, func([]int32) []int32 { return []int32{int32(partition)} })
+}
+
+// restate stores this daemon's claim with other partitions, made from those that it names. It fails where another daemon
+// has claimed the pool.
+func (d *Daemon) restate(ctx context.Context, change func(named []int32) []int32) error {
 	next, _ := d.cell.Next()
-	newest := d.newest()
+	d.mu.Lock()
+	newest, partitions := d.watch.Newest(), change(d.partitions)
+	d.mu.Unlock()
 	if newest.Holder != d.self {
 		return citron.ErrFenced
 	}
-	return d.restate(ctx, newest, []int32{int32(partition)}, next)
-}
-
-// restate stores this daemon's claim with other partitions, if the cell's records end at an offset.
-func (d *Daemon) restate(ctx context.Context, newest claim.Claim, partitions []int32, at citron.Offset) error {
-	err := d.appendClaim(ctx, newest.Epoch, partitions, at)
+	err := d.appendClaim(ctx, newest.Epoch, partitions, next)
 	if err != nil && !errors.Is(err, citron.ErrConflict) && !errors.Is(err, citron.ErrUnavailable) {
 		return err
 	}
 	bounded, cancel := context.WithTimeout(ctx, claimSettle)
 	defer cancel()
-	if err := d.cell.Reach(bounded, at+1); err != nil {
+	if err := d.cell.Reach(bounded, next+1); err != nil {
 		return err
 	}
 	d.mu.Lock()
@@ -348,40 +235,6 @@
 // claimSettle is how long a daemon waits for its claim, or another one, to be read back.
 const claimSettle = 800 * time.Millisecond
 
-// runPings keeps the liveness of the holder, and at the holder that of all daemons.
-func (d *Daemon) runPings() <-chan error {
-	ended := make(chan error, 1)
-	go func() {
-		tick, stop := d.Timer.Every(pingEvery)
-		defer stop()
-		for turn := 0; ; turn++ {
-			select {
-			case <-d.run.Done():
-				ended <- nil
-				return
-			case <-tick:
-			}
-			newest := d.newest().Holder
-			if newest != d.self {
-				if turn%weakPings != 0 && slices.Index(d.peers.All(), d.self.VM) >= claim.Watchers {
-					continue
-				}
-				if newest.VM != "" && newest.VM != d.self.VM {
-					d.calls.Go(func(ctx context.Context) { d.peers.Ping(ctx, newest.VM) })
-				}
-				continue
-			}
-			for _, vm := range d.peers.All() {
-				if vm != d.self.VM {
-					d.calls.Go(func(ctx context.Context) { d.peers.Ping(ctx, vm) })
-				}
-			}
-			d.desk.Daemons(append(d.peers.Live(), d.self.VM))
-		}
-	}()
-	return ended
-}
-
 // handOver asks a live daemon to take the pool, and waits until it has.
 func (d *Daemon) handOver(ctx context.Context) {
 	newest := d.newest()
--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -156,12 +157,11 @@
 	}
 	d.Intake = &intake.Service{View: &d.view, Writer: writer, Tails: d.jobs, Timer: d.Timer, Stored: d.accepted, Lookup: d.lookup}
 	d.Log.Emit(event.DaemonStarted, event.Fields{"Incarnation": d.self.Incarnation, "Peer": d.Settings.PeerAddress})
-	d.parts = append(d.parts,
-		peers.Serve(d.run, listener, &server{d: d}),
-		d.cell.Run(d.run), d.runClaims(), d.runPings())
-	for n := range spread {
-		d.parts = append(d.parts, d.jobs[n].Run(d.run), d.progress[n].Run(d.run))
+	d.parts = append(d.parts, peers.Serve(d.run, listener, &server{d: d}))
+	for _, t := range d.tails() {
+		d.parts = append(d.parts, t.Run(d.run))
 	}
+	d.parts = append(d.parts, d.runClaims(), d.runPings())
 	d.calls.Go(d.announce)
 	return nil
 }
@@ -177,9 +177,14 @@
 	}}
 }
 
+// tails lists every partition that this daemon follows.
+func (d *Daemon) tails() []*tail.Tail {
+	return slices.Concat([]*tail.Tail{d.cell}, d.jobs, d.progress)
+}
+
 // refresh has every other partition read anew once the store answers again for one.
 func (d *Daemon) refresh(answered citron.Partition) {
-	for _, t := range append(append([]*tail.Tail{d.cell}, d.jobs...), d.progress...) {
+	for _, t := range d.tails() {
 		if t.Partition != answered {
 			t.Refresh()
 		}
@@ -256,9 +261,9 @@
 
 // storeAge is how long ago the store last answered anything.
 func (d *Daemon) storeAge() time.Duration {
-	age := d.cell.Age()
-	for n := range spread {
-		age = min(age, d.jobs[n].Age(), d.progress[n].Age())
+	age := tail.Never
+	for _, t := range d.tails() {
+		age = min(age, t.Age())
 	}
 	return age
 }
--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -112,9 +112,7 @@
 
 // Holds reports whether this daemon runs the pool.
 func (d *Daemon) Holds() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.holding != nil && d.holding.ready.Load()
+	return d.heldPool() != nil
 }
 
 // Drain makes this daemon unready and hands the pool over. Callers are still answered.
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -126,18 +126,35 @@
 	return list
 }
 
-// rank sorts daemons by what processor time they have. Equal ones come in an order that has nothing to do with their
-// names, since neighbours by name tend to be lost together.
-func (p *Peers) rank(vms []citron.VMName) {
-	strength := func(vm citron.VMName) int64 {
-		if vm == p.Self.VM {
-			return p.MilliCores
+// Rank is the number of known daemons that come before this one.
+func (p *Peers) Rank() (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for vm := range p.known {
+		if p.compare(vm, p.Self.VM) < 0 {
+			n++
 		}
-		return p.known[vm].presence.GetMilliCores()
 	}
-	slices.SortFunc(vms, func(a, b citron.VMName) int {
-		return cmp.Or(cmp.Compare(strength(b), strength(a)), cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))), cmp.Compare(a, b))
-	})
+	return n
+}
+
+// rank sorts daemons, the strongest first.
+func (p *Peers) rank(vms []citron.VMName) {
+	slices.SortFunc(vms, p.compare)
+}
+
+// compare puts the daemon with more processor time first. Equal ones come in an order that has nothing to do with their
+// names, since neighbours by name tend to be lost together. The lock is held.
+func (p *Peers) compare(a, b citron.VMName) int {
+	return cmp.Or(cmp.Compare(p.strength(b), p.strength(a)), cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))), cmp.Compare(a, b))
+}
+
+// strength is the processor time that a daemon has, in thousandths of a core.
+func (p *Peers) strength(vm citron.VMName) int64 {
+	if vm == p.Self.VM {
+		return p.MilliCores
+	}
+	return p.known[vm].presence.GetMilliCores()
 }
 
 // Live lists the daemons that answered lately, the strongest first.
