--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -58,7 +58,6 @@
 	Partitions []int
 	// Extend names one more partition in the pool's claim; after a nil error it may be used.
 	Extend func(ctx context.Context, partition int) error
-
 	// Narrow leaves one partition in the pool's claim. After an error the claim may name any.
 	Narrow func(ctx context.Context, partition int) error
 
--- a/citron/holder/ledger.go
+++ b/citron/holder/ledger.go
@@ -22,9 +22,8 @@
 
 // ledger is one partition of the pool's records. While one does not answer, another takes its place.
 type ledger struct {
-	partition citron.Partition
-	tail      *tail.Tail
-	sequence  int64
+	tail     *tail.Tail
+	sequence int64
 	// numbered is set once an append of this epoch has been answered, so the next number is known.
 	numbered bool
 	// unanswered is set where the last append, of pending, was not answered. It has to be repeated before the next number
@@ -39,7 +38,7 @@
 func (h *Holder) fence(ctx context.Context) (err error) {
 	fenced := make(chan error, len(h.Partitions))
 	for _, n := range h.Partitions {
-		l := &ledger{partition: h.Progress[n].Partition, tail: h.Progress[n]}
+		l := &ledger{tail: h.Progress[n]}
 		h.ledger = append(h.ledger, l)
 		h.calls.Go(func(context.Context) { fenced <- h.fenceOne(ctx, l) })
 	}
@@ -115,31 +114,29 @@
 	if err != nil {
 		return nil, err
 	}
-	if l := h.open(n); l != nil {
-		return l, nil
+	if at := h.find(h.ledger, n); at >= 0 {
+		return h.ledger[at], nil
 	}
 	h.named, h.merge = h.named+1, merge{}
 	if err := h.Extend(ctx, n); err != nil {
 		return nil, err
 	}
-	if l := h.reopened(n); l != nil {
+	if at := h.find(h.closed, n); at >= 0 {
+		// It goes on with its numbers and with what was not answered.
+		l := h.closed[at]
+		h.closed = slices.Delete(h.closed, at, at+1)
 		h.ledger = append(h.ledger, l)
 		return l, nil
 	}
-	l := &ledger{partition: h.Progress[n].Partition, tail: h.Progress[n]}
+	l := &ledger{tail: h.Progress[n]}
 	h.ledger = append(h.ledger, l)
 	_, err = h.send(ctx, l, nil)
 	return l, err
 }
 
-// open returns the ledger of a partition; nil if it has none.
-func (h *Holder) open(n int) *ledger {
-	for _, l := range h.ledger {
-		if l.partition == h.Progress[n].Partition {
-			return l
-		}
-	}
-	return nil
+// find returns the place of a partition's ledger in a list; -1 if it has none there.
+func (h *Holder) find(list []*ledger, n int) int {
+	return slices.IndexFunc(list, func(l *ledger) bool { return l.tail == h.Progress[n] })
 }
 
 // alive asks for the end of every partition and returns the first open one that answers, or else another one.
@@ -154,7 +151,7 @@
 	answers := make(chan answer, len(h.Progress))
 	opens := 0
 	for n, t := range h.Progress {
-		a := answer{n: n, open: h.open(n) != nil}
+		a := answer{n: n, open: h.find(h.ledger, n) >= 0}
 		if a.open {
 			opens++
 		}
@@ -200,7 +197,7 @@
 	bounded, cancel := context.WithTimeout(ctx, h.limit.Now())
 	defer cancel()
 	began := h.Timer.Now().Boot
-	end, err = h.Store.Append(bounded, l.partition, records, c)
+	end, err = h.Store.Append(bounded, l.tail.Partition, records, c)
 	if err == nil {
 		h.limit.Answered(h.Timer.Now().Boot - began)
 		if !l.unanswered {
--- a/citron/holder/ledger_test.go
+++ b/citron/holder/ledger_test.go
@@ -44,7 +44,7 @@
 		h.Progress = append(h.Progress, &tail.Tail{Partition: citron.Partition{Number: n}})
 	}
 	h.limit.Least, h.limit.Most = appendLeast, appendMost
-	h.ledger = []*ledger{{partition: h.Progress[0].Partition, tail: h.Progress[0]}}
+	h.ledger = []*ledger{{tail: h.Progress[0]}}
 	return h
 }
 
--- a/citron/holder/merge.go
+++ b/citron/holder/merge.go
@@ -65,20 +65,9 @@
 	h.ledger = []*ledger{h.merge.into}
 	bounded, cancel := context.WithTimeout(ctx, narrowTimeout)
 	defer cancel()
-	if err := h.Narrow(bounded, h.merge.into.partition.Number); err != nil {
+	if err := h.Narrow(bounded, h.merge.into.tail.Partition.Number); err != nil {
 		h.failed("narrow", err)
 		return
 	}
 	h.named = 1
 }
-
-// reopened returns the ledger of a partition that was in use before, with its numbers and what was not answered.
-func (h *Holder) reopened(n int) *ledger {
-	for i, l := range h.closed {
-		if l.partition == h.Progress[n].Partition {
-			h.closed = append(h.closed[:i], h.closed[i+1:]...)
-			return l
-		}
-	}
-	return nil
-}
--- a/citron/holder/merge_test.go
+++ b/citron/holder/merge_test.go
@@ -213,7 +213,7 @@
 	h.limit.Least, h.limit.Most = appendLeast, appendMost
 	h.named = len(p.claim)
 	for _, n := range p.claim {
-		l := &ledger{partition: h.Progress[n].Partition, tail: h.Progress[n]}
+		l := &ledger{tail: h.Progress[n]}
 		h.ledger = append(h.ledger, l)
 		for {
 			if _, err := h.send(context.Background(), l, nil); err == nil {
@@ -289,7 +289,7 @@
 		h.merge.begun, h.merge.whole = true, true
 	case forgetsNumbers:
 		for _, l := range h.closed {
-			*l = ledger{partition: l.partition, tail: l.tail, numbered: true}
+			*l = ledger{tail: l.tail, numbered: true}
 		}
 	default:
 	}
