The bounds of a wait are handed to its limit

Read once more: the holder set the bounds of its limit as it began, the writer through a sync.Once; the zero value of a limit was not usable.

--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -85,7 +85,6 @@
 		<-h.calls.Ended()
 	}()
 	h.kick = make(chan struct{}, 1)
-	h.limit.Least, h.limit.Most = appendLeast, appendMost
 	h.named = len(h.Partitions)
 	h.polls = map[citron.Worker]*poll{}
 	h.calls.Bind(run)
@@ -221,7 +220,7 @@
 }
 
 func (h *Holder) drop(ctx context.Context, p citron.Partition, records []citron.Keyed) error {
-	bounded, cancel := context.WithTimeout(ctx, appendMost)
+	bounded, cancel := context.WithTimeout(ctx, appendBounds.Most)
 	defer cancel()
 	_, err := h.Store.Append(bounded, p, records, citron.Condition{})
 	return err
--- a/citron/holder/ledger.go
+++ b/citron/holder/ledger.go
@@ -10,15 +10,14 @@
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/tail"
 	"github.com/citroncross/citroncross/citron/timer"
+	"github.com/citroncross/citroncross/citron/waits"
 )
 
-const (
-	// appendLeast and appendMost bound one append: the store answers in some 10 ms, on slow days in half a second.
-	appendLeast = 400 * time.Millisecond
-	appendMost  = 1600 * time.Millisecond
-	// appendRetry separates the rounds of tries.
-	appendRetry = 30 * time.Millisecond
-)
+// appendBounds bound one append: the store answers in some 10 ms, on slow days in half a second.
+var appendBounds = waits.Bounds{Least: 400 * time.Millisecond, Most: 1600 * time.Millisecond}
+
+// appendRetry separates the rounds of tries.
+const appendRetry = 30 * time.Millisecond
 
 // ledger is one partition of the pool's records. While one does not answer, another takes its place.
 type ledger struct {
@@ -61,7 +60,7 @@
 			return err
 		}
 		h.failed("fence", err)
-		h.limit.Late()
+		h.limit.Late(appendBounds)
 		timer.Pause(ctx, h.Timer, appendRetry)
 	}
 }
@@ -89,7 +88,7 @@
 		l.failed = h.Timer.Now().Boot
 		if l, err = h.next(ctx); err != nil {
 			h.failed("extend", err)
-			h.limit.Late()
+			h.limit.Late(appendBounds)
 			timer.Pause(ctx, h.Timer, appendRetry)
 			l = h.preferred()
 		}
@@ -141,7 +140,7 @@
 
 // alive asks for the end of every partition and returns the first open one that answers, or else another one.
 func (h *Holder) alive(ctx context.Context) (partition int, err error) {
-	bounded, cancel := context.WithTimeout(ctx, h.limit.Now())
+	bounded, cancel := context.WithTimeout(ctx, h.limit.Now(appendBounds))
 	defer cancel()
 	type answer struct {
 		n    int
@@ -194,12 +193,12 @@
 // send appends to one partition, once.
 func (h *Holder) send(ctx context.Context, l *ledger, records []citron.Keyed) (end citron.Offset, err error) {
 	c := citron.Condition{Producer: h.Producer, Epoch: h.Pool.Epoch, Sequence: l.sequence}
-	bounded, cancel := context.WithTimeout(ctx, h.limit.Now())
+	bounded, cancel := context.WithTimeout(ctx, h.limit.Now(appendBounds))
 	defer cancel()
 	began := h.Timer.Now().Boot
 	end, err = h.Store.Append(bounded, l.tail.Partition, records, c)
 	if err == nil {
-		h.limit.Answered(h.Timer.Now().Boot - began)
+		h.limit.Answered(appendBounds, h.Timer.Now().Boot-began)
 		if !l.unanswered {
 			// The store answers a repeat as it answered the first time, whoever holds the pool by then.
 			h.Pool.Proved(began)
--- a/citron/holder/ledger_test.go
+++ b/citron/holder/ledger_test.go
@@ -43,7 +43,6 @@
 	for n := range partitions {
 		h.Progress = append(h.Progress, &tail.Tail{Partition: citron.Partition{Number: n}})
 	}
-	h.limit.Least, h.limit.Most = appendLeast, appendMost
 	h.ledger = []*ledger{{tail: h.Progress[0]}}
 	return h
 }
--- a/citron/holder/merge_test.go
+++ b/citron/holder/merge_test.go
@@ -210,7 +210,6 @@
 	for n := range playPartitions {
 		h.Progress = append(h.Progress, &tail.Tail{Partition: citron.Partition{Number: n}, Timer: p.clock})
 	}
-	h.limit.Least, h.limit.Most = appendLeast, appendMost
 	h.named = len(p.claim)
 	for _, n := range p.claim {
 		l := &ledger{tail: h.Progress[n]}
--- a/citron/intake/writer.go
+++ b/citron/intake/writer.go
@@ -13,10 +13,10 @@
 	"github.com/citroncross/citroncross/citron/waits"
 )
 
+// appendBounds bound one append: the store answers in some 10 ms, on slow days in half a second.
+var appendBounds = waits.Bounds{Least: 400 * time.Millisecond, Most: 1200 * time.Millisecond}
+
 const (
-	// appendLeast and appendMost bound one append: the store answers in some 10 ms, on slow days in half a second.
-	appendLeast = 400 * time.Millisecond
-	appendMost  = 1200 * time.Millisecond
 	// giveUpAfter bounds all tries of one batch.
 	giveUpAfter = 2500 * time.Millisecond
 	// retryPause separates the tries.
@@ -40,7 +40,6 @@
 	Relay func(ctx context.Context, records []citron.Keyed) error
 
 	exchanges spawn.Group
-	begin     sync.Once
 	limit     waits.Limit
 	// prefer is the partition to try first. It is the first one again once that answers after leftAt.
 	prefer atomic.Int64
@@ -159,7 +158,6 @@
 // Direct appends from this daemon: to the preferred partition, then to all others at once. Where the same records land
 // in several partitions nothing changes.
 func (w *Writer) Direct(ctx context.Context, records []citron.Keyed) error {
-	w.begin.Do(func() { w.limit.Least, w.limit.Most = appendLeast, appendMost })
 	if since := time.Duration(w.leftAt.Load()); since > 0 && w.Answers != nil && w.Answers(0, since) {
 		w.prefer.Store(0)
 		w.leftAt.Store(0)
@@ -207,19 +205,19 @@
 	}
 	if !errors.Is(result, citron.ErrNotDone) {
 		// No partition answered in time: the store is slow, or away.
-		w.limit.Late()
+		w.limit.Late(appendBounds)
 	}
 	return result
 }
 
 // one appends to one partition.
 func (w *Writer) one(ctx context.Context, n int, records []citron.Keyed) error {
-	bounded, cancel := context.WithTimeout(ctx, w.limit.Now())
+	bounded, cancel := context.WithTimeout(ctx, w.limit.Now(appendBounds))
 	defer cancel()
 	began := w.Timer.Now().Boot
 	_, err := w.Store.Append(bounded, w.Partitions[n], records, citron.Condition{})
 	if err == nil {
-		w.limit.Answered(w.Timer.Now().Boot - began)
+		w.limit.Answered(appendBounds, w.Timer.Now().Boot-began)
 	}
 	return err
 }
--- a/citron/waits/waits.go
+++ b/citron/waits/waits.go
@@ -6,11 +6,14 @@
 	"time"
 )
 
-// Limit is a time limit that doubles when answers do not come in time and returns when they come quickly, so that a
-// silent service is left soon and a slow one is not left for ever. Set Least and Most before use.
-type Limit struct {
+// Bounds are the least and the most time for which a service is waited for.
+type Bounds struct {
 	Least, Most time.Duration
+}
 
+// Limit is a time limit that doubles when answers do not come in time and returns when they come quickly, so that a
+// silent service is left soon and a slow one is not left for ever. The zero value works.
+type Limit struct {
 	now atomic.Int64
 }
 
@@ -18,18 +21,18 @@
 const quickShare = 2
 
 // Now returns the limit for the next call.
-func (l *Limit) Now() time.Duration {
-	return max(time.Duration(l.now.Load()), l.Least)
+func (l *Limit) Now(b Bounds) time.Duration {
+	return max(time.Duration(l.now.Load()), b.Least)
 }
 
 // Late notes a call that was not answered in time.
-func (l *Limit) Late() {
-	l.now.Store(int64(min(2*l.Now(), l.Most)))
+func (l *Limit) Late(b Bounds) {
+	l.now.Store(int64(min(2*l.Now(b), b.Most)))
 }
 
 // Answered notes how long an answer took.
-func (l *Limit) Answered(took time.Duration) {
-	if took < l.Least/quickShare {
-		l.now.Store(int64(l.Least))
+func (l *Limit) Answered(b Bounds, took time.Duration) {
+	if took < b.Least/quickShare {
+		l.now.Store(int64(b.Least))
 	}
 }
--- a/citron/waits/waits_test.go
+++ b/citron/waits/waits_test.go
@@ -7,15 +7,16 @@
 )
 
 func ExampleLimit() {
-	l := &Limit{Least: 400 * time.Millisecond, Most: time.Second}
-	l.Late()
-	fmt.Println(l.Now())
-	l.Late()
-	fmt.Println(l.Now())
-	l.Answered(700 * time.Millisecond)
-	fmt.Println(l.Now())
-	l.Answered(10 * time.Millisecond)
-	fmt.Println(l.Now())
+	var l Limit
+	b := Bounds{Least: 400 * time.Millisecond, Most: time.Second}
+	l.Late(b)
+	fmt.Println(l.Now(b))
+	l.Late(b)
+	fmt.Println(l.Now(b))
+	l.Answered(b, 700*time.Millisecond)
+	fmt.Println(l.Now(b))
+	l.Answered(b, 10*time.Millisecond)
+	fmt.Println(l.Now(b))
 	// Output:
 	// 800ms
 	// 1s
@@ -25,15 +26,16 @@
 
 // A service that always takes half a second is answered from the second try on.
 func TestSlowServiceIsHeard(t *testing.T) {
-	l := &Limit{Least: 400 * time.Millisecond, Most: 1600 * time.Millisecond}
+	var l Limit
+	b := Bounds{Least: 400 * time.Millisecond, Most: 1600 * time.Millisecond}
 	late := 0
 	for range 20 {
-		if l.Now() < 500*time.Millisecond {
-			l.Late()
+		if l.Now(b) < 500*time.Millisecond {
+			l.Late(b)
 			late++
 			continue
 		}
-		l.Answered(500 * time.Millisecond)
+		l.Answered(b, 500*time.Millisecond)
 	}
 	if late != 1 {
 		t.Errorf("%d calls were given up, want 1", late)
