One list of the reasons why a worker takes no tasks

Read once more: usable and state went through the same eight conditions; the next one would have been missed in one of them.

--- a/citron/pool/inspect.go
+++ b/citron/pool/inspect.go
@@ -95,7 +95,10 @@
 	return list
 }
 
-// state says why a worker takes no tasks.
+// stateUsable is the state of a worker that may be given tasks.
+const stateUsable = "usable"
+
+// state is stateUsable or says why a worker takes no tasks.
 func (w *worker) state(now time.Duration) string {
 	switch {
 	case w.dead:
@@ -115,7 +118,7 @@
 	case now < w.blockedUntil:
 		return "blocked"
 	}
-	return "usable"
+	return stateUsable
 }
 
 // Explain lists the tasks of a job that has not ended; false if there is none.
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -294,7 +294,7 @@
 
 // usable reports whether new tasks may go to the worker.
 func (w *worker) usable(now time.Duration) bool {
-	return w.listed && !w.dead && !w.entry.Draining && w.reported && !w.silent && !w.strangers && !w.cordoned && now >= w.blockedUntil
+	return w.state(now) == stateUsable
 }
 
 // New returns the pool of one epoch.
