--- /dev/null
+++ b/citronlab/site/client.go
@@ -0,0 +1,57 @@
+package site
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+)
+
+// clientHost is the host of the routes that Publish writes.
+const clientHost = "jobs.example"
+
+// Client sends the requests of callers. The zero value waits for answers without a limit.
+type Client struct {
+	HTTP http.Client
+}
+
+// Call sends one request to a front and returns status and body; status 0 means that no whole answer came.
+func (c *Client) Call(front, method, path, body string) (status int, answer string) {
+	request, err := http.NewRequest(method, "http://"+front+path, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	request.Host = clientHost
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return response.StatusCode, string(raw)
+}
+
+// State asks a front for the state of a job; it is empty unless the status is 200.
+func (c *Client) State(front, path string) (status int, state string) {
+	status, raw := c.Call(front, http.MethodGet, path, "")
+	var body struct {
+		State string `json:"state"`
+	}
+	if status != http.StatusOK || json.Unmarshal([]byte(raw), &body) != nil {
+		return status, ""
+	}
+	return status, body.State
+}
+
+// FreeAddress returns an address of an IP that nothing listens on at the moment.
+func FreeAddress(ip string) (address string, err error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
--- a/citronlab/site/site.go
+++ b/citronlab/site/site.go
@@ -223,7 +223,7 @@
 		Routes  []route `json:"routes"`
 	}{Version: version}
 	for _, p := range prefixes {
-		config.Routes = append(config.Routes, route{p, "jobs.example", "/" + p + "/", "svc", 3, 2, 1000, &advice{2, 0.1, 2500}})
+		config.Routes = append(config.Routes, route{p, clientHost, "/" + p + "/", "svc", 3, 2, 1000, &advice{2, 0.1, 2500}})
 	}
 	raw, err := json.Marshal(config)
 	if err != nil {
--- a/citronlab/site/site_test.go
+++ b/citronlab/site/site_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -40,7 +39,7 @@
 	peers   []string
 	ready   []string
 	metrics []string
-	client  http.Client
+	client  Client
 	sent    int
 	log     journal
 }
@@ -90,12 +89,11 @@
 // freeAddress returns an address that nothing listens on at the moment.
 func (c *cell) freeAddress() string {
 	c.t.Helper()
-	l, err := net.Listen("tcp", net.JoinHostPort(c.site.Net, "0"))
+	address, err := FreeAddress(c.site.Net)
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 // patience keeps daemons from being replaced because the machine of the test is busy. Those that a test ends are
@@ -151,21 +149,7 @@
 
 // call sends one request to a front and returns status and body; status 0 means no answer.
 func (c *cell) call(front int, method, path, body string) (status int, answer string) {
-	request, err := http.NewRequest(method, "http://"+c.fronts[front]+path, bytes.NewBufferString(body))
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	request.Host = "jobs.example"
-	response, err := c.client.Do(request)
-	if err != nil {
-		return 0, ""
-	}
-	defer func() { _ = response.Body.Close() }()
-	raw, err := io.ReadAll(response.Body)
-	if err != nil {
-		return 0, ""
-	}
-	return response.StatusCode, string(raw)
+	return c.client.Call(c.fronts[front], method, path, body)
 }
 
 const twoSteps = `{"spec":"x","steps":[{"count":3,"cpu":1000,"mem_mb":100,"estimate_ms":30},{"count":2,"cpu":2000,"mem_mb":100,"after":[0],"gang":true}]}`
@@ -184,14 +168,8 @@
 }
 
 func (c *cell) state(front int, id string) string {
-	status, raw := c.call(front, http.MethodGet, "/quick/"+id, "")
-	var body struct {
-		State string `json:"state"`
-	}
-	if status != http.StatusOK || json.Unmarshal([]byte(raw), &body) != nil {
-		return ""
-	}
-	return body.State
+	_, state := c.client.State(c.fronts[front], "/quick/"+id)
+	return state
 }
 
 // awaitAll waits until every job is completed in the eyes of every live daemon.
@@ -361,16 +339,21 @@
 	}
 }
 
-func TestOnePartitionIsSilent(t *testing.T) {
-	c := start(t, "127.0.0.34", 2)
-	ids := []string{c.submit(twoSteps)}
-	c.awaitAll(ids)
+// silenceFirstPartition has the store answer no more for the first partition of jobs and of progress.
+func (c *cell) silenceFirstPartition() {
 	c.site.Store.Fail(func(_, topic, part string) Failure {
 		if part == "0" && (topic == "keyed.citron.jobs" || topic == "keyed.citron.progress") {
 			return Silent
 		}
 		return Well
 	})
+}
+
+func TestOnePartitionIsSilent(t *testing.T) {
+	c := start(t, "127.0.0.34", 2)
+	ids := []string{c.submit(twoSteps)}
+	c.awaitAll(ids)
+	c.silenceFirstPartition()
 	for range 3 {
 		ids = append(ids, c.submit(twoSteps))
 	}
@@ -382,12 +365,7 @@
 	c := start(t, "127.0.0.41", 2)
 	ids := []string{c.submit(twoSteps)}
 	c.awaitAll(ids)
-	c.site.Store.Fail(func(_, topic, part string) Failure {
-		if part == "0" && (topic == "keyed.citron.jobs" || topic == "keyed.citron.progress") {
-			return Silent
-		}
-		return Well
-	})
+	c.silenceFirstPartition()
 	ids = append(ids, c.submit(twoSteps))
 	c.awaitAll(ids)
 	c.await(func() bool {
@@ -582,7 +560,7 @@
 	for _, conn := range open {
 		_, _ = io.Copy(io.Discard, conn)
 	}
-	response, err := c.client.Get("http://" + c.metrics[0])
+	response, err := c.client.HTTP.Get("http://" + c.metrics[0])
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/citronlab/soak/caller.go
+++ b/citronlab/soak/caller.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/citroncross/citroncross/citron/timer"
+	"github.com/citroncross/citroncross/citronlab/site"
 )
 
 const (
@@ -36,7 +34,7 @@
 	n      int
 	rng    *rand.Rand
 	jobs   map[string]*job
-	client http.Client
+	client site.Client
 	cancel context.CancelFunc
 	ended  chan error
 }
@@ -44,7 +42,7 @@
 func (c *caller) begin(ctx context.Context) {
 	run, cancel := context.WithCancel(ctx)
 	c.jobs, c.cancel, c.ended = map[string]*job{}, cancel, make(chan error, 1)
-	c.client.Timeout = callTimeout
+	c.client.HTTP.Timeout = callTimeout
 	go func() {
 		for n := 0; run.Err() == nil; n++ {
 			c.hand(run, fmt.Sprintf("%04x%012x", c.n, n))
@@ -81,7 +79,7 @@
 	j := &job{tasks: kind.tasks, refused: true}
 	c.jobs[id] = j
 	for range tries {
-		status := c.call(http.MethodPost, id, kind.body, nil)
+		status := c.call(http.MethodPost, id, kind.body)
 		if status != http.StatusTooManyRequests && status != http.StatusServiceUnavailable {
 			j.refused = false
 		}
@@ -93,40 +91,26 @@
 	}
 	if j.accepted && c.rng.IntN(12) == 0 {
 		j.cancelled = true
-		c.call(http.MethodDelete, id, "", nil)
+		c.call(http.MethodDelete, id, "")
 	}
 }
 
-// call sends a request to some daemon; status 0 means that no answer came.
-func (c *caller) call(method, id, body string, answer any) (status int) {
-	d := c.soak.daemons[c.rng.IntN(len(c.soak.daemons))]
-	request, err := http.NewRequest(method, "http://"+d.front+"/quick/"+id, strings.NewReader(body))
-	if err != nil {
-		panic(err)
-	}
-	request.Host = "jobs.example"
-	response, err := c.client.Do(request)
-	if err != nil {
-		return 0
-	}
-	defer func() { _ = response.Body.Close() }()
-	raw, err := io.ReadAll(response.Body)
-	if err != nil || answer != nil && response.StatusCode == http.StatusOK && json.Unmarshal(raw, answer) != nil {
-		return 0
-	}
-	return response.StatusCode
+// call sends a request about a job to some daemon; status 0 means that no answer came.
+func (c *caller) call(method, id, body string) (status int) {
+	status, _ = c.client.Call(c.front(), method, "/quick/"+id, body)
+	return status
+}
+
+// front is the address of some daemon.
+func (c *caller) front() string {
+	return c.soak.daemons[c.rng.IntN(len(c.soak.daemons))].front
 }
 
 // state asks for a job's state; "none" if it is not known, empty without an answer.
 func (c *caller) state(id string) string {
-	var body struct {
-		State string `json:"state"`
-	}
-	switch c.call(http.MethodGet, id, "", &body) {
-	case http.StatusOK:
-		return body.State
-	case http.StatusGone:
+	status, state := c.client.State(c.front(), "/quick/"+id)
+	if status == http.StatusGone {
 		return "none"
 	}
-	return ""
+	return state
 }
--- a/citronlab/soak/faults.go
+++ b/citronlab/soak/faults.go
@@ -51,14 +51,7 @@
 				return "", nil, err
 			}
 		}
-		return "all daemons killed", func() error {
-			for _, d := range s.daemons {
-				if err := d.revive(); err != nil {
-					return err
-				}
-			}
-			return nil
-		}, nil
+		return "all daemons killed", s.reviveAll, nil
 	}},
 	{"store troubles", 3 * time.Second, storeTroubles},
 	{"cut a worker", 9 * time.Second, func(s *soak, rng *rand.Rand) (string, func() error, error) {
--- a/citronlab/soak/soak.go
+++ b/citronlab/soak/soak.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -143,7 +144,7 @@
 	s.store = append(s.store, store)
 	var ports [4]string
 	for i := range ports {
-		if ports[i], err = freeAddress(s.Net); err != nil {
+		if ports[i], err = site.FreeAddress(s.Net); err != nil {
 			return err
 		}
 	}
@@ -167,15 +168,6 @@
 	return d.start()
 }
 
-// freeAddress returns an address that nothing listens on at the moment.
-func freeAddress(ip string) (address string, err error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), l.Close()
-}
-
 // await polls until a condition holds; false if it does not within a time.
 func (s *soak) await(ctx context.Context, within time.Duration, holds func() bool) bool {
 	until := clock.Now().Boot + within
@@ -257,11 +249,18 @@
 	}
 	s.mu.Unlock()
 	s.site.Store.Fail(nil)
+	if err := s.reviveAll(); err != nil {
+		s.report.Broken = append(s.report.Broken, err.Error())
+	}
+}
+
+// reviveAll lets every daemon go on or starts it again.
+func (s *soak) reviveAll() error {
+	errs := make([]error, 0, len(s.daemons))
 	for _, d := range s.daemons {
-		if err := d.revive(); err != nil {
-			s.report.Broken = append(s.report.Broken, err.Error())
-		}
+		errs = append(errs, d.revive())
 	}
+	return errors.Join(errs...)
 }
 
 // close ends everything that was started.
