--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -165,7 +165,7 @@
 			d.jobs[n].Wait, d.progress[n].Wait = spareReadWait, spareReadWait
 		}
 	}
-	d.Intake = &intake.Service{View: &d.view, Writer: writer, Tails: d.jobs, Timer: d.Timer, Stored: d.forwardToHolder, Lookup: d.lookup}
+	d.Intake = &intake.Service{View: &d.view, Writer: writer, Tails: d.jobs, ProgressTails: d.progress, Timer: d.Timer, Stored: d.forwardToHolder, Lookup: d.lookup}
 	d.Log.Emit(event.DaemonStarted, event.Fields{"Incarnation": d.self.Incarnation, "Peer": d.Settings.PeerAddress})
 	d.components = append(d.components, peers.Serve(d.run, listener, &server{d: d}))
 	for _, t := range d.tails() {
@@ -178,14 +178,23 @@
 
 // newTail returns a reader of a partition. When its reads succeed again, all other readers read again at once.
 func (d *Daemon) newTail(p citron.Partition, apply func(citron.KeyedBatch, bool), pause time.Duration) *tail.Tail {
-	return &tail.Tail{Store: d.Store, Partition: p, Timer: d.Timer, Apply: apply, Pause: pause, HealthChanged: func(err error) {
-		if err != nil {
-			d.Log.Emit(event.LogReadFailed, event.Fields{"Topic": p.Topic, "Partition": p.Number, "Error": err})
-			return
-		}
-		d.Log.Emit(event.StoreReachable, event.Fields{"Topic": p.Topic, "Partition": p.Number})
-		d.refreshOthers(p)
-	}}
+	return &tail.Tail{
+		Store: d.Store, Partition: p, Timer: d.Timer, Apply: apply, Pause: pause,
+		HealthChanged: func(err error) {
+			if err != nil {
+				d.Log.Emit(event.LogReadFailed, event.Fields{"Topic": p.Topic, "Partition": p.Number, "Error": err})
+				return
+			}
+			d.Log.Emit(event.StoreReachable, event.Fields{"Topic": p.Topic, "Partition": p.Number})
+			d.refreshOthers(p)
+		},
+		Loaded: func(records int, took time.Duration) {
+			d.Log.Emit(event.PartitionLoaded, event.Fields{"Topic": p.Topic, "Partition": p.Number, "Records": records, "TookMs": took.Milliseconds()})
+		},
+		Outdated: func() {
+			d.Log.Emit(event.RecordsDeleted, event.Fields{"Topic": p.Topic, "Partition": p.Number})
+		},
+	}
 }
 
 // tails returns the readers of all partitions that this daemon follows.
--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -202,6 +202,9 @@
 	d.Stats.RegisterGauge("citron_usable_workers", held(func(h *holding) float64 { return float64(h.holder.Pool.LastPlan().UsableWorkers) }))
 	d.Stats.RegisterGauge("citron_listed_workers", held(func(h *holding) float64 { return float64(h.holder.Pool.LastPlan().ListedWorkers) }))
 	d.Stats.RegisterGauge("citron_store_age_seconds", func() float64 { return d.storeAge().Seconds() })
+	d.Stats.RegisterGauge("citron_jobs_age_seconds", func() float64 { return d.Intake.Freshness().Age.Seconds() })
+	d.Stats.RegisterGauge("citron_partitions_not_loaded", func() float64 { return float64(d.Intake.Freshness().NotLoaded) })
+	d.Stats.RegisterGauge("citron_known_jobs", func() float64 { return float64(d.view.Len()) })
 	d.Stats.RegisterGauge("citron_config_version", func() float64 {
 		if c := d.config.Load(); c != nil {
 			return float64(c.Version)
--- a/citron/event/catalog.go
+++ b/citron/event/catalog.go
@@ -23,6 +23,8 @@
 	PowerFailed      = register(206, logrus.WarnLevel, "power change failed")
 	StoreReachable   = register(207, logrus.InfoLevel, "store reachable")
 	RecordUnreadable = register(208, logrus.WarnLevel, "record cannot be decoded, skipped")
+	PartitionLoaded  = register(209, logrus.InfoLevel, "partition loaded")
+	RecordsDeleted   = register(210, logrus.WarnLevel, "records deleted before they were read, loading the partition again")
 )
 
 // Events of ownership.
@@ -58,21 +60,22 @@
 
 // Events of jobs.
 var (
-	JobAccepted       = register(600, logrus.InfoLevel, "job accepted")
-	TaskPlaced        = register(601, logrus.InfoLevel, "task placed")
-	TaskEnded         = register(602, logrus.InfoLevel, "task ended")
-	WorkerQuarantined = register(603, logrus.WarnLevel, "worker quarantined")
-	WorkerSyncFailed  = register(604, logrus.WarnLevel, "worker sync failed")
-	TaskPreempted     = register(605, logrus.InfoLevel, "task preempted")
-	WorkerPowered     = register(606, logrus.InfoLevel, "worker power changed")
-	TaskRequeued      = register(607, logrus.InfoLevel, "task requeued")
-	JobEnded          = register(608, logrus.InfoLevel, "job ended")
-	JobRefused        = register(609, logrus.InfoLevel, "job refused")
-	JobCancelled      = register(610, logrus.InfoLevel, "job cancelled")
-	AdviceRequested   = register(611, logrus.InfoLevel, "policy service queried")
-	WorkerLost        = register(612, logrus.WarnLevel, "worker lost")
-	StepWaiting       = register(614, logrus.InfoLevel, "step waiting")
-	ExchangeFailed    = register(613, logrus.WarnLevel, "exchange failed")
+	JobAccepted        = register(600, logrus.InfoLevel, "job accepted")
+	TaskPlaced         = register(601, logrus.InfoLevel, "task placed")
+	TaskEnded          = register(602, logrus.InfoLevel, "task ended")
+	WorkerQuarantined  = register(603, logrus.WarnLevel, "worker quarantined")
+	WorkerSyncFailed   = register(604, logrus.WarnLevel, "worker sync failed")
+	TaskPreempted      = register(605, logrus.InfoLevel, "task preempted")
+	WorkerPowered      = register(606, logrus.InfoLevel, "worker power changed")
+	TaskRequeued       = register(607, logrus.InfoLevel, "task requeued")
+	JobEnded           = register(608, logrus.InfoLevel, "job ended")
+	JobRefused         = register(609, logrus.InfoLevel, "job refused")
+	JobCancelled       = register(610, logrus.InfoLevel, "job cancelled")
+	AdviceRequested    = register(611, logrus.InfoLevel, "policy service queried")
+	WorkerLost         = register(612, logrus.WarnLevel, "worker lost")
+	StepWaiting        = register(614, logrus.InfoLevel, "step waiting")
+	ExchangeFailed     = register(613, logrus.WarnLevel, "exchange failed")
+	WaitingJobsCounted = register(615, logrus.InfoLevel, "waiting jobs counted")
 )
 
 // Events of machine upkeep.
--- a/citron/intake/intake.go
+++ b/citron/intake/intake.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -27,8 +28,11 @@
 type Service struct {
 	View   *view.View
 	Writer *Writer
-	// Tails follow the partitions that Writer appends to.
+	// Tails follow the partitions that Writer appends to. The first one receives all records while the store answers for
+	// it.
 	Tails []*tail.Tail
+	// ProgressTails follow the partitions with the progress of the jobs.
+	ProgressTails []*tail.Tail
 	Timer citron.Timer
 	// Lookup, if set, has another daemon look up a job and adds its records to View. It reports whether the other daemon
 	// was certain of them.
@@ -108,6 +112,27 @@
 	return s.View.Pending(q)
 }
 
+// Freshness tells how much of what the store holds is known to the view.
+type Freshness struct {
+	// NotLoaded counts the partitions of jobs and progress whose newest records have not been read.
+	NotLoaded int
+	// Age is the time for which accepted jobs may be missing in the view. It is meaningful only if NotLoaded is 0.
+	Age time.Duration
+}
+
+// Freshness returns how much of what the store holds is known to View.
+func (s *Service) Freshness() (f Freshness) {
+	for _, t := range slices.Concat(s.Tails, s.ProgressTails) {
+		if _, loaded := t.Next(); !loaded {
+			f.NotLoaded++
+		}
+	}
+	if len(s.Tails) > 0 {
+		f.Age = s.Timer.Now().Boot - s.Tails[0].CurrentAsOf()
+	}
+	return f
+}
+
 // write stores a record and calls Stored.
 func (s *Service) write(ctx context.Context, r citron.KeyedRecord) *citron.Refusal {
 	err := s.Writer.Write(ctx, r)
--- a/citron/tail/tail.go
+++ b/citron/tail/tail.go
@@ -31,6 +31,12 @@
 	Apply func(batch citron.KeyedBatch, fresh bool)
 	// HealthChanged, if set, is called when reads begin to fail, with the error, and when they succeed again, with nil.
 	HealthChanged func(err error)
+	// Loaded, if set, is called when the newest record of every key has been read and applied, with the number of records
+	// and the time since the first attempt to read them.
+	Loaded func(records int, took time.Duration)
+	// Outdated, if set, is called when the store has deleted records that were not read yet, so that the newest record of
+	// every key has to be read again.
+	Outdated func()
 	// Wait is the long-poll time of a read; zero means readWait. It bounds how long a dead connection goes unnoticed.
 	Wait time.Duration
 	// Pause is the pause between two reads, which limits their rate under load.
@@ -40,6 +46,8 @@
 	next citron.Offset
 	// loaded is set while next is valid, that is once the newest records have been read.
 	loaded bool
+	// loadBegan is the boot time of the first attempt to read the newest records.
+	loadBegan time.Duration
 	// wakeup ends the pause before the next read.
 	wakeup chan struct{}
 	// abort cancels the read in progress; aborted is set once that has been done.
@@ -120,6 +128,7 @@
 	t.mu.Unlock()
 	sent := t.Timer.Now().Boot
 	if !loaded {
+		t.beginLoad(sent)
 		bounded, cancel := context.WithTimeout(ctx, newestTimeout)
 		defer cancel()
 		batch, err := t.Store.Newest(bounded, t.Partition)
@@ -128,6 +137,7 @@
 		}
 		t.Apply(batch, true)
 		t.advance(batch.End, sent)
+		t.reportLoaded(len(batch.Records))
 		return false, nil
 	}
 	wait := t.Wait
@@ -144,9 +154,7 @@
 		return false, nil
 	}
 	if errors.Is(err, citron.ErrRecordsDeleted) {
-		t.mu.Lock()
-		t.loaded = false
-		t.mu.Unlock()
+		t.markOutdated()
 		return false, nil
 	}
 	if err != nil {
@@ -160,6 +168,36 @@
 	return len(batch.Records) > 0 && next < batch.End, nil
 }
 
+// beginLoad records when the first attempt to read the newest records began.
+func (t *Tail) beginLoad(now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.loadBegan == 0 {
+		t.loadBegan = now
+	}
+}
+
+// reportLoaded ends a load and calls Loaded.
+func (t *Tail) reportLoaded(records int) {
+	t.mu.Lock()
+	took := t.Timer.Now().Boot - t.loadBegan
+	t.loadBegan = 0
+	t.mu.Unlock()
+	if t.Loaded != nil {
+		t.Loaded(records, took)
+	}
+}
+
+// markOutdated makes the next read load the newest records again and calls Outdated.
+func (t *Tail) markOutdated() {
+	t.mu.Lock()
+	t.loaded = false
+	t.mu.Unlock()
+	if t.Outdated != nil {
+		t.Outdated()
+	}
+}
+
 // advance records that every record before next has been applied, as read by a request sent at the boot time sent.
 func (t *Tail) advance(next citron.Offset, sent time.Duration) {
 	t.mu.Lock()
--- a/citron/view/view.go
+++ b/citron/view/view.go
@@ -102,6 +102,17 @@
 	return v.pending[q]
 }
 
+// Len returns the number of jobs of which some record has been read.
+func (v *View) Len() (n int) {
+	for i := range v.shards {
+		s := &v.shards[i]
+		s.mu.RLock()
+		n += len(s.jobs)
+		s.mu.RUnlock()
+	}
+	return n
+}
+
 // SetListener calls f with every known job and then with every changed one, until the listener is replaced; nil removes
 // it. A change may be passed twice.
 func (v *View) SetListener(f func(id citron.JobID, e Entry)) {
