--- /dev/null
+++ b/citronlab/site/waiting_test.go
@@ -0,0 +1,91 @@
+package site
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+)
+
+// waitingJob is a job that no worker has room for, so that it waits until the end of a test.
+const waitingJob = `{"spec":"x","steps":[{"count":1,"cpu":900000,"mem_mb":100}]}`
+
+// startWithWaitingJobs starts a cell of two daemons with waiting jobs, and ends the daemon that does not hold the pool.
+func startWithWaitingJobs(t *testing.T, ip string, jobs int) (c *cell, ended int) {
+	t.Helper()
+	c = startCell(t, ip, 2)
+	for range jobs {
+		c.submit(waitingJob)
+	}
+	ended = 1 - c.holder()
+	c.daemons[ended].Kill()
+	c.daemons[ended] = nil
+	return c, ended
+}
+
+// countWaiting asks a daemon for the waiting jobs of a queue until it answers with 200.
+func (c *cell) countWaiting(front int) (answer string) {
+	c.waitUntil(func() bool {
+		status, body := c.call(front, http.MethodGet, "/quick/", "")
+		answer = strings.TrimSpace(body)
+		return status == http.StatusOK
+	})
+	return answer
+}
+
+// failNewest makes the store fail reads of the newest accepted jobs; fails gets the number of the call, starting at 1.
+func (c *cell) failNewest(fails func(call int64) bool) (calls *atomic.Int64) {
+	calls = &atomic.Int64{}
+	c.site.Store.SetFailures(func(call, topic, part string) Failure {
+		if call == "log-newest" && topic == "keyed.citron.jobs" && part == "0" && fails(calls.Add(1)) {
+			return Busy
+		}
+		return NoFailure
+	})
+	return calls
+}
+
+// Guards against a restarted daemon that counts only the jobs that it has accepted itself.
+func TestWaitingJobsAreNotCountedBeforeTheyAreRead(t *testing.T) {
+	const jobs = 30
+	c, restarted := startWithWaitingJobs(t, "127.0.0.45", jobs)
+	c.failNewest(func(int64) bool { return true })
+	c.launch(restarted)
+	if got, want := c.countWaiting(restarted), fmt.Sprintf(`{"pending":%d}`, jobs); got != want {
+		t.Errorf("restarted daemon answers %s, want %s", got, want)
+	}
+}
+
+// Guards against a made-up count if no daemon has read the accepted jobs.
+func TestWaitingJobsAreRefusedWhileNoDaemonKnowsThem(t *testing.T) {
+	c, restarted := startWithWaitingJobs(t, "127.0.0.46", 3)
+	calls := c.failNewest(func(int64) bool { return true })
+	holder := 1 - restarted
+	c.daemons[holder].Kill()
+	c.daemons[holder] = nil
+	c.launch(restarted)
+	for calls.Load() < 5 {
+		if status, body := c.call(restarted, http.MethodGet, "/quick/", ""); status != http.StatusServiceUnavailable {
+			t.Fatalf("answer %d %s, want %d", status, body, http.StatusServiceUnavailable)
+		}
+	}
+	c.site.Store.SetFailures(nil)
+	if got, want := c.countWaiting(restarted), `{"pending":3}`; got != want {
+		t.Errorf("the daemon answers %s after it has read the jobs, want %s", got, want)
+	}
+}
+
+// Guards against a load that starts again at the first page after each failure and so never ends.
+func TestPartitionIsLoadedAlthoughSomePagesFail(t *testing.T) {
+	c, restarted := startWithWaitingJobs(t, "127.0.0.47", 4*pageSize)
+	calls := c.failNewest(func(call int64) bool { return call%3 == 0 })
+	c.launch(restarted)
+	c.waitUntil(func() bool {
+		if calls.Load() > 30 {
+			t.Fatalf("partition of 4 pages not loaded after %d calls", calls.Load())
+		}
+		_, metrics := c.client.Call(c.metrics[restarted], http.MethodGet, "/metrics", "")
+		return strings.Contains(metrics, "citron_partitions_not_loaded 0\n")
+	})
+}
