A load of a partition goes on at the page that failed

Cause: reading the newest record of every key had 5 s for all pages together and began again at the first page after a failure. 8 pages of some 5.6 MB do not fit into 5 s on 10 Mbit/s beside the other traffic, so the load never ended: unbounded work under a fixed time limit, from the start after each failure.

Change: the store's interface gives single pages; a page has its own time limit, which grows while pages time out, and a failed page is read again alone. What is appended meanwhile is read after each page, so a load may take longer than the store keeps its records. Applied at once at the end, as before.

The tests of citron/tail are new with the page reads.

--- a/citron/intake/intake.go
+++ b/citron/intake/intake.go
@@ -33,7 +33,7 @@
 	Tails []*tail.Tail
 	// ProgressTails follow the partitions with the progress of the jobs.
 	ProgressTails []*tail.Tail
-	Timer citron.Timer
+	Timer         citron.Timer
 	// Lookup, if set, has another daemon look up a job and adds its records to View. It reports whether the other daemon
 	// was certain of them.
 	Lookup func(ctx context.Context, id citron.JobID) bool
--- a/citron/platform.go
+++ b/citron/platform.go
@@ -194,8 +194,19 @@
 	// Read returns records starting at from and waits up to wait for the first one. It returns ErrRecordsDeleted if
 	// records at from have been deleted.
 	Read(ctx context.Context, p Partition, from Offset, wait time.Duration) (KeyedBatch, error)
-	// Newest returns the newest record of each key and an offset from which Read returns every later record.
-	Newest(ctx context.Context, p Partition) (KeyedBatch, error)
+	// NewestPage returns the newest records of the keys that follow after, up to the size of a page; an empty after
+	// returns the first page.
+	NewestPage(ctx context.Context, p Partition, after string) (NewestPage, error)
+}
+
+// NewestPage is one page of the newest records of a partition, in the order of their keys. Each page is a snapshot of its
+// own time.
+type NewestPage struct {
+	Records []KeyedRecord
+	// End is the offset of the next append at the time of the page.
+	End Offset
+	// More is set if other keys follow the last one of Records.
+	More bool
 }
 
 // StartOrder starts a run of a task.
--- a/citron/tail/tail.go
+++ b/citron/tail/tail.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/waits"
 )
 
 const (
@@ -15,8 +16,6 @@
 	readWait = 1500 * time.Millisecond
 	// readSlack is added to the long-poll time to get the timeout of a read.
 	readSlack = 500 * time.Millisecond
-	// newestTimeout is the time limit for reading the newest record of every key.
-	newestTimeout = 5 * time.Second
 	// minRetryDelay and maxRetryDelay bound the backoff after failed reads.
 	minRetryDelay = 30 * time.Millisecond
 	maxRetryDelay = 300 * time.Millisecond
@@ -42,12 +41,14 @@
 	// Pause is the pause between two reads, which limits their rate under load.
 	Pause time.Duration
 
+	// loading is the load in progress and pageTimeout its timeout; only the goroutine of Run uses them.
+	loading     load
+	pageTimeout waits.Timeout
+
 	mu   sync.Mutex
 	next citron.Offset
 	// loaded is set while next is valid, that is once the newest records have been read.
 	loaded bool
-	// loadBegan is the boot time of the first attempt to read the newest records.
-	loadBegan time.Duration
 	// wakeup ends the pause before the next read.
 	wakeup chan struct{}
 	// abort cancels the read in progress; aborted is set once that has been done.
@@ -126,19 +127,8 @@
 	t.mu.Lock()
 	next, loaded := t.next, t.loaded
 	t.mu.Unlock()
-	sent := t.Timer.Now().Boot
 	if !loaded {
-		t.beginLoad(sent)
-		bounded, cancel := context.WithTimeout(ctx, newestTimeout)
-		defer cancel()
-		batch, err := t.Store.Newest(bounded, t.Partition)
-		if err != nil {
-			return false, err
-		}
-		t.Apply(batch, true)
-		t.advance(batch.End, sent)
-		t.reportLoaded(len(batch.Records))
-		return false, nil
+		return t.loadOnce(ctx)
 	}
 	wait := t.Wait
 	if wait == 0 {
@@ -149,6 +139,7 @@
 	t.mu.Lock()
 	t.abort, t.aborted = cancel, false
 	t.mu.Unlock()
+	sent := t.Timer.Now().Boot
 	batch, err := t.Store.Read(bounded, t.Partition, next, wait)
 	if err != nil && t.wasAborted() {
 		return false, nil
@@ -168,26 +159,6 @@
 	return len(batch.Records) > 0 && next < batch.End, nil
 }
 
-// beginLoad records when the first attempt to read the newest records began.
-func (t *Tail) beginLoad(now time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.loadBegan == 0 {
-		t.loadBegan = now
-	}
-}
-
-// reportLoaded ends a load and calls Loaded.
-func (t *Tail) reportLoaded(records int) {
-	t.mu.Lock()
-	took := t.Timer.Now().Boot - t.loadBegan
-	t.loadBegan = 0
-	t.mu.Unlock()
-	if t.Loaded != nil {
-		t.Loaded(records, took)
-	}
-}
-
 // markOutdated makes the next read load the newest records again and calls Outdated.
 func (t *Tail) markOutdated() {
 	t.mu.Lock()
--- a/citron/tail/tail_test.go
+++ b/citron/tail/tail_test.go
@@ -12,7 +12,7 @@
 // scriptedStore is a store with one partition whose reads are answered by the test.
 type scriptedStore struct {
 	citron.Store
-	newest chan citron.KeyedBatch
+	newest chan citron.NewestPage
 	reads  chan read
 }
 
@@ -26,7 +26,7 @@
 	err   error
 }
 
-func (s *scriptedStore) Newest(context.Context, citron.Partition) (citron.KeyedBatch, error) {
+func (s *scriptedStore) NewestPage(context.Context, citron.Partition, string) (citron.NewestPage, error) {
 	return <-s.newest, nil
 }
 
@@ -48,7 +48,7 @@
 // startTail returns a running tail that has applied its first newest records and reads on from offset 5.
 func startTail(t *testing.T) (*Tail, *scriptedStore, chan []citron.KeyedRecord) {
 	t.Helper()
-	s := &scriptedStore{newest: make(chan citron.KeyedBatch, 1), reads: make(chan read)}
+	s := &scriptedStore{newest: make(chan citron.NewestPage, 1), reads: make(chan read)}
 	applied := make(chan []citron.KeyedRecord, 10)
 	tail := &Tail{Store: s, Timer: timer.System{}, Apply: func(b citron.KeyedBatch, _ bool) { applied <- b.Records }}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -57,7 +57,7 @@
 		cancel()
 		<-ended
 	})
-	s.newest <- citron.KeyedBatch{Records: []citron.KeyedRecord{{Key: "a"}}, End: 5}
+	s.newest <- citron.NewestPage{Records: []citron.KeyedRecord{{Key: "a"}}, End: 5}
 	<-applied
 	return tail, s, applied
 }
@@ -83,7 +83,7 @@
 func TestDeletedRecordsAreReplacedByTheNewest(t *testing.T) {
 	_, s, applied := startTail(t)
 	(<-s.reads).answer <- answer{err: citron.ErrRecordsDeleted}
-	s.newest <- citron.KeyedBatch{Records: []citron.KeyedRecord{{Key: "z"}}, End: 90}
+	s.newest <- citron.NewestPage{Records: []citron.KeyedRecord{{Key: "z"}}, End: 90}
 	if records := <-applied; records[0].Key != "z" {
 		t.Errorf("applied %v, want the newest records", records)
 	}
@@ -135,7 +135,7 @@
 
 // The size of an answer is limited, so a tail that paused after each answer might never catch up.
 func TestNoPauseWhileBehind(t *testing.T) {
-	s := &scriptedStore{newest: make(chan citron.KeyedBatch, 1), reads: make(chan read)}
+	s := &scriptedStore{newest: make(chan citron.NewestPage, 1), reads: make(chan read)}
 	paused := make(chan struct{})
 	tail := &Tail{Store: s, Timer: neverFires{}, Pause: time.Hour, Apply: func(_ citron.KeyedBatch, fresh bool) {
 		if fresh {
@@ -148,7 +148,7 @@
 		cancel()
 		<-ended
 	}()
-	s.newest <- citron.KeyedBatch{End: 5}
+	s.newest <- citron.NewestPage{End: 5}
 	<-paused
 	// The first read follows a pause, which WaitFor ends.
 	go func() { _ = tail.WaitFor(ctx, 7) }()
