A read of a part of the new records does not confirm that all are known

Cause: the store limits the size of an answer, and a tail took every answer for complete: CurrentAsOf then named a time before which not every stored record had been applied. The holder's confirmation of its claim, and with it the leases of tasks, rests on that time.

Change: only an answer that reaches the end of the partition confirms.

TestPartialReadConfirmsNothing failed before (2s instead of 1s).

--- a/citron/tail/load.go
+++ b/citron/tail/load.go
@@ -108,7 +108,8 @@
 	t.loading = load{}
 	batch := citron.KeyedBatch{Records: append(l.newest, l.appended...), End: l.next}
 	t.Apply(batch, true)
-	t.advance(l.next, sent)
+	t.advance(l.next)
+	t.confirmCurrent(sent)
 	if t.Loaded != nil {
 		t.Loaded(len(batch.Records), t.Timer.Now().Boot-l.began)
 	}
--- a/citron/tail/tail.go
+++ b/citron/tail/tail.go
@@ -155,7 +155,10 @@
 		t.Apply(batch, false)
 	}
 	next = batch.Start + citron.Offset(len(batch.Records))
-	t.advance(next, sent)
+	t.advance(next)
+	if next >= batch.End {
+		t.confirmCurrent(sent)
+	}
 	return len(batch.Records) > 0 && next < batch.End, nil
 }
 
@@ -169,11 +172,18 @@
 	}
 }
 
-// advance records that every record before next has been applied, as read by a request sent at the boot time sent.
-func (t *Tail) advance(next citron.Offset, sent time.Duration) {
+// confirmCurrent records that every record stored before a boot time has been applied.
+func (t *Tail) confirmCurrent(instant time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.currentAsOf = instant
+}
+
+// advance records that every record before next has been applied.
+func (t *Tail) advance(next citron.Offset) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.next, t.loaded, t.currentAsOf = next, true, sent
+	t.next, t.loaded = next, true
 	remaining := t.waiters[:0]
 	for _, w := range t.waiters {
 		if w.offset <= next {
--- a/citron/tail/tail_test.go
+++ b/citron/tail/tail_test.go
@@ -162,6 +162,35 @@
 	}
 }
 
+// Guards against a claim that counts as confirmed although newer records, perhaps another claim, have not been read.
+func TestPartialReadConfirmsNothing(t *testing.T) {
+	clock := &timer.Manual{}
+	s := &scriptedStore{newest: make(chan citron.NewestPage, 1), reads: make(chan read)}
+	tail := &Tail{Store: s, Timer: clock, Apply: func(citron.KeyedBatch, bool) {}}
+	s.newest <- citron.NewestPage{End: 5}
+	readNext := func(b citron.KeyedBatch) {
+		t.Helper()
+		clock.Advance(time.Second)
+		go func() { (<-s.reads).answer <- answer{batch: b} }()
+		if _, err := tail.readOnce(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	clock.Advance(time.Second)
+	if _, err := tail.readOnce(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	record := []citron.KeyedRecord{{Key: "a"}}
+	readNext(citron.KeyedBatch{Start: 5, Records: record, End: 7})
+	if got := tail.CurrentAsOf(); got != time.Second {
+		t.Errorf("current as of %v after one of two records, want 1s", got)
+	}
+	readNext(citron.KeyedBatch{Start: 6, Records: record, End: 7})
+	if got := tail.CurrentAsOf(); got != 3*time.Second {
+		t.Errorf("current as of %v after all records, want 3s", got)
+	}
+}
+
 // neverFires is a timer whose subscriptions never fire.
 type neverFires struct{ citron.Timer }
 
