Waiting jobs are counted only by a daemon that knows all accepted jobs

Cause: GET at a queue's prefix was answered from the daemon's own view, whether or not the view was complete. After a start it knows only the jobs that the daemon accepted itself until the partitions are loaded, which took VMs with thin links more than 5 s, or for ever.

Change: a count needs every partition of jobs and progress loaded and the partition that receives the jobs read up to date within 2 s. Otherwise the holder and one more daemon are asked (CountPending), which answer under the same condition. If none can, the caller gets 503 with Retry-After. Reads of that partition wait at most 600 ms for a record, so that an idle cell stays within 2 s.

TestWaitingJobsAreRefusedOnceReadsHang is new; without the limit on the age it does not end.

--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -51,6 +51,9 @@
 	peerKeyPrefix = "peer/"
 	// readInterval is the pause between two reads of a partition whose records other daemons also send directly.
 	readInterval = 400 * time.Millisecond
+	// jobsReadWait is the long-poll time for the partition that receives the accepted jobs. Two reads and the pause between
+	// them take less than intake.MaxCountAge, so that counts stay current while no jobs arrive.
+	jobsReadWait = 600 * time.Millisecond
 	// spareReadWait is the long-poll time for the partitions that receive records only while another one fails.
 	spareReadWait = 8 * time.Second
 	// maxReadyStoreAge is the time without an answer from the store after which this daemon is no longer ready.
@@ -165,7 +168,8 @@
 			d.jobs[n].Wait, d.progress[n].Wait = spareReadWait, spareReadWait
 		}
 	}
-	d.Intake = &intake.Service{View: &d.view, Writer: writer, Tails: d.jobs, ProgressTails: d.progress, Timer: d.Timer, Stored: d.forwardToHolder, Lookup: d.lookup}
+	d.jobs[0].Wait = jobsReadWait
+	d.Intake = &intake.Service{View: &d.view, Writer: writer, Tails: d.jobs, ProgressTails: d.progress, Timer: d.Timer, Stored: d.forwardToHolder, Lookup: d.lookup, CountElsewhere: d.countElsewhere}
 	d.Log.Emit(event.DaemonStarted, event.Fields{"Incarnation": d.self.Incarnation, "Peer": d.Settings.PeerAddress})
 	d.components = append(d.components, peers.Serve(d.run, listener, &server{d: d}))
 	for _, t := range d.tails() {
@@ -370,6 +374,19 @@
 	return false
 }
 
+// countElsewhere asks other daemons for the number of pending jobs of a queue.
+func (d *Daemon) countElsewhere(ctx context.Context, q citron.QueueName) (n int, ok bool) {
+	for _, vm := range d.relayTargets() {
+		bounded, cancel := context.WithTimeout(ctx, relayTimeout)
+		n, err := d.peers.CountPending(bounded, vm, q)
+		cancel()
+		if err == nil {
+			return n, true
+		}
+	}
+	return 0, false
+}
+
 // relayTargets returns the daemons through which to reach the store, the holder first.
 func (d *Daemon) relayTargets() (vms []citron.VMName) {
 	holder := d.newestClaim().Holder.VM
--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -91,6 +91,12 @@
 	return reply, nil
 }
 
+// CountPending returns the number of jobs of a queue that have not started, if this daemon knows all accepted jobs.
+func (s *server) CountPending(_ context.Context, r *link.CountPendingRequest) (*link.CountPendingReply, error) {
+	c, certain := s.d.Intake.CountPendingHere(citron.QueueName(r.GetQueue()))
+	return &link.CountPendingReply{Certain: certain, Jobs: int64(c.Jobs)}, nil
+}
+
 // Notify applies stored records before this daemon reads them from the store.
 func (s *server) Notify(_ context.Context, r *link.NotifyRequest) (*link.NotifyReply, error) {
 	s.d.view.Apply(citron.KeyedBatch{Records: peers.Decode(r.GetRecords())}, false)
--- a/citron/event/catalog.go
+++ b/citron/event/catalog.go
@@ -75,7 +75,7 @@
 	WorkerLost         = register(612, logrus.WarnLevel, "worker lost")
 	StepWaiting        = register(614, logrus.InfoLevel, "step waiting")
 	ExchangeFailed     = register(613, logrus.WarnLevel, "exchange failed")
-	WaitingJobsCounted = register(615, logrus.InfoLevel, "waiting jobs counted")
+	PendingJobsCounted = register(615, logrus.InfoLevel, "pending jobs counted")
 )
 
 // Events of machine upkeep.
--- a/citron/intake/intake.go
+++ b/citron/intake/intake.go
@@ -22,6 +22,8 @@
 	confirmTimeout = 500 * time.Millisecond
 	// retryAfter is the delay after which a caller should try again while the store does not answer.
 	retryAfter = time.Second
+	// MaxCountAge is the maximum age of a count of waiting jobs, as callers are told in docs/CALLERS.md.
+	MaxCountAge = 2 * time.Second
 )
 
 // Service handles the requests of callers.
@@ -37,6 +39,8 @@
 	// Lookup, if set, has another daemon look up a job and adds its records to View. It reports whether the other daemon
 	// was certain of them.
 	Lookup func(ctx context.Context, id citron.JobID) bool
+	// CountElsewhere, if set, asks other daemons for the number of waiting jobs of a queue. Ok is false if none knows it.
+	CountElsewhere func(ctx context.Context, q citron.QueueName) (n int, ok bool)
 	// Stored, if set, is called with each record that the store has acknowledged.
 	Stored func(citron.KeyedRecord)
 }
@@ -107,9 +111,33 @@
 	return nil
 }
 
-// Pending returns the number of queued jobs of a queue that have not started.
-func (s *Service) Pending(q citron.QueueName) int {
-	return s.View.Pending(q)
+// Count is the number of jobs of a queue that have not started, as one view has it.
+type Count struct {
+	Jobs int
+	Freshness
+}
+
+// CountPending returns the number of queued jobs of a queue that have not started. If View may lack accepted jobs, another
+// daemon is asked.
+func (s *Service) CountPending(ctx context.Context, q citron.QueueName) (c Count, refused *citron.Refusal) {
+	c, ok := s.CountPendingHere(q)
+	if ok {
+		return c, nil
+	}
+	if s.CountElsewhere != nil {
+		if c.Jobs, ok = s.CountElsewhere(ctx, q); ok {
+			return c, nil
+		}
+	}
+	return c, citron.NewNotRunRefusal(citron.RefusalLogUnavailable, retryAfter, "the accepted jobs have not been read yet or the store does not answer")
+}
+
+// CountPendingHere returns the number according to View. Ok is false if View may lack jobs that were accepted more than
+// MaxCountAge ago.
+func (s *Service) CountPendingHere(q citron.QueueName) (c Count, ok bool) {
+	c.Freshness = s.Freshness()
+	c.Jobs = s.View.Pending(q)
+	return c, c.NotLoaded == 0 && c.Age <= MaxCountAge
 }
 
 // Freshness tells how much of what the store holds is known to the view.
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -317,6 +317,23 @@
 	return Decode(reply.GetRecords()), nil
 }
 
+// CountPending asks a daemon how many jobs of a queue have not started. It returns citron.ErrUnavailable if that daemon
+// does not know all accepted jobs.
+func (p *Peers) CountPending(ctx context.Context, vm citron.VMName, q citron.QueueName) (n int, err error) {
+	defer func() { err = eris.Wrapf(err, "count pending jobs of %s at %s", q, vm) }()
+	var reply *link.CountPendingReply
+	if err := p.call(vm, func(c link.LinkClient) (err error) {
+		reply, err = c.CountPending(ctx, &link.CountPendingRequest{Queue: string(q)})
+		return err
+	}); err != nil {
+		return 0, err
+	}
+	if !reply.GetCertain() {
+		return 0, citron.ErrUnavailable
+	}
+	return int(reply.GetJobs()), nil
+}
+
 // Notify sends records that have been stored to a daemon.
 func (p *Peers) Notify(ctx context.Context, vm citron.VMName, records []citron.KeyedRecord) (err error) {
 	defer func() { err = eris.Wrapf(err, "notify %s", vm) }()
--- a/citronlab/site/waiting_test.go
+++ b/citronlab/site/waiting_test.go
@@ -76,6 +76,25 @@
 	}
 }
 
+// Guards against a count that is older than callers are told.
+func TestWaitingJobsAreRefusedOnceReadsHang(t *testing.T) {
+	c := startCell(t, "127.0.0.48", 1)
+	c.submit(waitingJob)
+	if got, want := c.countWaiting(0), `{"pending":1}`; got != want {
+		t.Errorf("the daemon answers %s, want %s", got, want)
+	}
+	c.site.Store.SetFailures(func(call, topic, part string) Failure {
+		if call == "log-read" && topic == "keyed.citron.jobs" && part == "0" {
+			return Unresponsive
+		}
+		return NoFailure
+	})
+	c.waitUntil(func() bool {
+		status, _ := c.call(0, http.MethodGet, "/quick/", "")
+		return status == http.StatusServiceUnavailable
+	})
+}
+
 // Guards against a load that starts again at the first page after each failure and so never ends.
 func TestPartitionIsLoadedAlthoughSomePagesFail(t *testing.T) {
 	c, restarted := startWithWaitingJobs(t, "127.0.0.47", 4*pageSize)
