--- a/citron/intake/intake.go
+++ b/citron/intake/intake.go
@@ -144,7 +144,7 @@
 type Freshness struct {
 	// NotLoaded counts the partitions of jobs and progress whose newest records have not been read.
 	NotLoaded int
-	// Age is the time for which accepted jobs may be missing in the view. It is meaningful only if NotLoaded is 0.
+	// Age is the time for which accepted jobs may be missing in the view; 0 unless NotLoaded is 0.
 	Age time.Duration
 }
 
@@ -155,7 +155,7 @@
 			f.NotLoaded++
 		}
 	}
-	if len(s.Tails) > 0 {
+	if f.NotLoaded == 0 && len(s.Tails) > 0 {
 		f.Age = s.Timer.Now().Boot - s.Tails[0].CurrentAsOf()
 	}
 	return f
