A job's state is reported only with the progress that the store holds

GET, and Lookup for another daemon, answered from a view that held the job but not its progress.

Change: an entry that has not ended is certain only once the progress partitions that the newest claim lists are loaded. Cancelling does not need the progress.

TestStateIsNotReportedWithoutProgress failed before: queued where the job is completed, alone and beside a holder that knows better.

--- a/citron/intake/intake.go
+++ b/citron/intake/intake.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -33,8 +32,8 @@
 	// Tails follow the partitions that Writer appends to. The first one receives all records while the store answers for
 	// it.
 	Tails []*tail.Tail
-	// ProgressTails follow the partitions with the progress of the jobs.
-	ProgressTails []*tail.Tail
+	// ProgressTails returns the tails of the partitions that hold the progress of the jobs.
+	ProgressTails func() []*tail.Tail
 	Timer         citron.Timer
 	// Lookup, if set, has another daemon look up a job and adds its records to View. It reports whether the other daemon
 	// was certain of them.
@@ -59,9 +58,12 @@
 
 // Cancel stores the cancellation of a job. Cancelling an ended job changes nothing.
 func (s *Service) Cancel(ctx context.Context, id citron.JobID) *citron.Refusal {
-	e, refused := s.Status(ctx, id)
-	if refused != nil {
-		return refused
+	e, known := s.View.Get(id)
+	if !known {
+		var refused *citron.Refusal
+		if e, refused = s.Status(ctx, id); refused != nil {
+			return refused
+		}
 	}
 	if pool.IsTerminal(e.State()) {
 		return nil
@@ -69,36 +71,35 @@
 	return s.write(ctx, citron.KeyedRecord{Key: pool.CancelKey + string(id), Value: []byte{1}})
 }
 
-// Status returns the entry of a job. A job that is not known here is looked up in the store, and through Lookup if the
-// store does not answer, before it is refused as unknown.
+// Status returns the entry of a job. A job that cannot be found here for certain is looked up through Lookup.
 func (s *Service) Status(ctx context.Context, id citron.JobID) (view.Entry, *citron.Refusal) {
-	if e, ok := s.View.Get(id); ok {
-		return e, nil
-	}
-	bounded, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	if s.catchUp(bounded) != nil && (s.Lookup == nil || !s.Lookup(ctx, id)) {
-		return view.Entry{}, citron.NewNotRunRefusal(citron.RefusalLogUnavailable, retryAfter, "the store does not answer, so it is not known whether job %q exists", id)
+	e, known, certain := s.Find(ctx, id)
+	if !certain {
+		if s.Lookup == nil || !s.Lookup(ctx, id) {
+			return view.Entry{}, citron.NewNotRunRefusal(citron.RefusalLogUnavailable, retryAfter, "the records of job %q have not been read yet or the store does not answer", id)
+		}
+		e, known = s.View.Get(id)
 	}
-	if e, ok := s.View.Get(id); ok {
-		return e, nil
+	if !known {
+		return view.Entry{}, citron.NewNotRunRefusal(citron.RefusalUnknownJob, 0, "job %q is not known; ended jobs are forgotten after a time", id)
 	}
-	return view.Entry{}, citron.NewNotRunRefusal(citron.RefusalUnknownJob, 0, "job %q is not known; ended jobs are forgotten after a time", id)
+	return e, nil
 }
 
-// Find returns the entry of a job that this daemon or the store knows. Ok is false if the job is not known here and the
-// store does not answer.
-func (s *Service) Find(ctx context.Context, id citron.JobID) (e view.Entry, known, ok bool) {
-	if e, known = s.View.Get(id); known {
-		return e, true, true
-	}
-	bounded, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	if s.catchUp(bounded) != nil {
-		return e, false, false
+// Find returns the entry of a job that this daemon or the store knows. Certain is false if the job is not known here and
+// the store does not answer, or if the job may have made progress that is not known here.
+func (s *Service) Find(ctx context.Context, id citron.JobID) (e view.Entry, known, certain bool) {
+	if e, known = s.View.Get(id); !known {
+		bounded, cancel := context.WithTimeout(ctx, confirmTimeout)
+		defer cancel()
+		if s.catchUp(bounded) != nil {
+			return e, false, false
+		}
+		if e, known = s.View.Get(id); !known {
+			return e, false, true
+		}
 	}
-	e, known = s.View.Get(id)
-	return e, known, true
+	return e, true, pool.IsTerminal(e.State()) || countNotLoaded(s.ProgressTails()) == 0
 }
 
 // catchUp waits until every accepted job and cancellation in the store has been applied to View.
@@ -150,17 +151,23 @@
 
 // Freshness returns how much of what the store holds is known to View.
 func (s *Service) Freshness() (f Freshness) {
-	for _, t := range slices.Concat(s.Tails, s.ProgressTails) {
-		if _, loaded := t.Next(); !loaded {
-			f.NotLoaded++
-		}
-	}
+	f.NotLoaded = countNotLoaded(s.Tails) + countNotLoaded(s.ProgressTails())
 	if f.NotLoaded == 0 && len(s.Tails) > 0 {
 		f.Age = s.Timer.Now().Boot - s.Tails[0].CurrentAsOf()
 	}
 	return f
 }
 
+// countNotLoaded returns the number of partitions whose newest records have not been read.
+func countNotLoaded(tails []*tail.Tail) (n int) {
+	for _, t := range tails {
+		if _, loaded := t.Next(); !loaded {
+			n++
+		}
+	}
+	return n
+}
+
 // write stores a record and calls Stored.
 func (s *Service) write(ctx context.Context, r citron.KeyedRecord) *citron.Refusal {
 	err := s.Writer.Write(ctx, r)
--- a/citronlab/site/site_test.go
+++ b/citronlab/site/site_test.go
@@ -160,12 +160,20 @@
 
 // submit sends a job to one daemon after another until one accepts it, and returns its id.
 func (c *cell) submit(body string) string {
+	front := c.submitted + 1
+	return c.submitUntil(body, func() int { front++; return front % len(c.fronts) })
+}
+
+// submitTo sends a job to one daemon until it accepts it, and returns its id.
+func (c *cell) submitTo(front int, body string) string {
+	return c.submitUntil(body, func() int { return front })
+}
+
+func (c *cell) submitUntil(body string, nextFront func() int) string {
 	c.submitted++
 	id := fmt.Sprintf("%016x", c.submitted)
-	front := c.submitted
 	c.waitUntil(func() bool {
-		front++
-		status, _ := c.call(front%len(c.fronts), http.MethodPost, "/quick/"+id, body)
+		status, _ := c.call(nextFront(), http.MethodPost, "/quick/"+id, body)
 		return status == http.StatusOK
 	})
 	return id
--- a/citronlab/site/waiting_test.go
+++ b/citronlab/site/waiting_test.go
@@ -108,3 +108,50 @@
 		return strings.Contains(metrics, "citron_partitions_not_loaded 0\n")
 	})
 }
+
+// failNewestProgress makes the store fail reads of the newest progress records.
+func (c *cell) failNewestProgress() {
+	c.site.Store.SetFailures(func(call, topic, part string) Failure {
+		if call == "log-newest" && topic == "keyed.citron.progress" && part == "0" {
+			return Busy
+		}
+		return NoFailure
+	})
+}
+
+// Guards against a restarted daemon that reports a completed job as queued, since it has read the job but no progress.
+func TestStateIsNotReportedWithoutProgress(t *testing.T) {
+	c := startCell(t, "127.0.0.49", 2)
+	ids := []string{c.submit(twoSteps)}
+	c.waitUntilCompleted(ids)
+	holder := c.holder()
+	restarted := 1 - holder
+	c.daemons[restarted].Kill()
+	c.failNewestProgress()
+	c.launch(restarted)
+	statesUntilAnswered := func() (status int, state string) {
+		c.waitUntil(func() bool {
+			status, state = c.client.State(c.fronts[restarted], "/quick/"+ids[0])
+			return status == http.StatusOK
+		})
+		return status, state
+	}
+	if _, state := statesUntilAnswered(); state != "completed" {
+		t.Errorf("restarted daemon reports %q, want completed as the holder does", state)
+	}
+	c.daemons[holder].Kill()
+	c.daemons[holder] = nil
+	waiting := c.submitTo(restarted, waitingJob)
+	for range 5 {
+		if status, state := c.client.State(c.fronts[restarted], "/quick/"+waiting); status != http.StatusServiceUnavailable {
+			t.Errorf("a daemon without progress answers %d %q, want %d", status, state, http.StatusServiceUnavailable)
+		}
+	}
+	if status, _ := c.call(restarted, http.MethodDelete, "/quick/"+waiting, ""); status != http.StatusOK {
+		t.Errorf("cancellation answered with %d, want %d", status, http.StatusOK)
+	}
+	c.site.Store.SetFailures(nil)
+	if _, state := statesUntilAnswered(); state != "completed" {
+		t.Errorf("the daemon reports %q after it has read the progress, want completed", state)
+	}
+}
