An aborted read is not an answer of the store

Cause: RestartRead aborts a hanging read, and the tail then recorded a success: a store that answers nothing counted as reachable (Failing false, age of the answer 0), which the writer's choice of a partition, readiness and the logs rest on.

Change: an aborted read is recorded neither as success nor as failure.

TestAbortedReadIsNoAnswer failed before: not failing, last answer 3 us ago.

--- a/citron/tail/tail.go
+++ b/citron/tail/tail.go
@@ -21,6 +21,9 @@
 	maxRetryDelay = 300 * time.Millisecond
 )
 
+// errAborted means that RestartRead has aborted a read, which tells nothing about the store.
+var errAborted = errors.New("read aborted")
+
 // Tail follows one partition.
 type Tail struct {
 	Store     citron.Store
@@ -81,9 +84,13 @@
 			if ctx.Err() != nil {
 				break
 			}
-			t.recordResult(err)
 			wait := t.Pause
+			aborted := errors.Is(err, errAborted)
+			if !aborted {
+				t.recordResult(err)
+			}
 			switch {
+			case aborted:
 			case err != nil:
 				wait, backoff = backoff, min(2*backoff, maxRetryDelay)
 			case behind:
@@ -142,7 +149,7 @@
 	sent := t.Timer.Now().Boot
 	batch, err := t.Store.Read(bounded, t.Partition, next, wait)
 	if err != nil && t.wasAborted() {
-		return false, nil
+		return false, errAborted
 	}
 	if errors.Is(err, citron.ErrRecordsDeleted) {
 		t.markOutdated()
--- a/citron/tail/tail_test.go
+++ b/citron/tail/tail_test.go
@@ -106,6 +106,19 @@
 	}
 }
 
+// Guards against a store that counts as answering because a read was aborted here.
+func TestAbortedReadIsNoAnswer(t *testing.T) {
+	tail, s, _ := startTail(t)
+	(<-s.reads).answer <- answer{err: citron.ErrUnavailable}
+	<-s.reads
+	before := tail.AnswerAge()
+	tail.RestartRead()
+	<-s.reads
+	if !tail.Failing() || tail.AnswerAge() < before {
+		t.Errorf("failing %t, last answer %v ago after an aborted read, want a failing tail and at least %v", tail.Failing(), tail.AnswerAge(), before)
+	}
+}
+
 // After an outage of the store a holder may reach it a moment later than other daemons. It must not be replaced for that;
 // seen in incident inc-07de of Ben Salah, where the pool changed hands when the store was available again.
 func TestHealthyForStartsAnewAfterFailure(t *testing.T) {
