--- a/citron/pool/sim_test.go
+++ b/citron/pool/sim_test.go
@@ -37,6 +37,10 @@
 	acksBeforeRecord
 	// renewsUnconfirmed makes holders renew leases without confirmation that they still hold the pool.
 	renewsUnconfirmed
+	// ordersAsStarts takes an unanswered start order for a start.
+	ordersAsStarts
+	// stopsAsDone takes the end of a stopped run for one as done.
+	stopsAsDone
 )
 
 const (
@@ -67,6 +71,9 @@
 	holders   []*simHolder
 	// done holds the tasks with an acknowledged end as done.
 	done map[citron.TaskRef]bool
+	// begun holds the jobs of which a task has begun on a worker, finished the tasks of which a run has ended as done.
+	begun    map[citron.JobID]bool
+	finished map[citron.TaskRef]bool
 	// lastStart is when a run of each task last started.
 	lastStart map[citron.TaskRef]time.Duration
 	// failures counts the acknowledged failures of each task.
@@ -137,7 +144,8 @@
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 7)), mutant: m, stored: map[string]*work.Progress{}, done: map[citron.TaskRef]bool{},
 		failures: map[citron.TaskRef]int{}, cancelled: map[string]bool{}, lastStart: map[citron.TaskRef]time.Duration{}, start: time.Hour,
-		now: citron.Instant{Boot: time.Hour, Wall: time.UnixMilli(1_700_000_000_000)},
+		now:   citron.Instant{Boot: time.Hour, Wall: time.UnixMilli(1_700_000_000_000)},
+		begun: map[citron.JobID]bool{}, finished: map[citron.TaskRef]bool{},
 	}
 	for range 5 {
 		s := &simWorker{world: w, drift: 1 - 0.02*w.rng.Float64(), entry: citron.WorkerEntry{Service: "svc", Capacity: citron.Capacity{MilliCores: 8000, MemoryMb: 8000}}}
@@ -351,6 +359,7 @@
 				w.violation = err.Error()
 			}
 			w.stored[progress.GetJobID()] = &progress
+			w.checkState(&progress)
 		}
 		w.schedule(5*time.Millisecond, func() { h.stored(e) })
 	})
@@ -391,7 +400,11 @@
 		}, func() {
 			if !answered {
 				answered = true
-				h.pool.Started(h.world.now, s, citron.StartUnknown, 0)
+				outcome := citron.StartUnknown
+				if h.world.mutant == ordersAsStarts {
+					outcome = citron.Started
+				}
+				h.pool.Started(h.world.now, s, outcome, 0)
 			}
 		})
 	}
@@ -550,6 +563,7 @@
 		w.fail("BUDGET: %s started as run %d after four acknowledged failures", o.Task, o.Run)
 	}
 	s.highestRun[o.Task], w.lastStart[o.Task] = o.Run, w.now.Boot
+	w.begun[jobOf(o.Task)] = true
 	s.runs[o.Task] = &simRun{run: o.Run, need: need, gang: members, endsAt: w.now.Boot + time.Duration(200+w.rng.IntN(1500))*time.Millisecond, willFail: w.chance(0.03)}
 }
 
@@ -594,6 +608,7 @@
 	if run := s.runs[ref]; run.gang > 0 && how != citron.EndDone && how != citron.EndGangBroken {
 		defer s.world.breakGang(ref, run.run)
 	}
+	s.world.finished[ref] = s.world.finished[ref] || how == citron.EndDone
 	s.lastEnd++
 	s.endedAt[s.lastEnd] = s.world.now.Boot
 	s.ended = append(s.ended, citron.EndedTask{Number: s.lastEnd, Task: ref, Run: s.runs[ref].run, Kind: how})
@@ -698,9 +713,56 @@
 	}
 	slices.SortFunc(r.Running, func(a, b citron.RunningTask) int { return cmp.Compare(a.Task, b.Task) })
 	r.Ended = append(r.Ended, s.ended...)
+	for n := range r.Ended {
+		if r.Ended[n].Kind == citron.EndStopped && s.world.mutant == stopsAsDone {
+			r.Ended[n].Kind = citron.EndDone
+		}
+	}
 	return r, s.clock()
 }
 
+// checkState checks the state in a stored record, which callers may see from now on.
+func (w *world) checkState(r *work.Progress) {
+	id := citron.JobID(r.GetJobID())
+	switch r.GetState() {
+	case work.State_STATE_RUNNING:
+		if !w.begun[id] {
+			w.fail("MIXED: job %s is recorded as running, but no task of it has begun", id)
+		}
+	case work.State_STATE_COMPLETED:
+		if ref := w.unfinished(id); ref != "" {
+			w.fail("MIXED: job %s is recorded as completed, but %s has not ended as done", id, ref)
+		}
+	}
+}
+
+// unfinished returns a task of a job without an end as done, empty if there is none. One end stands for a whole gang.
+func (w *world) unfinished(id citron.JobID) citron.TaskRef {
+	for _, j := range w.accepted {
+		if j.GetID() != string(id) {
+			continue
+		}
+		for n, s := range j.GetSteps() {
+			missing := []citron.TaskRef{}
+			for i := range s.GetTasks() {
+				if ref := TaskName(id, 0, int32(n), i); !w.finished[ref] {
+					missing = append(missing, ref)
+				}
+			}
+			if len(missing) > 0 && (!s.GetGang() || len(missing) == int(s.GetTasks())) {
+				return missing[0]
+			}
+		}
+	}
+	return ""
+}
+
+// jobOf returns the job of a task.
+func jobOf(ref citron.TaskRef) citron.JobID {
+	id, _, _ := strings.Cut(string(ref), ".")
+	return citron.JobID(id)
+}
+
 // checkAllEnded reports a job that has not ended after the time without faults.
 func (w *world) checkAllEnded() {
 	for _, j := range w.accepted {
@@ -730,6 +792,8 @@
 		"late orders executed":        lateOrders,
 		"acks before their record":    acksBeforeRecord,
 		"leases without confirmation": renewsUnconfirmed,
+		"orders taken for starts":     ordersAsStarts,
+		"stopped taken for done":      stopsAsDone,
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(5 * simulationSeeds) {
