A completed job is not started again while its records are being removed

Cause: the holder removes the records of the job before those of its progress, and the daemons read them from two partitions. If the removal of the progress was read first, the view held the job without progress, which looks like one that has never started, and the pool accepted it anew.

Change: the progress stays in the view until the removal of its job has been read.

TestRemovedJobIsNotStartedAgain (removal of the progress read first), TestRemovedJobIsNotStartedAgainIfTheJobsAreReadLate and TestNewHolderDoesNotStartARemovedJob failed before: run 1 of j.0.0.0 is started after its job has been completed and removed.

--- a/citron/view/view.go
+++ b/citron/view/view.go
@@ -22,6 +22,8 @@
 	Spec      *work.Job
 	Progress  *work.Progress
 	Cancelled bool
+	// progressRemoved is set if the progress has been removed from the store, which happens only after the job has been.
+	progressRemoved bool
 }
 
 // Records returns the entry as records of the store.
@@ -160,7 +162,12 @@
 // applyJob applies the spec of a job. Later specs with the same id are ignored.
 func (v *View) applyJob(id citron.JobID, r citron.KeyedRecord) {
 	if len(r.Value) == 0 {
-		v.update(id, func(e *Entry) { e.Spec = nil })
+		v.update(id, func(e *Entry) {
+			e.Spec = nil
+			if e.progressRemoved {
+				e.Progress = nil
+			}
+		})
 		return
 	}
 	var spec work.Job
@@ -177,7 +184,12 @@
 
 func (v *View) applyProgress(id citron.JobID, r citron.KeyedRecord) {
 	if len(r.Value) == 0 {
-		v.update(id, func(e *Entry) { e.Progress = nil })
+		v.update(id, func(e *Entry) {
+			// A job without progress looks as if it had never started.
+			if e.progressRemoved = e.Spec != nil; !e.progressRemoved {
+				e.Progress = nil
+			}
+		})
 		return
 	}
 	var progress work.Progress
