A load of a partition removes what the store no longer holds

Callers would see (own tests): a job that ended and was removed while a daemon did not read, and whose removal the store has deleted from its history, stays known there, counts as waiting, and is started again if that daemon becomes the holder.

Cause: the view ignored that a load contains the newest record of every key, so a record could only be removed by reading its removal.

Change: each partition is a source of the view, which remembers the sources of each record. A load removes the records that only this partition held and that it lacks. Records that other daemons have sent stay.

--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -162,8 +162,8 @@
 	}}
 	for n := range partitionCount {
 		writer.Partitions = append(writer.Partitions, citron.Partition{Topic: jobsTopic, Number: n})
-		d.jobs = append(d.jobs, d.newTail(writer.Partitions[n], d.view.Apply, readInterval))
-		d.progress = append(d.progress, d.newTail(citron.Partition{Topic: progressTopic, Number: n}, d.view.Apply, readInterval))
+		d.jobs = append(d.jobs, d.newTail(writer.Partitions[n], d.view.NewSource().Apply, readInterval))
+		d.progress = append(d.progress, d.newTail(citron.Partition{Topic: progressTopic, Number: n}, d.view.NewSource().Apply, readInterval))
 		if n > 0 {
 			d.jobs[n].Wait, d.progress[n].Wait = spareReadWait, spareReadWait
 		}
@@ -383,7 +383,7 @@
 		records, err := d.peers.Lookup(bounded, vm, id)
 		cancel()
 		if err == nil {
-			d.view.Apply(citron.KeyedBatch{Records: records}, false)
+			d.view.Apply(records...)
 			return true
 		}
 	}
--- a/citron/entry/notify.go
+++ b/citron/entry/notify.go
@@ -55,7 +55,7 @@
 
 // forwardToHolder sends a stored job or cancellation to the holder.
 func (d *Daemon) forwardToHolder(r citron.KeyedRecord) {
-	d.view.Apply(citron.KeyedBatch{Records: []citron.KeyedRecord{r}}, false)
+	d.view.Apply(r)
 	if holder := d.newestClaim().Holder.VM; holder != d.self.VM && holder != "" {
 		d.notify(holder, r, 0)
 	}
@@ -63,7 +63,7 @@
 
 // publish sends a record stored by this holder to all live daemons.
 func (d *Daemon) publish(r citron.KeyedRecord) {
-	d.view.Apply(citron.KeyedBatch{Records: []citron.KeyedRecord{r}}, false)
+	d.view.Apply(r)
 	for _, vm := range d.peers.Live() {
 		d.notify(vm, r, notifyDelay)
 	}
--- a/citron/holder/remove_test.go
+++ b/citron/holder/remove_test.go
@@ -68,7 +68,7 @@
 	clock.Advance(time.Hour)
 	h := &Holder{Store: s, Timer: clock, View: &view.View{}}
 	for topic, tails := range map[citron.Topic]*[]*tail.Tail{testJobs: &h.JobTails, testProgress: &h.ProgressTails} {
-		*tails = []*tail.Tail{{Store: s, Partition: citron.Partition{Topic: topic}, Timer: timer.System{}, Apply: h.View.Apply}}
+		*tails = []*tail.Tail{{Store: s, Partition: citron.Partition{Topic: topic}, Timer: timer.System{}, Apply: h.View.NewSource().Apply}}
 	}
 	spec, err := proto.Marshal(&work.Job{
 		ID: "j", Queue: "q", Terms: &work.Terms{Service: "svc", Attempts: 3},
@@ -77,7 +77,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	applyTo(h, citron.KeyedRecord{Key: pool.JobKey + "j", Value: spec})
+	accepted := citron.KeyedRecord{Key: pool.JobKey + "j", Value: spec}
+	s.appended[h.JobTails[0].Partition] = []citron.KeyedRecord{accepted}
+	h.JobTails[0].Apply(citron.KeyedBatch{Records: []citron.KeyedRecord{accepted}}, true)
 	hold(h, 1)
 	return h, s
 }
@@ -92,7 +94,7 @@
 }
 
 func applyTo(h *Holder, records ...citron.KeyedRecord) {
-	h.View.Apply(citron.KeyedBatch{Records: records}, false)
+	h.View.Apply(records...)
 }
 
 // renew passes a report of the only worker to the pool.
@@ -183,3 +185,12 @@
 	hold(h, 2)
 	expectNoStart(t, h)
 }
+
+func TestNewHolderDoesNotStartAJobThatTheStoreHasDeleted(t *testing.T) {
+	h, _ := newViewHolder(t)
+	jobs := h.JobTails[0]
+	// The job ends and is removed while this daemon does not read; its tails then load anew.
+	jobs.Apply(citron.KeyedBatch{}, true)
+	hold(h, 2)
+	expectNoStart(t, h)
+}
--- a/citron/view/view.go
+++ b/citron/view/view.go
@@ -3,7 +3,6 @@
 
 import (
 	"cmp"
-	"strings"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,6 +23,26 @@
 	Cancelled bool
 	// progressRemoved is set if the progress has been removed from the store, which happens only after the job has been.
 	progressRemoved bool
+	// sources are the partitions that hold each of the records.
+	sources [recordKinds]sourceSet
+}
+
+// remove removes the record of a kind.
+func (e *Entry) remove(kind recordKind) {
+	switch kind {
+	case jobRecord:
+		e.Spec = nil
+		if e.progressRemoved {
+			e.Progress = nil
+		}
+	case cancelRecord:
+		e.Cancelled = false
+	case progressRecord:
+		// A job without progress looks as if it had never started.
+		if e.progressRemoved = e.Spec != nil; !e.progressRemoved {
+			e.Progress = nil
+		}
+	}
 }
 
 // Records returns the entry as records of the store.
@@ -72,6 +91,8 @@
 	mu sync.Mutex
 	// pending is the number of pending jobs of each queue.
 	pending map[citron.QueueName]int
+	// sources is the number of sources.
+	sources int
 	// listener, if set, is called with each job that a record may have changed.
 	listener func(id citron.JobID, e Entry)
 }
@@ -141,68 +162,58 @@
 	return copied
 }
 
-// Apply applies records written by the intake or by the holder, in any order.
-func (v *View) Apply(batch citron.KeyedBatch, _ bool) {
-	for _, r := range batch.Records {
-		v.apply(r)
+// Apply applies records written by the intake or by the holder that did not come from a partition, in any order.
+func (v *View) Apply(records ...citron.KeyedRecord) {
+	for _, r := range records {
+		v.apply(r, 0)
 	}
 }
 
 // apply applies one record by the prefix of its key; it ignores other keys.
-func (v *View) apply(r citron.KeyedRecord) {
-	if id, ok := strings.CutPrefix(r.Key, pool.JobKey); ok {
-		v.applyJob(citron.JobID(id), r)
-	} else if id, ok := strings.CutPrefix(r.Key, pool.CancelKey); ok {
-		v.update(citron.JobID(id), func(e *Entry) { e.Cancelled = len(r.Value) > 0 })
-	} else if id, ok := strings.CutPrefix(r.Key, pool.ProgressKey); ok {
-		v.applyProgress(citron.JobID(id), r)
+func (v *View) apply(r citron.KeyedRecord, source sourceSet) {
+	kind, id, ok := parseKey(r.Key)
+	if !ok {
+		return
 	}
-}
-
-// applyJob applies the spec of a job. Later specs with the same id are ignored.
-func (v *View) applyJob(id citron.JobID, r citron.KeyedRecord) {
 	if len(r.Value) == 0 {
 		v.update(id, func(e *Entry) {
-			e.Spec = nil
-			if e.progressRemoved {
-				e.Progress = nil
-			}
+			e.sources[kind] &^= source
+			e.remove(kind)
 		})
 		return
 	}
-	var spec work.Job
-	if err := proto.Unmarshal(r.Value, &spec); err != nil {
+	set, err := decode(kind, r.Value)
+	if err != nil {
 		v.reportUnreadable(r.Key, err)
 		return
 	}
 	v.update(id, func(e *Entry) {
-		if e.Spec == nil {
-			e.Spec = &spec
-		}
+		e.sources[kind] |= source
+		set(e)
 	})
 }
 
-func (v *View) applyProgress(id citron.JobID, r citron.KeyedRecord) {
-	if len(r.Value) == 0 {
-		v.update(id, func(e *Entry) {
-			// A job without progress looks as if it had never started.
-			if e.progressRemoved = e.Spec != nil; !e.progressRemoved {
-				e.Progress = nil
+// decode returns the change that a record with a value makes to the entry of its job.
+func decode(kind recordKind, value []byte) (set func(*Entry), err error) {
+	switch kind {
+	case jobRecord:
+		spec := &work.Job{}
+		return func(e *Entry) {
+			// Later specs with the same id are ignored.
+			if e.Spec == nil {
+				e.Spec = spec
 			}
-		})
-		return
-	}
-	var progress work.Progress
-	if err := proto.Unmarshal(r.Value, &progress); err != nil {
-		v.reportUnreadable(r.Key, err)
-		return
+		}, proto.Unmarshal(value, spec)
+	case progressRecord:
+		progress := &work.Progress{}
+		return func(e *Entry) {
+			// The same record arrives from the holder and later from the store, and may be in several partitions.
+			if e.Progress == nil || newer(progress, e.Progress) {
+				e.Progress = progress
+			}
+		}, proto.Unmarshal(value, progress)
 	}
-	v.update(id, func(e *Entry) {
-		// The same record arrives from the holder and later from the store, and may be in several partitions.
-		if e.Progress == nil || newer(&progress, e.Progress) {
-			e.Progress = &progress
-		}
-	})
+	return func(e *Entry) { e.Cancelled = true }, nil
 }
 
 // newer reports whether a has a higher epoch than b, or the same epoch and a higher number.
--- a/citron/view/view_test.go
+++ b/citron/view/view_test.go
@@ -20,7 +20,7 @@
 }
 
 func apply(v *View, records ...citron.KeyedRecord) {
-	v.Apply(citron.KeyedBatch{Records: records}, false)
+	v.Apply(records...)
 }
 
 func TestProgressOnlyGoesForward(t *testing.T) {
