A daemon that has not loaded leaves the claim of the pool to others

Cause: a claim needed only the partition of the claims to be read. A restarted daemon with a thin link could claim the pool seconds before it knew the accepted jobs, their progress or the workers. It then waited for its load without limit, and no other daemon took over, since it stated the epoch of its claim.

The other partitions are not needed to run the pool, so an unresponsive one delays nothing.

--- a/citron/claim/claim_test.go
+++ b/citron/claim/claim_test.go
@@ -168,3 +168,57 @@
 		t.Errorf("the delay between claims grew only to %v, want at least %v", last, 2*minReclaimDelay)
 	}
 }
+
+func TestDaemonThatHasNotLoadedLeavesTheClaimToOthers(t *testing.T) {
+	refuses := PingResult{AnsweredAt: base - time.Second, RefusedSince: base - RefusedAfter, Incarnation: 7, HeldEpoch: 3}
+	for name, c := range map[string]struct {
+		newest Claim
+		ping   PingResult
+	}{
+		"nobody holds the pool":           {Claim{}, PingResult{}},
+		"an earlier run of self held it":  {Claim{Holder: citron.Member{VM: self.VM, Incarnation: 4}, Epoch: 3}, PingResult{}},
+		"the holder refuses connections":  {Claim{Holder: holder, Epoch: 3}, refuses},
+		"the holder has restarted lately": {Claim{Holder: holder, Epoch: 3}, PingResult{AnsweredAt: base, Incarnation: 8}},
+	} {
+		dueAt := base + startupDelay
+		w := &Watch{startedAt: base, NotLoaded: true}
+		w.RecordClaim(base-time.Minute, c.newest)
+		for _, after := range []time.Duration{0, notLoadedDelay - 1} {
+			if reason, ok := w.ShouldClaim(dueAt+after, self, 0, true, c.ping); ok {
+				t.Errorf("%s: claims %v after a claim was due without having loaded (%s)", name, after, reason)
+			}
+		}
+		loaded := *w
+		loaded.NotLoaded = false
+		if _, ok := loaded.ShouldClaim(dueAt+notLoadedDelay-1, self, 0, true, c.ping); !ok {
+			t.Errorf("%s: does not claim once it has loaded", name)
+		}
+		if _, ok := w.ShouldClaim(dueAt+notLoadedDelay, self, 0, true, c.ping); !ok {
+			t.Errorf("%s: does not claim after %v although nobody else has", name, notLoadedDelay)
+		}
+	}
+}
+
+func TestDelayOfADaemonThatHasNotLoadedBeginsAnew(t *testing.T) {
+	answers := PingResult{AnsweredAt: base, Incarnation: 7, HeldEpoch: 3}
+	refuses := PingResult{AnsweredAt: base, RefusedSince: base, Incarnation: 7, HeldEpoch: 3}
+	for name, interrupt := range map[string]func(w *Watch, now time.Duration){
+		"the holder answers again": func(w *Watch, now time.Duration) { _, _ = w.ShouldClaim(now, self, 0, true, answers) },
+		"the store fails":          func(w *Watch, now time.Duration) { _, _ = w.ShouldClaim(now, self, 0, false, refuses) },
+		"another daemon claims":    func(w *Watch, now time.Duration) { w.RecordClaim(now, Claim{Holder: holder, Epoch: 4}) },
+	} {
+		w := newWatch()
+		w.NotLoaded = true
+		if _, ok := w.ShouldClaim(base+RefusedAfter, self, 0, true, refuses); ok {
+			t.Errorf("%s: claims at once without having loaded", name)
+		}
+		interrupt(w, base+RefusedAfter+1)
+		again := base + RefusedAfter + notLoadedDelay
+		if _, ok := w.ShouldClaim(again, self, 0, true, refuses); ok {
+			t.Errorf("%s: the delay goes on", name)
+		}
+		if _, ok := w.ShouldClaim(again+notLoadedDelay, self, 0, true, refuses); !ok {
+			t.Errorf("%s: does not claim after the whole delay", name)
+		}
+	}
+}
--- a/citron/entry/claims.go
+++ b/citron/entry/claims.go
@@ -13,6 +13,7 @@
 	"github.com/citroncross/citroncross/citron/event"
 	"github.com/citroncross/citroncross/citron/holder"
 	"github.com/citroncross/citroncross/citron/pool"
+	"github.com/citroncross/citroncross/citron/tail"
 	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/schema/work"
 )
@@ -151,6 +152,36 @@
 	}()
 }
 
+// stateLoaded reports whether this daemon has read what a holder needs before it can start tasks: the list of workers, the
+// accepted jobs and the progress in the partitions that the newest claim names. The other partitions are not waited for,
+// since the store may not answer for them.
+func (d *Daemon) stateLoaded() bool {
+	d.mu.Lock()
+	partitions, workersKnown := d.claimedPartitions(), d.workerEntries != nil
+	d.mu.Unlock()
+	needed := []*tail.Tail{d.jobs[0]}
+	for _, n := range partitions {
+		if int(n) < len(d.progress) {
+			needed = append(needed, d.progress[n])
+		}
+	}
+	for _, t := range needed {
+		if _, loaded := t.Next(); !loaded {
+			return false
+		}
+	}
+	return workersKnown
+}
+
+// claimedPartitions returns the partitions that the newest claim lists, or the first one if nobody has claimed the pool.
+// The caller holds the lock.
+func (d *Daemon) claimedPartitions() []int32 {
+	if len(d.partitions) == 0 {
+		return []int32{0}
+	}
+	return d.partitions
+}
+
 // claimPool appends a claim for this daemon unless the cell's records have changed since newest was read.
 func (d *Daemon) claimPool(newest claim.Claim, reason string) {
 	next, loaded := d.cell.Next()
@@ -159,12 +190,9 @@
 	}
 	epoch := newest.Epoch + 1
 	d.mu.Lock()
-	partitions := d.partitions
+	partitions := d.claimedPartitions()
 	d.mu.Unlock()
-	if len(partitions) == 0 {
-		partitions = []int32{0}
-	}
-	d.Log.Emit(event.ClaimSent, event.Fields{"Epoch": epoch, "Former": newest.Holder.VM, "Reason": reason})
+	d.Log.Emit(event.ClaimSent, event.Fields{"Epoch": epoch, "Former": newest.Holder.VM, "Reason": reason, "Loaded": d.stateLoaded()})
 	if err := d.appendClaim(d.run, epoch, partitions, next); err != nil && !errors.Is(err, citron.ErrConflict) {
 		d.Log.Emit(event.LogAppendFailed, event.Fields{"Topic": cellPartition.Topic, "Error": err})
 	}
--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -118,7 +118,8 @@
 	// takeOver is set if the holder has asked this daemon to claim the pool.
 	takeOver bool
 	// partitions are the partitions of the pool's records that the newest claim lists.
-	partitions    []int32
+	partitions []int32
+	// workerEntries is nil until the list of workers has been read.
 	workerEntries []citron.WorkerEntry
 	// waves are the operator's upkeep waves; waveProgress is the progress that holders have recorded.
 	waves        map[int64]citron.Wave
--- a/citron/entry/watch.go
+++ b/citron/entry/watch.go
@@ -29,7 +29,9 @@
 	ping := d.peers.LastPing(newest.Holder.VM)
 	rank := d.peers.Rank()
 	storeOK := !d.cell.Failing()
+	loaded := d.stateLoaded()
 	d.mu.Lock()
+	d.watch.NotLoaded = !loaded
 	reason, ok := d.watch.ShouldClaim(now, d.self, rank, storeOK, ping)
 	if d.takeOver && newest.Holder != d.self {
 		reason, ok = "the holder is about to stop", true
--- a/citronlab/site/waiting_test.go
+++ b/citronlab/site/waiting_test.go
@@ -46,6 +46,12 @@
 	return calls
 }
 
+// loaded reports whether a daemon has read all partitions of jobs and progress.
+func (c *cell) loaded(n int) bool {
+	_, metrics := c.client.Call(c.metrics[n], http.MethodGet, "/metrics", "")
+	return strings.Contains(metrics, "citron_partitions_not_loaded 0\n")
+}
+
 // Guards against a restarted daemon that counts only the jobs that it has accepted itself.
 func TestWaitingJobsAreNotCountedBeforeTheyAreRead(t *testing.T) {
 	const jobs = 30
@@ -104,7 +110,6 @@
 		if calls.Load() > 30 {
 			t.Fatalf("partition of 4 pages not loaded after %d calls", calls.Load())
 		}
-		_, metrics := c.client.Call(c.metrics[restarted], http.MethodGet, "/metrics", "")
-		return strings.Contains(metrics, "citron_partitions_not_loaded 0\n")
+		return c.loaded(restarted)
 	})
 }
