A daemon that has not loaded does not take the pool over

Cause: a stopping holder hands the pool to the first live daemon that answers, and every daemon agreed, also one that had not read the jobs, their progress or the workers, and one that had not read the claim in question. The holder then waited for that one until the end of the handover.

Change: such a daemon fails the request, and the next live daemon is asked, as after any failed request. If none can take over, the claim is left to the detection of the loss.

--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -5,6 +5,9 @@
 	"errors"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/event"
 	"github.com/citroncross/citroncross/citron/peers"
@@ -103,12 +106,19 @@
 	return &link.NotifyReply{}, nil
 }
 
-// TakeOver makes this daemon claim the pool if the given epoch is still the newest.
+// TakeOver makes this daemon claim the pool if the given epoch is still the newest. It fails if this daemon has not read
+// that claim or what a holder needs, so that another daemon is asked.
 func (s *server) TakeOver(_ context.Context, r *link.TakeOverRequest) (*link.TakeOverReply, error) {
 	d := s.d
+	loaded := d.stateLoaded()
 	d.mu.Lock()
-	d.takeOver = uint64(d.watch.Newest().Epoch) == r.GetEpoch()
+	newest := d.watch.Newest().Epoch
+	d.takeOver = loaded && uint64(newest) == r.GetEpoch()
+	agreed := d.takeOver
 	d.mu.Unlock()
+	if !agreed {
+		return nil, status.Errorf(codes.FailedPrecondition, "newest epoch read is %d, state of the pool loaded: %t", newest, loaded)
+	}
 	d.wakeClaims()
 	return &link.TakeOverReply{}, nil
 }
--- a/citron/entry/watch.go
+++ b/citron/entry/watch.go
@@ -33,7 +33,7 @@
 	d.mu.Lock()
 	d.watch.NotLoaded = !loaded
 	reason, ok := d.watch.ShouldClaim(now, d.self, rank, storeOK, ping)
-	if d.takeOver && newest.Holder != d.self {
+	if d.takeOver && loaded && newest.Holder != d.self {
 		reason, ok = "the holder is about to stop", true
 	}
 	if newest.Holder == d.self && d.holding == nil && d.releasedEpoch == newest.Epoch && now-d.releasedAt > reclaimAfter {
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -343,7 +343,8 @@
 	})
 }
 
-// TakeOver asks a daemon to claim the pool that this daemon holds under epoch.
+// TakeOver asks a daemon to claim the pool that this daemon holds under epoch. It fails if that daemon has not loaded what
+// a holder needs.
 func (p *Peers) TakeOver(ctx context.Context, vm citron.VMName, epoch citron.Epoch) (err error) {
 	defer func() { err = eris.Wrapf(err, "ask %s to take over", vm) }()
 	return p.call(vm, func(c link.LinkClient) error {
