--- a/citron/entry/watch.go
+++ b/citron/entry/watch.go
@@ -29,9 +29,11 @@
 	ping := d.peers.LastPing(newest.Holder.VM)
 	rank := d.peers.Rank()
 	storeOK := !d.cell.Failing()
+	loaded := d.stateLoaded()
 	d.mu.Lock()
+	d.watch.NotLoaded = !loaded
 	reason, ok := d.watch.ShouldClaim(now, d.self, rank, storeOK, ping)
-	if d.takeOver && newest.Holder != d.self {
+	if d.takeOver && loaded && newest.Holder != d.self {
 		reason, ok = "the holder is about to stop", true
 	}
 	if newest.Holder == d.self && d.holding == nil && d.releasedEpoch == newest.Epoch && now-d.releasedAt > reclaimAfter {
