One way to ask whether partitions are loaded, one list of those in use

The reported state of a job and the claim of the pool each walked through the partitions of the newest claim, and three places counted tails that are not loaded.

--- a/citron/entry/claims.go
+++ b/citron/entry/claims.go
@@ -157,20 +157,25 @@
 // since the store may not answer for them.
 func (d *Daemon) stateLoaded() bool {
 	d.mu.Lock()
-	partitions, workersKnown := d.claimedPartitions(), d.workerEntries != nil
+	workersKnown := d.workerEntries != nil
 	d.mu.Unlock()
-	needed := []*tail.Tail{d.jobs[0]}
-	for _, n := range partitions {
-		if int(n) < len(d.progress) {
-			needed = append(needed, d.progress[n])
-		}
+	return workersKnown && tail.AllLoaded(d.jobs[0]) && tail.AllLoaded(d.progressInUse()...)
+}
+
+// progressInUse returns the tails of the partitions that hold the pool's records: those that the newest claim lists. All
+// of them count while the claims are not known.
+func (d *Daemon) progressInUse() (inUse []*tail.Tail) {
+	if !tail.AllLoaded(d.cell) {
+		return d.progress
 	}
-	for _, t := range needed {
-		if _, loaded := t.Next(); !loaded {
-			return false
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, n := range d.claimedPartitions() {
+		if int(n) < len(d.progress) {
+			inUse = append(inUse, d.progress[n])
 		}
 	}
-	return workersKnown
+	return inUse
 }
 
 // claimedPartitions returns the partitions that the newest claim lists, or the first one if nobody has claimed the pool.
--- a/citron/entry/claims_test.go
+++ b/citron/entry/claims_test.go
@@ -56,7 +56,7 @@
 			}
 			return f
 		}
-		d := &Daemon{partitions: c.claimed, workerEntries: c.workers}
+		d := &Daemon{cell: follow(cellPartition.Topic, 0), partitions: c.claimed, workerEntries: c.workers}
 		for n := range 2 {
 			d.jobs = append(d.jobs, follow(jobsTopic, n))
 			d.progress = append(d.progress, follow(progressTopic, n))
--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -207,22 +207,6 @@
 	return slices.Concat([]*tail.Tail{d.cell}, d.jobs, d.progress)
 }
 
-// progressInUse returns the tails of the partitions that hold the pool's records: those that the newest claim lists. All
-// of them count while the claims are not known.
-func (d *Daemon) progressInUse() (inUse []*tail.Tail) {
-	if _, loaded := d.cell.Next(); !loaded {
-		return d.progress
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, n := range d.partitions {
-		if int(n) < len(d.progress) {
-			inUse = append(inUse, d.progress[n])
-		}
-	}
-	return inUse
-}
-
 // refreshOthers makes all readers except that of one partition read again at once.
 func (d *Daemon) refreshOthers(answered citron.Partition) {
 	for _, t := range d.tails() {
--- a/citron/intake/intake.go
+++ b/citron/intake/intake.go
@@ -99,7 +99,7 @@
 			return e, false, true
 		}
 	}
-	return e, true, pool.IsTerminal(e.State()) || countNotLoaded(s.ProgressTails()) == 0
+	return e, true, pool.IsTerminal(e.State()) || tail.AllLoaded(s.ProgressTails()...)
 }
 
 // catchUp waits until every accepted job and cancellation in the store has been applied to View.
@@ -151,23 +151,13 @@
 
 // Freshness returns how much of what the store holds is known to View.
 func (s *Service) Freshness() (f Freshness) {
-	f.NotLoaded = countNotLoaded(s.Tails) + countNotLoaded(s.ProgressTails())
+	f.NotLoaded = tail.CountNotLoaded(s.Tails...) + tail.CountNotLoaded(s.ProgressTails()...)
 	if f.NotLoaded == 0 && len(s.Tails) > 0 {
 		f.Age = s.Timer.Now().Boot - s.Tails[0].CurrentAsOf()
 	}
 	return f
 }
 
-// countNotLoaded returns the number of partitions whose newest records have not been read.
-func countNotLoaded(tails []*tail.Tail) (n int) {
-	for _, t := range tails {
-		if _, loaded := t.Next(); !loaded {
-			n++
-		}
-	}
-	return n
-}
-
 // write stores a record and calls Stored.
 func (s *Service) write(ctx context.Context, r citron.KeyedRecord) *citron.Refusal {
 	err := s.Writer.Write(ctx, r)
--- a/citron/tail/tail.go
+++ b/citron/tail/tail.go
@@ -226,6 +226,21 @@
 	return t.next, t.loaded
 }
 
+// CountNotLoaded returns the number of tails whose newest records have not been read.
+func CountNotLoaded(tails ...*Tail) (n int) {
+	for _, t := range tails {
+		if _, loaded := t.Next(); !loaded {
+			n++
+		}
+	}
+	return n
+}
+
+// AllLoaded reports whether the newest records of all tails have been read.
+func AllLoaded(tails ...*Tail) bool {
+	return CountNotLoaded(tails...) == 0
+}
+
 // CurrentAsOf returns a boot time such that every record stored before it has been applied.
 func (t *Tail) CurrentAsOf() time.Duration {
 	t.mu.Lock()
--- a/citronlab/site/waiting_test.go
+++ b/citronlab/site/waiting_test.go
@@ -126,7 +126,7 @@
 
 // Guards against a restarted daemon that reports a completed job as queued, since it has read the job but no progress.
 func TestStateIsNotReportedWithoutProgress(t *testing.T) {
-	c := startCell(t, "127.0.0.49", 2)
+	c := startCell(t, "127.0.0.51", 2)
 	ids := []string{c.submit(twoSteps)}
 	c.waitUntilCompleted(ids)
 	holder := c.holder()
