A load does not outwait an outage and keeps up with what is appended

Now it grows only once a page has been read, and to 10 s at most. - One read of appended records followed each page, whatever was left. Where more is appended than a read returns, the load fell behind until the records were deleted and began again: 200 pages, 33 restarts, not loaded. Now appended records are read to their end before the next page. - The shorter long poll of the accepted jobs left 1.1 s in place of 2 s for the transfer of records over a thin link. Now a read has at least 2 s.

--- a/citron/tail/load.go
+++ b/citron/tail/load.go
@@ -10,8 +10,9 @@
 )
 
 // pageBounds bound the timeout of one page of the newest records. A page has up to 1 MB, for which a link of 10 Mbit/s
-// that also carries other traffic takes seconds.
-var pageBounds = waits.Bounds{Min: 5 * time.Second, Max: 20 * time.Second}
+// that also carries other traffic takes seconds. It is also how long a load may go on waiting for a store that has come
+// back meanwhile.
+var pageBounds = waits.Bounds{Min: 5 * time.Second, Max: 10 * time.Second}
 
 // load reads the newest record of every key, page by page. A failed read is repeated without losing the pages read so
 // far. The records appended meanwhile are read too, after each page, since the store may delete them before the last
@@ -22,20 +23,22 @@
 	// after is the last key of the pages read so far, empty before the first page.
 	after    string
 	allPages bool
+	// behind is set if records appended since the first page are left to read.
+	behind bool
 	// newest holds the records of the pages, appended those appended since the first page, up to the offset next.
 	newest   []citron.KeyedRecord
 	appended []citron.KeyedRecord
 	next     citron.Offset
 }
 
-// loadOnce reads the next page and what has been appended. It reports whether more is left to read. The load ends once
-// all pages and everything appended up to then have been read.
+// loadOnce reads the next page, unless appended records are left to read, and then what has been appended. It reports
+// whether more is left to read. The load ends once all pages and everything appended up to then have been read.
 func (t *Tail) loadOnce(ctx context.Context) (more bool, err error) {
 	l := &t.loading
 	if l.began == 0 {
 		l.began = t.Timer.Now().Boot
 	}
-	if !l.allPages {
+	if !l.allPages && !l.behind {
 		sent := t.Timer.Now().Boot
 		single, err := t.loadPage(ctx)
 		if err != nil {
@@ -47,7 +50,7 @@
 		}
 	}
 	sent := t.Timer.Now().Boot
-	upToDate, err := t.loadAppended(ctx)
+	err = t.loadAppended(ctx)
 	if errors.Is(err, citron.ErrRecordsDeleted) {
 		t.loading = load{began: l.began}
 		t.markOutdated()
@@ -56,7 +59,7 @@
 	if err != nil {
 		return false, err
 	}
-	if !l.allPages || !upToDate {
+	if !l.allPages || l.behind {
 		return true, nil
 	}
 	t.finishLoad(sent)
@@ -71,9 +74,7 @@
 	defer cancel()
 	page, err := t.Store.NewestPage(bounded, t.Partition, l.after)
 	if err != nil {
-		if errors.Is(bounded.Err(), context.DeadlineExceeded) {
-			t.pageTimeout.TimedOut(pageBounds)
-		}
+		t.recordLoadFailure(err)
 		return false, err
 	}
 	t.pageTimeout.Answered(pageBounds, t.Timer.Now().Boot-began)
@@ -88,18 +89,28 @@
 	return first && l.allPages, nil
 }
 
-// loadAppended reads records appended since the first page and reports whether none is left.
-func (t *Tail) loadAppended(ctx context.Context) (upToDate bool, err error) {
+// recordLoadFailure lets the next read of a load take longer if this one has timed out. Before the first page the store
+// may be unreachable as well as slow, and longer waits would only delay the load once it is back.
+func (t *Tail) recordLoadFailure(err error) {
+	if t.loading.after != "" && errors.Is(err, context.DeadlineExceeded) {
+		t.pageTimeout.TimedOut(pageBounds)
+	}
+}
+
+// loadAppended reads records appended since the first page.
+func (t *Tail) loadAppended(ctx context.Context) error {
 	l := &t.loading
 	bounded, cancel := context.WithTimeout(ctx, t.pageTimeout.Current(pageBounds))
 	defer cancel()
 	batch, err := t.Store.Read(bounded, t.Partition, l.next, 0)
 	if err != nil {
-		return false, err
+		t.recordLoadFailure(err)
+		return err
 	}
 	l.appended = append(l.appended, batch.Records...)
 	l.next = batch.Start + citron.Offset(len(batch.Records))
-	return l.next >= batch.End, nil
+	l.behind = l.next < batch.End
+	return nil
 }
 
 // finishLoad applies what has been loaded, which is everything that was stored at the boot time sent.
--- a/citron/tail/tail.go
+++ b/citron/tail/tail.go
@@ -141,7 +141,8 @@
 	if wait == 0 {
 		wait = readWait
 	}
-	bounded, cancel := context.WithTimeout(ctx, wait+readSlack)
+	// A shorter long poll leaves no less time for the transfer of records.
+	bounded, cancel := context.WithTimeout(ctx, max(wait, readWait)+readSlack)
 	defer cancel()
 	t.mu.Lock()
 	t.abort, t.aborted = cancel, false
