Counts and states survive slow stores, daemons that are down and a load in between

Now a view that is only too old reads the store first; - a state could be reported without progress that was loaded during the query; - the cancellation of a job found by its own catch-up was refused for want of progress.

TestProgressLoadedMeanwhileIsNotMissed and TestCancellationOfAJobThatIsOnlyFoundInTheStore failed before. TestOthersAreAskedUntilOneKnows and TestStaleCountIsBroughtUpToDateByTheStore test what is new.

--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -170,7 +170,10 @@
 		}
 	}
 	d.jobs[0].Wait = jobsReadWait
-	d.Intake = &intake.Service{View: &d.view, Writer: writer, Tails: d.jobs, ProgressTails: d.progressInUse, Timer: d.Timer, Stored: d.forwardToHolder, Lookup: d.lookup, CountElsewhere: d.countElsewhere}
+	d.Intake = &intake.Service{
+		View: &d.view, Writer: writer, Tails: d.jobs, ProgressTails: d.progressInUse, Timer: d.Timer,
+		Stored: d.forwardToHolder, Lookup: d.lookup, CountElsewhere: d.countElsewhere,
+	}
 	d.Log.Emit(event.DaemonStarted, event.Fields{"Incarnation": d.self.Incarnation, "Peer": d.Settings.PeerAddress})
 	d.components = append(d.components, peers.Serve(d.run, listener, &server{d: d}))
 	for _, t := range d.tails() {
@@ -363,39 +366,56 @@
 
 // lookup gets the records of a job from another daemon and applies them.
 func (d *Daemon) lookup(ctx context.Context, id citron.JobID) bool {
-	for _, vm := range d.relayTargets() {
-		bounded, cancel := context.WithTimeout(ctx, relayTimeout)
-		records, err := d.peers.Lookup(bounded, vm, id)
-		cancel()
+	return d.askOthers(ctx, func(ctx context.Context, vm citron.VMName) error {
+		records, err := d.peers.Lookup(ctx, vm, id)
 		if err == nil {
 			d.view.Apply(records...)
-			return true
 		}
-	}
-	return false
+		return err
+	})
 }
 
 // countElsewhere asks other daemons for the number of pending jobs of a queue.
 func (d *Daemon) countElsewhere(ctx context.Context, q citron.QueueName) (n int, ok bool) {
-	for _, vm := range d.relayTargets() {
-		bounded, cancel := context.WithTimeout(ctx, relayTimeout)
-		n, err := d.peers.CountPending(bounded, vm, q)
-		cancel()
+	ok = d.askOthers(ctx, func(ctx context.Context, vm citron.VMName) (err error) {
+		n, err = d.peers.CountPending(ctx, vm, q)
+		return err
+	})
+	return n, ok
+}
+
+// askOthers asks other daemons in turn, the holder first, until one answers or askTimeout has passed. Daemons that are
+// down refuse connections and cost little of that time.
+func (d *Daemon) askOthers(ctx context.Context, ask func(ctx context.Context, vm citron.VMName) error) bool {
+	bounded, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	for _, vm := range d.othersByPreference(maxAsked) {
+		if bounded.Err() != nil {
+			return false
+		}
+		each, cancelEach := context.WithTimeout(bounded, relayTimeout)
+		err := ask(each, vm)
+		cancelEach()
 		if err == nil {
-			return n, true
+			return true
 		}
 	}
-	return 0, false
+	return false
+}
+
+// relayTargets returns the daemons through which to reach the store.
+func (d *Daemon) relayTargets() []citron.VMName {
+	return d.othersByPreference(maxRelayTargets)
 }
 
-// relayTargets returns the daemons through which to reach the store, the holder first.
-func (d *Daemon) relayTargets() (vms []citron.VMName) {
+// othersByPreference returns up to most other daemons, the holder first.
+func (d *Daemon) othersByPreference(most int) (vms []citron.VMName) {
 	holder := d.newestClaim().Holder.VM
 	if holder != "" && holder != d.self.VM {
 		vms = append(vms, holder)
 	}
 	for _, vm := range d.peers.All() {
-		if vm != d.self.VM && vm != holder && len(vms) < maxRelayTargets {
+		if vm != d.self.VM && vm != holder && len(vms) < most {
 			vms = append(vms, vm)
 		}
 	}
@@ -405,8 +425,13 @@
 const (
 	// maxRelayTargets is the number of daemons that are tried in turn.
 	maxRelayTargets = 2
+	// maxAsked is the number of daemons that are asked in turn for what this one does not know.
+	maxAsked = 5
 	// relayTimeout bounds each of these attempts.
 	relayTimeout = 600 * time.Millisecond
+	// askTimeout bounds all questions for one answer; with confirmTimeout of the intake before them, callers still get an
+	// answer within their usual 3 s.
+	askTimeout = 2 * relayTimeout
 )
 
 // newestClaim returns the newest claim of the pool.
--- a/citron/holder/remove_test.go
+++ b/citron/holder/remove_test.go
@@ -35,7 +35,12 @@
 	return citron.Offset(len(s.appended[p])), nil
 }
 
-func (s *removalStore) NewestPage(context.Context, citron.Partition, string) (citron.NewestPage, error) {
+func (s *removalStore) NewestPage(_ context.Context, p citron.Partition, _ string) (citron.NewestPage, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.Topic == testJobs {
+		return citron.NewestPage{Records: s.appended[p][:1], End: 1}, nil
+	}
 	return citron.NewestPage{}, nil
 }
 
@@ -171,6 +176,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	jobs, progress := h.JobTails[0].Run(ctx), h.ProgressTails[0].Run(ctx)
 	defer func() { cancel(); <-jobs; <-progress }()
+	if err := h.JobTails[0].WaitFor(ctx, 1); err != nil {
+		t.Fatal(err)
+	}
 	runToRemoval(t, h)
 	if err := h.ProgressTails[0].WaitFor(ctx, citron.Offset(len(s.appended[citron.Partition{Topic: testProgress}]))); err != nil {
 		t.Fatal(err)
--- a/citron/intake/intake.go
+++ b/citron/intake/intake.go
@@ -62,7 +62,10 @@
 	if !known {
 		var refused *citron.Refusal
 		if e, refused = s.Status(ctx, id); refused != nil {
-			return refused
+			// The job may have been found without its progress, which a cancellation does not need.
+			if e, known = s.View.Get(id); !known {
+				return refused
+			}
 		}
 	}
 	if pool.IsTerminal(e.State()) {
@@ -89,6 +92,8 @@
 // Find returns the entry of a job that this daemon or the store knows. Certain is false if the job is not known here and
 // the store does not answer, or if the job may have made progress that is not known here.
 func (s *Service) Find(ctx context.Context, id citron.JobID) (e view.Entry, known, certain bool) {
+	// An entry read before the progress was loaded may lack it.
+	progressKnown := tail.AllLoaded(s.ProgressTails()...)
 	if e, known = s.View.Get(id); !known {
 		bounded, cancel := context.WithTimeout(ctx, confirmTimeout)
 		defer cancel()
@@ -99,7 +104,7 @@
 			return e, false, true
 		}
 	}
-	return e, true, pool.IsTerminal(e.State()) || tail.AllLoaded(s.ProgressTails()...)
+	return e, true, pool.IsTerminal(e.State()) || progressKnown
 }
 
 // catchUp waits until every accepted job and cancellation in the store has been applied to View.
@@ -118,10 +123,16 @@
 	Freshness
 }
 
-// CountPending returns the number of queued jobs of a queue that have not started. If View may lack accepted jobs, another
-// daemon is asked.
+// CountPending returns the number of queued jobs of a queue that have not started. If View may lack accepted jobs, the
+// store is read, or another daemon is asked.
 func (s *Service) CountPending(ctx context.Context, q citron.QueueName) (c Count, refused *citron.Refusal) {
 	c, ok := s.CountPendingHere(q)
+	if !ok && c.NotLoaded == 0 {
+		bounded, cancel := context.WithTimeout(ctx, confirmTimeout)
+		defer cancel()
+		ok = s.Tails[0].CatchUp(bounded) == nil
+		c.Jobs = s.View.Pending(q)
+	}
 	if ok {
 		return c, nil
 	}
--- a/citronlab/site/waiting_test.go
+++ b/citronlab/site/waiting_test.go
@@ -19,6 +19,8 @@
 		c.submit(waitingJob)
 	}
 	ended = 1 - c.holder()
+	want := fmt.Sprintf(`{"pending":%d}`, jobs)
+	c.waitUntil(func() bool { return c.countWaiting(c.holder()) == want })
 	c.daemons[ended].Kill()
 	c.daemons[ended] = nil
 	return c, ended
