--- a/citronlab/site/claim_test.go
+++ b/citronlab/site/claim_test.go
@@ -30,7 +30,7 @@
 	ids := []string{c.submit(twoSteps)}
 	c.waitUntilCompleted(ids)
 	c.waitUntil(func() bool { return c.loaded(1 - restarted) })
-	c.failNewest(func(int64) bool { return true })
+	c.failNewest(jobsTopic, always)
 	c.daemons[restarted].Kill()
 	c.launch(restarted)
 	c.waitUntil(func() bool { return c.claim().GetEpoch() > before.GetEpoch() })
@@ -48,7 +48,7 @@
 	former := c.holder()
 	restarted := 1 - former
 	c.daemons[restarted].Kill()
-	c.failNewest(func(int64) bool { return true })
+	c.failNewest(jobsTopic, always)
 	c.launch(restarted)
 	conn, err := grpc.NewClient(c.peers[restarted], grpc.WithTransportCredentials(insecure.NewCredentials()))
 	if err != nil {
--- a/citronlab/site/waiting_test.go
+++ b/citronlab/site/waiting_test.go
@@ -36,11 +36,18 @@
 	return answer
 }
 
-// failNewest makes the store fail reads of the newest accepted jobs; fails gets the number of the call, starting at 1.
-func (c *cell) failNewest(fails func(call int64) bool) (calls *atomic.Int64) {
+// Topics of the daemons' records in the store.
+const (
+	jobsTopic     = "keyed.citron.jobs"
+	progressTopic = "keyed.citron.progress"
+)
+
+// failNewest makes the store fail reads of the newest records of a topic's first partition; fails gets the number of the
+// call, starting at 1.
+func (c *cell) failNewest(failing string, fails func(call int64) bool) (calls *atomic.Int64) {
 	calls = &atomic.Int64{}
 	c.site.Store.SetFailures(func(call, topic, part string) Failure {
-		if call == "log-newest" && topic == "keyed.citron.jobs" && part == "0" && fails(calls.Add(1)) {
+		if call == "log-newest" && topic == failing && part == "0" && fails(calls.Add(1)) {
 			return Busy
 		}
 		return NoFailure
@@ -48,6 +55,9 @@
 	return calls
 }
 
+// always makes every call fail.
+func always(int64) bool { return true }
+
 // loaded reports whether a daemon has read all partitions of jobs and progress.
 func (c *cell) loaded(n int) bool {
 	_, metrics := c.client.Call(c.metrics[n], http.MethodGet, "/metrics", "")
@@ -58,7 +68,7 @@
 func TestWaitingJobsAreNotCountedBeforeTheyAreRead(t *testing.T) {
 	const jobs = 30
 	c, restarted := startWithWaitingJobs(t, "127.0.0.45", jobs)
-	c.failNewest(func(int64) bool { return true })
+	c.failNewest(jobsTopic, always)
 	c.launch(restarted)
 	if got, want := c.countWaiting(restarted), fmt.Sprintf(`{"pending":%d}`, jobs); got != want {
 		t.Errorf("restarted daemon answers %s, want %s", got, want)
@@ -68,7 +78,7 @@
 // Guards against a made-up count if no daemon has read the accepted jobs.
 func TestWaitingJobsAreRefusedWhileNoDaemonKnowsThem(t *testing.T) {
 	c, restarted := startWithWaitingJobs(t, "127.0.0.46", 3)
-	calls := c.failNewest(func(int64) bool { return true })
+	calls := c.failNewest(jobsTopic, always)
 	holder := 1 - restarted
 	c.daemons[holder].Kill()
 	c.daemons[holder] = nil
@@ -92,7 +102,7 @@
 		t.Errorf("the daemon answers %s, want %s", got, want)
 	}
 	c.site.Store.SetFailures(func(call, topic, part string) Failure {
-		if call == "log-read" && topic == "keyed.citron.jobs" && part == "0" {
+		if call == "log-read" && topic == jobsTopic && part == "0" {
 			return Unresponsive
 		}
 		return NoFailure
@@ -106,7 +116,7 @@
 // Guards against a load that starts again at the first page after each failure and so never ends.
 func TestPartitionIsLoadedAlthoughSomePagesFail(t *testing.T) {
 	c, restarted := startWithWaitingJobs(t, "127.0.0.47", 4*pageSize)
-	calls := c.failNewest(func(call int64) bool { return call%3 == 0 })
+	calls := c.failNewest(jobsTopic, func(call int64) bool { return call%3 == 0 })
 	c.launch(restarted)
 	c.waitUntil(func() bool {
 		if calls.Load() > 30 {
@@ -116,16 +126,6 @@
 	})
 }
 
-// failNewestProgress makes the store fail reads of the newest progress records.
-func (c *cell) failNewestProgress() {
-	c.site.Store.SetFailures(func(call, topic, part string) Failure {
-		if call == "log-newest" && topic == "keyed.citron.progress" && part == "0" {
-			return Busy
-		}
-		return NoFailure
-	})
-}
-
 // Guards against a restarted daemon that reports a completed job as queued, since it has read the job but no progress.
 func TestStateIsNotReportedWithoutProgress(t *testing.T) {
 	c := startCell(t, "127.0.0.51", 2)
@@ -134,16 +134,17 @@
 	holder := c.holder()
 	restarted := 1 - holder
 	c.daemons[restarted].Kill()
-	c.failNewestProgress()
+	c.failNewest(progressTopic, always)
 	c.launch(restarted)
-	statesUntilAnswered := func() (status int, state string) {
+	awaitState := func() (state string) {
 		c.waitUntil(func() bool {
+			var status int
 			status, state = c.client.State(c.fronts[restarted], "/quick/"+ids[0])
 			return status == http.StatusOK
 		})
-		return status, state
+		return state
 	}
-	if _, state := statesUntilAnswered(); state != "completed" {
+	if state := awaitState(); state != "completed" {
 		t.Errorf("restarted daemon reports %q, want completed as the holder does", state)
 	}
 	c.daemons[holder].Kill()
@@ -158,7 +159,7 @@
 		t.Errorf("cancellation answered with %d, want %d", status, http.StatusOK)
 	}
 	c.site.Store.SetFailures(nil)
-	if _, state := statesUntilAnswered(); state != "completed" {
+	if state := awaitState(); state != "completed" {
 		t.Errorf("the daemon reports %q after it has read the progress, want completed", state)
 	}
 }
