Daemons of a test get different ports

Seen once in 10 runs of TestRestartedHolderLeavesThePoolToADaemonThatHasLoaded: a daemon did not start, 'bind: address already in use'.

Cause: each port was chosen and freed before the next one, which could then be the same.

Change: all ports of a daemon are chosen while the others are held.

--- a/citronlab/site/client.go
+++ b/citronlab/site/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -48,11 +49,16 @@
 	return status, body.State
 }
 
-// FreeAddress returns ip with a port that is free at the moment.
-func FreeAddress(ip string) (address string, err error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", err
+// FreeAddresses returns ip with n different ports that are free at the moment.
+func FreeAddresses(ip string, n int) (addresses []string, err error) {
+	for range n {
+		l, listenErr := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		if listenErr != nil {
+			return nil, listenErr
+		}
+		// A port that is freed before the next one is chosen may be chosen again.
+		defer func() { err = errors.Join(err, l.Close()) }()
+		addresses = append(addresses, l.Addr().String())
 	}
-	return l.Addr().String(), l.Close()
+	return addresses, nil
 }
--- a/citronlab/site/site_test.go
+++ b/citronlab/site/site_test.go
@@ -78,8 +78,8 @@
 	})
 	c.site.PublishConfig(1, "quick", "bulk")
 	for n := range daemons {
-		c.fronts = append(c.fronts, c.freeAddress())
-		c.peers, c.ready, c.metrics = append(c.peers, ""), append(c.ready, ""), append(c.metrics, "")
+		c.fronts, c.peers = append(c.fronts, ""), append(c.peers, "")
+		c.ready, c.metrics = append(c.ready, ""), append(c.metrics, "")
 		c.daemons = append(c.daemons, nil)
 		c.launch(n)
 	}
@@ -87,24 +87,22 @@
 	return c
 }
 
-// freeAddress returns an address that nothing listens on at the moment.
-func (c *cell) freeAddress() string {
-	c.t.Helper()
-	address, err := FreeAddress(c.site.IP)
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	return address
-}
-
 // holderExtraTimeout keeps a holder from being replaced because the test machine is busy. A holder that a test ends is
 // still replaced at once, because its ports refuse connections.
 const holderExtraTimeout = time.Minute
 
-// launch starts daemon n at its front address; the other addresses are new.
+// launch starts daemon n. It keeps its front address when it is started again; the other addresses are new.
 func (c *cell) launch(n int) {
 	c.t.Helper()
-	c.peers[n], c.ready[n], c.metrics[n] = c.freeAddress(), c.freeAddress(), c.freeAddress()
+	free, err := FreeAddresses(c.site.IP, 4)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if c.fronts[n] == "" {
+		c.fronts[n] = free[0]
+	}
+	free = slices.DeleteFunc(free, func(address string) bool { return address == c.fronts[n] })
+	c.peers[n], c.ready[n], c.metrics[n] = free[0], free[1], free[2]
 	_, port, err := net.SplitHostPort(c.peers[n])
 	if err != nil {
 		c.t.Fatal(err)
--- a/citronlab/soak/soak.go
+++ b/citronlab/soak/soak.go
@@ -148,11 +148,9 @@
 		return err
 	}
 	s.storeProxies = append(s.storeProxies, store)
-	var ports [4]string
-	for i := range ports {
-		if ports[i], err = site.FreeAddress(s.IP); err != nil {
-			return err
-		}
+	ports, err := site.FreeAddresses(s.IP, 4)
+	if err != nil {
+		return err
 	}
 	_, port, err := net.SplitHostPort(ports[3])
 	if err != nil {
