Revert: a daemon that has not loaded leaves the claim of the pool to others for 3 s

Cause: where all daemons restart while the store is silent for some partitions, no daemon can load, so every claim waited for 3 s.

A daemon that has not loaded still refuses to take the pool over from a stopping holder, and event 303 tells whether the claimant had loaded.

--- a/citron/claim/claim.go
+++ b/citron/claim/claim.go
@@ -37,9 +37,6 @@
 	// minReclaimDelay and maxReclaimDelay bound the delay between two claims, which doubles while claims are frequent.
 	minReclaimDelay = 500 * time.Millisecond
 	maxReclaimDelay = 4 * time.Second
-	// notLoadedDelay is how long a claim must have been due before a daemon that is not loaded makes it. By then a loaded
-	// daemon with a rank up to 24 has claimed, and the leases of tasks, which last 4 s, have not lapsed yet.
-	notLoadedDelay = 3 * time.Second
 )
 
 // ReasonStoreUnavailable is the reason to replace a holder that cannot store records. The caller must check that the
@@ -76,8 +73,6 @@
 type Watch struct {
 	// ExtraTimeout is added to UnresponsiveAfter and StoreUnavailableAfter where daemons are short of processor time.
 	ExtraTimeout time.Duration
-	// NotLoaded is set while this daemon has not read what a holder needs before it can start tasks.
-	NotLoaded bool
 
 	newest      Claim
 	claimSeenAt time.Duration
@@ -86,8 +81,6 @@
 	startedAt    time.Duration
 	// peerAnsweredAt is when the holder is known to have last answered another daemon.
 	peerAnsweredAt time.Duration
-	// dueSince is the boot time since which a claim has been due; zero if none is.
-	dueSince time.Duration
 }
 
 // RecordClaim records the newest claim; frequent claims increase the delay before the next one.
@@ -100,7 +93,7 @@
 	} else {
 		w.reclaimDelay = minReclaimDelay
 	}
-	w.newest, w.claimSeenAt, w.peerAnsweredAt, w.dueSince = c, now, 0, 0
+	w.newest, w.claimSeenAt, w.peerAnsweredAt = c, now, 0
 }
 
 // RecordPeerAnswer records that a holder answered another daemon at the given boot time.
@@ -129,18 +122,6 @@
 // ShouldClaim reports whether self should claim the pool now, and why. Rank is the position of self among all known
 // daemons, from 0, whether or not they answer; storeHealthy is set if the store answers self.
 func (w *Watch) ShouldClaim(now time.Duration, self citron.Member, rank int, storeHealthy bool, p PingResult) (reason string, ok bool) {
-	reason, ok = w.claimDue(now, self, rank, storeHealthy, p)
-	switch {
-	case !ok:
-		w.dueSince = 0
-	case w.dueSince == 0:
-		w.dueSince = now
-	}
-	return reason, ok && (!w.NotLoaded || now-w.dueSince >= notLoadedDelay)
-}
-
-// claimDue reports whether self should claim the pool now if it is loaded, and why.
-func (w *Watch) claimDue(now time.Duration, self citron.Member, rank int, storeHealthy bool, p PingResult) (reason string, ok bool) {
 	if w.startedAt == 0 {
 		w.startedAt = now
 	}
--- a/citron/entry/watch.go
+++ b/citron/entry/watch.go
@@ -31,7 +31,6 @@
 	storeOK := !d.cell.Failing()
 	loaded := d.stateLoaded()
 	d.mu.Lock()
-	d.watch.NotLoaded = !loaded
 	reason, ok := d.watch.ShouldClaim(now, d.self, rank, storeOK, ping)
 	if d.takeOver && loaded && newest.Holder != d.self {
 		reason, ok = "the holder is about to stop", true
