--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -149,6 +149,7 @@
 	d.run, d.cancel = context.WithCancel(context.Background())
 	d.self = citron.Member{VM: d.Settings.VM, Incarnation: citron.Incarnation(d.Timer.Now().Wall.UnixMilli())}
 	d.peers.Self, d.peers.Timer, d.peers.MilliCores = d.self, d.Timer, d.Settings.MilliCores
+	d.peers.CountTraffic = func(call string, sent, received int) { d.Stats.CountTraffic("daemon", call, sent, received) }
 	d.watch.ExtraTimeout = d.Settings.HolderExtraTimeout
 	d.wake = make(chan struct{}, 1)
 	d.exchanges.SetContext(d.run)
@@ -174,7 +175,7 @@
 		Stored: d.forwardToHolder, Lookup: d.lookup, CountElsewhere: d.countElsewhere,
 	}
 	d.Log.Emit(event.DaemonStarted, event.Fields{"Incarnation": d.self.Incarnation, "Peer": d.Settings.PeerAddress})
-	d.components = append(d.components, peers.Serve(d.run, listener, &server{d: d}))
+	d.components = append(d.components, d.peers.Serve(d.run, listener, &server{d: d}))
 	for _, t := range d.tails() {
 		d.components = append(d.components, t.Run(d.run))
 	}
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -54,6 +54,8 @@
 	// MilliCores is the processor time available to this daemon, in thousandths of a core.
 	MilliCores int64
 	Timer      citron.Timer
+	// CountTraffic, if set, counts the bytes of each message to and from other daemons.
+	CountTraffic func(call string, sent, received int)
 
 	mu    sync.Mutex
 	known map[citron.VMName]*peer
@@ -71,9 +73,9 @@
 }
 
 // Serve serves requests of other daemons until the context ends and reports its end on the returned channel.
-func Serve(ctx context.Context, listener net.Listener, server link.LinkServer) <-chan error {
+func (p *Peers) Serve(ctx context.Context, listener net.Listener, server link.LinkServer) <-chan error {
 	ended := make(chan error, 1)
-	g := grpc.NewServer(grpc.ConnectionTimeout(handshakeTimeout), grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: probeAfter / 2, PermitWithoutStream: true}))
+	g := grpc.NewServer(grpc.StatsHandler(&traffic{count: p.CountTraffic}), grpc.ConnectionTimeout(handshakeTimeout), grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: probeAfter / 2, PermitWithoutStream: true}))
 	link.RegisterLinkServer(g, server)
 	listener = netutil.LimitListener(listener, maxConnections)
 	stop := context.AfterFunc(ctx, g.Stop)
@@ -400,6 +402,7 @@
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
 		grpc.WithNoProxy(),
+		grpc.WithStatsHandler(&traffic{count: p.CountTraffic}),
 	)
 	return remote.conn, err
 }
--- a/citron/stats/stats.go
+++ b/citron/stats/stats.go
@@ -132,6 +132,14 @@
 	s.set.GetOrCreateHistogram(fmt.Sprintf(`citron_store_seconds{Call=%q}`, call)).Update(took.Seconds())
 }
 
+// CountTraffic counts one exchange and the bytes of its bodies. Remote is the kind of the other side, such as the store or
+// a daemon.
+func (s *Set) CountTraffic(remote, call string, sent, received int) {
+	s.counter(`citron_exchanges_total{Remote=%q,Call=%q}`, remote, call).Inc()
+	s.counter(`citron_traffic_bytes_total{Remote=%q,Call=%q,Direction="sent"}`, remote, call).Add(sent)
+	s.counter(`citron_traffic_bytes_total{Remote=%q,Call=%q,Direction="received"}`, remote, call).Add(received)
+}
+
 // queueHistogram returns the histogram of a queue.
 func (s *Set) queueHistogram(name string, queue citron.QueueName) *metrics.Histogram {
 	return s.set.GetOrCreateHistogram(fmt.Sprintf(`%s{Queue=%q}`, name, queue))
