--- a/citron/entry/claims.go
+++ b/citron/entry/claims.go
@@ -115,7 +115,7 @@
 	h := &holding{epoch: epoch, cancel: cancel, ended: ended, holder: &holder.Holder{
 		Store:          d.Store,
 		Producer:       producer,
-		Workers:        d.Workers,
+		Workers:        d.orders,
 		Timer:          d.Timer,
 		View:           &d.view,
 		ProgressTails:  d.progress,
--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/citroncross/citroncross/citron/intake"
 	"github.com/citroncross/citroncross/citron/peers"
 	"github.com/citroncross/citroncross/citron/pool"
+	"github.com/citroncross/citroncross/citron/relay"
 	"github.com/citroncross/citroncross/citron/spawn"
 	"github.com/citroncross/citroncross/citron/stats"
 	"github.com/citroncross/citroncross/citron/tail"
@@ -70,6 +71,9 @@
 	// HolderExtraTimeout is added to the time that a holder may be unresponsive or without the store before another daemon
 	// claims its pool.
 	HolderExtraTimeout time.Duration
+	// DirectWorkers is the number of workers up to which the holder sends all orders itself; 0 means defaultDirectWorkers. Of
+	// more workers, other daemons relay most orders.
+	DirectWorkers int
 	// MachineLease is the minimum time between the upkeep orders of two holders; UpkeepDuration is how long one upkeep
 	// lasts.
 	MachineLease, UpkeepDuration time.Duration
@@ -97,6 +101,8 @@
 	progress []*tail.Tail
 	balancer advice.Balancer
 	outbox   outbox
+	// orders sends the orders of the pool while this daemon is its holder.
+	orders *relay.Workers
 	// exchanges runs the messages to other daemons, the announcement of this one and the upkeep waves.
 	exchanges spawn.Group
 	// components deliver once each, when a background loop has ended.
@@ -153,6 +159,7 @@
 	d.watch.ExtraTimeout = d.Settings.HolderExtraTimeout
 	d.wake = make(chan struct{}, 1)
 	d.exchanges.SetContext(d.run)
+	d.orders = d.orderRelay()
 	d.registerGauges()
 	d.view.Unreadable = func(key string, err error) {
 		d.Log.Emit(event.RecordUnreadable, event.Fields{"Key": key, "Error": err})
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -171,7 +171,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for vm, remote := range p.known {
-		if remote.ping.AnsweredAt > 0 && now-remote.ping.AnsweredAt < liveFor && !remote.ping.Stopping {
+		if remote.live(now) {
 			live = append(live, vm)
 		}
 	}
@@ -179,6 +179,11 @@
 	return live
 }
 
+// live reports whether the daemon has answered a ping within liveFor and is not stopping. The caller holds the lock.
+func (r *peer) live(now time.Duration) bool {
+	return r.ping.AnsweredAt > 0 && now-r.ping.AnsweredAt < liveFor && !r.ping.Stopping
+}
+
 // LastPing returns the result of the last pings to a daemon.
 func (p *Peers) LastPing(vm citron.VMName) claim.PingResult {
 	p.mu.Lock()
@@ -345,6 +350,26 @@
 	})
 }
 
+// OpenOrders opens a stream of orders to workers through a daemon. It lasts until the context ends or the connection is
+// replaced.
+func (p *Peers) OpenOrders(ctx context.Context, vm citron.VMName) (stream grpc.BidiStreamingClient[link.Orders, link.Answers], err error) {
+	defer func() { err = eris.Wrapf(err, "open a stream of orders through %s", vm) }()
+	conn, err := p.connection(vm)
+	if err != nil {
+		return nil, err
+	}
+	return link.NewLinkClient(conn).CarryOrders(ctx)
+}
+
+// IsLive reports whether a daemon has answered a ping within liveFor and is not stopping.
+func (p *Peers) IsLive(vm citron.VMName) bool {
+	now := p.Timer.Now().Boot
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	remote := p.known[vm]
+	return remote != nil && remote.live(now)
+}
+
 // TakeOver asks a daemon to claim the pool that this daemon holds under epoch. It fails if that daemon has not loaded what
 // a holder needs.
 func (p *Peers) TakeOver(ctx context.Context, vm citron.VMName, epoch citron.Epoch) (err error) {
--- /dev/null
+++ b/citron/relay/relay.go
@@ -0,0 +1,182 @@
+// Package relay passes the orders of a pool's holder to workers through other daemons, so that the holder's link and
+// processor do not limit the number of workers. The daemon that accepted a job sends the starts of its tasks, since it has
+// the payload; renewals are spread over all daemons.
+//
+// A relayed order is as safe as one that is delayed by the network: the worker refuses it after its deadline or once a
+// higher epoch has been used.
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/spawn"
+	"github.com/citroncross/citroncross/schema/link"
+)
+
+const (
+	// answerSlack is subtracted from the time limit of an order to get the limit for the worker's answer, so that the
+	// relaying daemon can still report that there was none.
+	answerSlack = 60 * time.Millisecond
+	// avoidDaemonFor is how long no orders are relayed through a daemon that did not answer.
+	avoidDaemonFor = 2 * time.Second
+	// avoidRelayFor is how long orders to a worker are sent directly after a relayed one was not answered: the path from the
+	// relaying daemon to the worker may be cut.
+	avoidRelayFor = 3 * time.Second
+)
+
+// errNoAnswer means that a daemon has not answered a relayed order in time.
+var errNoAnswer = errors.New("the relaying daemon does not answer")
+
+// Stream carries orders to one daemon.
+type Stream = grpc.BidiStreamingClient[link.Orders, link.Answers]
+
+// Workers sends orders to workers, through other daemons where StartVia and RenewVia name one. Stops are always sent
+// directly.
+type Workers struct {
+	// Direct sends the orders that are not relayed.
+	Direct citron.Workers
+	Timer  citron.Timer
+	// Open opens a stream to a daemon that lasts until the context ends.
+	Open func(ctx context.Context, vm citron.VMName) (Stream, error)
+	// StartVia returns the daemon that relays the start of a task, RenewVia that for the renewals of a worker; empty for
+	// none.
+	StartVia func(citron.TaskRef) citron.VMName
+	RenewVia func(citron.Worker) citron.VMName
+	// Exchanges runs the streams.
+	Exchanges *spawn.Group
+
+	mu       sync.Mutex
+	sessions map[citron.VMName]*session
+	// avoidDaemon and avoidRelay hold boot times until which a daemon is not used and a worker is reached directly.
+	avoidDaemon map[citron.VMName]time.Duration
+	avoidRelay  map[citron.Worker]time.Duration
+}
+
+var _ citron.Workers = (*Workers)(nil)
+
+// Start starts a run.
+func (w *Workers) Start(ctx context.Context, to *citron.WorkerEntry, o citron.StartOrder) (outcome citron.StartOutcome, clock time.Duration, err error) {
+	vm := w.StartVia(o.Task)
+	if !w.usable(vm, to.ID) {
+		return w.Direct.Start(ctx, to, o)
+	}
+	defer func() { err = eris.Wrapf(err, "start %s on %s through %s", o.Task, to.ID, vm) }()
+	a, err := w.exchange(ctx, vm, &link.Order{
+		Worker: string(to.ID), Address: to.Address, Epoch: uint64(o.Epoch), DeadlineMs: o.Deadline.Milliseconds(),
+		Start: &link.StartTask{Task: string(o.Task), Run: o.Run, Checkpoint: o.Checkpoint, Ticket: o.Ticket},
+	})
+	switch {
+	case err != nil:
+		return citron.StartUnknown, 0, err
+	case a.GetResult() == link.OrderResult_ORDER_RESULT_NOT_SENT:
+		return w.Direct.Start(ctx, to, o)
+	case a.GetResult() != link.OrderResult_ORDER_RESULT_ANSWERED:
+		return citron.StartUnknown, 0, w.workerError(to.ID, a)
+	}
+	return citron.StartOutcome(a.GetOutcome()), millis(a.GetClockMs()), nil
+}
+
+// Stop stops a run.
+func (w *Workers) Stop(ctx context.Context, to *citron.WorkerEntry, o citron.StopOrder) (time.Duration, error) {
+	return w.Direct.Stop(ctx, to, o)
+}
+
+// Renew renews the lease and returns the running and the ended runs.
+func (w *Workers) Renew(ctx context.Context, to *citron.WorkerEntry, o citron.RenewOrder) (report citron.WorkerReport, clock time.Duration, err error) {
+	vm := w.RenewVia(to.ID)
+	if !w.usable(vm, to.ID) {
+		return w.Direct.Renew(ctx, to, o)
+	}
+	defer func() { err = eris.Wrapf(err, "renew lease of %s through %s", to.ID, vm) }()
+	a, err := w.exchange(ctx, vm, &link.Order{
+		Worker: string(to.ID), Address: to.Address, Epoch: uint64(o.Epoch), DeadlineMs: o.Deadline.Milliseconds(),
+		Renew: &link.RenewLease{Acked: o.Acked, WaitMs: o.Wait.Milliseconds()},
+	})
+	switch {
+	case err != nil:
+		return report, 0, err
+	case a.GetResult() == link.OrderResult_ORDER_RESULT_NOT_SENT:
+		return w.Direct.Renew(ctx, to, o)
+	case a.GetResult() != link.OrderResult_ORDER_RESULT_ANSWERED:
+		return report, 0, w.workerError(to.ID, a)
+	}
+	return decodeReport(a.GetReport()), millis(a.GetClockMs()), nil
+}
+
+// workerError returns the error for an order that the worker has not carried out, or not answered. In the latter case the
+// next orders to the worker are sent directly.
+func (w *Workers) workerError(id citron.Worker, a *link.Answer) error {
+	switch a.GetResult() {
+	case link.OrderResult_ORDER_RESULT_WORKER_GONE:
+		return citron.ErrWorkerGone
+	case link.OrderResult_ORDER_RESULT_FENCED:
+		return citron.ErrFenced
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.avoidRelay[id] = w.Timer.Now().Boot + avoidRelayFor
+	return fmt.Errorf("%w: %s", citron.ErrUnavailable, a.GetError())
+}
+
+// usable reports whether orders to a worker should be relayed through a daemon.
+func (w *Workers) usable(vm citron.VMName, to citron.Worker) bool {
+	if vm == "" {
+		return false
+	}
+	now := w.Timer.Now().Boot
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return now >= w.avoidDaemon[vm] && now >= w.avoidRelay[to]
+}
+
+// exchange sends an order through a daemon and returns the answer.
+func (w *Workers) exchange(ctx context.Context, vm citron.VMName, o *link.Order) (a *link.Answer, err error) {
+	s := w.session(vm)
+	if limit, ok := ctx.Deadline(); ok {
+		o.TimeoutMs = max(time.Until(limit)-answerSlack, time.Millisecond).Milliseconds()
+	}
+	if a, err = s.exchange(ctx, o); err == nil {
+		return a, nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		w.avoidDaemon[vm] = w.Timer.Now().Boot + avoidDaemonFor
+	}
+	return nil, errors.Join(citron.ErrUnavailable, err)
+}
+
+// session returns the stream to a daemon and opens one if there is none.
+func (w *Workers) session(vm citron.VMName) *session {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.sessions == nil {
+		w.sessions = map[citron.VMName]*session{}
+		w.avoidDaemon, w.avoidRelay = map[citron.VMName]time.Duration{}, map[citron.Worker]time.Duration{}
+	}
+	s := w.sessions[vm]
+	if s != nil {
+		return s
+	}
+	s = newSession()
+	w.sessions[vm] = s
+	w.Exchanges.Go(func(ctx context.Context) {
+		s.run(ctx, func(ctx context.Context) (Stream, error) { return w.Open(ctx, vm) }, w.Exchanges)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.sessions, vm)
+	})
+	return s
+}
+
+func millis(n int64) time.Duration {
+	return time.Duration(n) * time.Millisecond
+}
--- /dev/null
+++ b/citron/relay/session.go
@@ -0,0 +1,163 @@
+package relay
+
+import (
+	"context"
+	"sync"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/spawn"
+	"github.com/citroncross/citroncross/schema/link"
+)
+
+// maxQueued is the maximum number of orders that wait to be sent on one stream.
+const maxQueued = 4096
+
+// session exchanges orders and answers with one daemon.
+type session struct {
+	// wakeup is signalled when an order has been queued.
+	wakeup chan struct{}
+
+	mu     sync.Mutex
+	number uint64
+	queue  []*link.Order
+	// pending holds where to deliver the answers that are waited for.
+	pending map[uint64]pendingOrder
+	// reports are the last reports that have been received, by worker.
+	reports map[citron.Worker]*baseReport
+	// err is set once the stream has ended.
+	err error
+}
+
+// pendingOrder is an order whose answer is waited for.
+type pendingOrder struct {
+	worker citron.Worker
+	// answer delivers the answer and is closed if there will be none.
+	answer chan *link.Answer
+}
+
+func newSession() *session {
+	return &session{wakeup: make(chan struct{}, 1), pending: map[uint64]pendingOrder{}, reports: map[citron.Worker]*baseReport{}}
+}
+
+// exchange queues an order and waits for its answer.
+func (s *session) exchange(ctx context.Context, o *link.Order) (*link.Answer, error) {
+	answer := make(chan *link.Answer, 1)
+	s.mu.Lock()
+	if s.err != nil || len(s.queue) >= maxQueued {
+		err := s.err
+		s.mu.Unlock()
+		if err == nil {
+			err = errNoAnswer
+		}
+		return nil, err
+	}
+	s.number++
+	o.Number = s.number
+	if base := s.reports[citron.Worker(o.GetWorker())]; base != nil && o.Renew != nil {
+		o.Renew.Base = base.number
+	}
+	s.queue = append(s.queue, o)
+	s.pending[o.GetNumber()] = pendingOrder{citron.Worker(o.GetWorker()), answer}
+	s.mu.Unlock()
+	select {
+	case s.wakeup <- struct{}{}:
+	default:
+	}
+	select {
+	case a, ok := <-answer:
+		if !ok {
+			return nil, s.failure()
+		}
+		return a, nil
+	case <-ctx.Done():
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.pending, o.GetNumber())
+		return nil, errNoAnswer
+	}
+}
+
+// run opens the stream and carries orders until it fails or the context ends.
+func (s *session) run(ctx context.Context, open func(context.Context) (Stream, error), exchanges *spawn.Group) {
+	inner, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := open(inner)
+	if err != nil {
+		s.fail(err)
+		return
+	}
+	exchanges.Go(func(context.Context) {
+		defer cancel()
+		for {
+			answers, err := stream.Recv()
+			if err != nil {
+				s.fail(err)
+				return
+			}
+			s.deliver(answers.GetAnswers())
+		}
+	})
+	for {
+		select {
+		case <-s.wakeup:
+		case <-inner.Done():
+			s.fail(inner.Err())
+			return
+		}
+		if orders := s.dequeue(); len(orders) > 0 {
+			if err := stream.Send(&link.Orders{Orders: orders}); err != nil {
+				s.fail(err)
+				return
+			}
+		}
+	}
+}
+
+// dequeue returns the queued orders whose answers are still waited for.
+func (s *session) dequeue() (orders []*link.Order) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range s.queue {
+		if _, waiting := s.pending[o.GetNumber()]; waiting {
+			orders = append(orders, o)
+		}
+	}
+	s.queue = nil
+	return orders
+}
+
+// deliver passes answers to the exchanges that wait for them. A report that nobody waits for is not used as a base either,
+// so that the next one is complete.
+func (s *session) deliver(answers []*link.Answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range answers {
+		waiting, ok := s.pending[a.GetNumber()]
+		if !ok {
+			continue
+		}
+		delete(s.pending, a.GetNumber())
+		s.completeReport(waiting.worker, a)
+		waiting.answer <- a
+	}
+}
+
+// fail ends all exchanges that wait for answers.
+func (s *session) fail(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.err != nil {
+		return
+	}
+	s.err = err
+	for number, waiting := range s.pending {
+		delete(s.pending, number)
+		close(waiting.answer)
+	}
+}
+
+func (s *session) failure() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err
+}
