--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -21,8 +21,10 @@
 )
 
 const (
-	// orderTimeout is the time limit of one start or stop order.
-	orderTimeout = 300 * time.Millisecond
+	// orderTimeout is the time limit of one start or stop order, relayedOrderTimeout that of one that other daemons may
+	// relay. Their links may be full of other starts, and a start that is repeated too early adds to that.
+	orderTimeout        = 300 * time.Millisecond
+	relayedOrderTimeout = 700 * time.Millisecond
 	// orderRetry is the delay between the tries of one start order.
 	orderRetry = 10 * time.Millisecond
 	// unresponsiveTries is the number of unanswered tries after which a worker gets no more tasks until it answers. A
@@ -49,6 +51,8 @@
 	Pool          *pool.Pool
 	// Advise sends a request to the policy service through the daemon named in it.
 	Advise func(ctx context.Context, a pool.AdviceRequest) ([]citron.Permit, time.Duration, error)
+	// Relayed, if set, reports whether Workers sends orders through other daemons.
+	Relayed func() bool
 	// LastConfirmed returns the last boot time at which this daemon's claim was known to be the newest; zero if it no longer
 	// is.
 	LastConfirmed func() time.Duration
@@ -191,7 +195,7 @@
 		h.exchanges.Go(func(ctx context.Context) { h.requestAdvice(ctx, a) })
 	}
 	if len(e.Records) > 0 {
-		if err := h.append(ctx, e.Records); err != nil {
+		if err := h.store(ctx, e.Records); err != nil {
 			return err
 		}
 		h.publish(e)
@@ -251,8 +255,12 @@
 	began := h.Timer.Now().Boot
 	outcome, clock := citron.StartUnknown, time.Duration(0)
 	unanswered := 0
-	for outcome == citron.StartUnknown && ctx.Err() == nil && h.Timer.Now().Boot-began < h.Pool.Options.StartTimeout-orderTimeout {
-		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+	timeout := orderTimeout
+	if h.Relayed != nil && h.Relayed() {
+		timeout = relayedOrderTimeout
+	}
+	for outcome == citron.StartUnknown && ctx.Err() == nil && h.Timer.Now().Boot-began < h.Pool.Options.StartTimeout-timeout {
+		bounded, cancel := context.WithTimeout(ctx, timeout)
 		var err error
 		outcome, clock, err = h.Workers.Start(bounded, &s.Worker, s.Order)
 		cancel()
--- a/citron/holder/partition_log.go
+++ b/citron/holder/partition_log.go
@@ -69,6 +69,27 @@
 	}
 }
 
+// maxAppendBytes is the maximum size of the records of one append. Larger appends are split, so that what has to be sent
+// again after a failure stays small.
+const maxAppendBytes = 64 << 10
+
+// store stores the records of a plan, in several appends if they are many. The records of a plan are independent of each
+// other.
+func (h *Holder) store(ctx context.Context, records []citron.KeyedRecord) error {
+	for len(records) > 0 {
+		n, bytes := 0, 0
+		for n < len(records) && (n == 0 || bytes+records[n].Size() <= maxAppendBytes) {
+			bytes += records[n].Size()
+			n++
+		}
+		if err := h.append(ctx, records[:n:n]); err != nil {
+			return err
+		}
+		records = records[n:]
+	}
+	return nil
+}
+
 // append stores records in an open partition, and fails over to another partition while the store does not answer.
 func (h *Holder) append(ctx context.Context, records []citron.KeyedRecord) error {
 	began := h.Timer.Now().Boot
@@ -198,12 +219,13 @@
 // appendOnce appends to one partition without a retry.
 func (h *Holder) appendOnce(ctx context.Context, l *partitionLog, records []citron.KeyedRecord) (end citron.Offset, err error) {
 	c := citron.Condition{Producer: h.Producer, Epoch: h.Pool.Epoch, Sequence: l.sequence}
-	bounded, cancel := context.WithTimeout(ctx, h.storeTimeout.Current(appendBounds))
+	transfer := waits.Transfer(citron.SizeOf(records))
+	bounded, cancel := context.WithTimeout(ctx, h.storeTimeout.Current(appendBounds)+transfer)
 	defer cancel()
 	began := h.Timer.Now().Boot
 	end, err = h.Store.Append(bounded, l.tail.Partition, records, c)
 	if err == nil {
-		h.storeTimeout.Answered(appendBounds, h.Timer.Now().Boot-began)
+		h.storeTimeout.Answered(appendBounds, h.Timer.Now().Boot-began-transfer)
 		if !l.unanswered {
 			// An answer to a repeat shows nothing about the present: the store gives its first answer again, even if another
 			// daemon has claimed the pool since.
--- a/citron/intake/writer.go
+++ b/citron/intake/writer.go
@@ -24,8 +24,12 @@
 	retryPause = 50 * time.Millisecond
 	// relayFirstFor is how long relaying is tried first after it has succeeded where a direct append failed.
 	relayFirstFor = time.Second
-	// maxBatchRecords limits the records of one append; a record has at most a few kilobytes.
+	// maxBatchRecords and maxBatchBytes limit the records of one append.
 	maxBatchRecords = 200
+	maxBatchBytes   = 64 << 10
+	// maxRaceBytes is the maximum size of records that are sent to all partitions at once after a failure. Larger ones are
+	// sent only to one that answers, since copies of them could fill the link and so cause further failures.
+	maxRaceBytes = 16 << 10
 )
 
 // Writer appends records and batches those that wait at the same time. Records are keyed, so repeated appends change
@@ -87,7 +91,7 @@
 func (w *Writer) appendWaiting() {
 	for {
 		w.mu.Lock()
-		n := min(len(w.waiting), maxBatchRecords)
+		n := batchSize(w.waiting)
 		batch := w.waiting[:n:n]
 		w.waiting = w.waiting[n:]
 		if n == 0 {
@@ -107,6 +111,18 @@
 	}
 }
 
+// batchSize returns the number of records, from the first one on, that one append may contain.
+func batchSize(waiting []pendingWrite) (n int) {
+	bytes := 0
+	for n < min(len(waiting), maxBatchRecords) {
+		if bytes += waiting[n].record.Size(); bytes > maxBatchBytes && n > 0 {
+			break
+		}
+		n++
+	}
+	return n
+}
+
 // appendWithRetry tries to append until the outcome is known or writeTimeout has passed.
 func (w *Writer) appendWithRetry(records []citron.KeyedRecord) error {
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
@@ -176,6 +192,9 @@
 		return nil
 	}
 	w.failedOverAt.Store(int64(w.Timer.Now().Boot))
+	if citron.SizeOf(records) > maxRaceBytes {
+		return w.appendToAnswering(ctx, preferred, first, records)
+	}
 	outcomes := make(chan error, len(w.Partitions))
 	bounded, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -196,6 +215,42 @@
 	return w.awaitAny(first, others, outcomes)
 }
 
+// appendToAnswering appends to the first partition but the failed one that answers a read. First is the error of that one.
+func (w *Writer) appendToAnswering(ctx context.Context, failed int, first error, records []citron.KeyedRecord) error {
+	bounded, cancel := context.WithTimeout(ctx, w.appendTimeout.Current(appendBounds))
+	defer cancel()
+	answering := make(chan int, len(w.Partitions))
+	for n, p := range w.Partitions {
+		if n == failed {
+			continue
+		}
+		w.exchanges.Go(func(context.Context) {
+			if _, err := w.Store.Read(bounded, p, 0, 0); err != nil && !errors.Is(err, citron.ErrRecordsDeleted) {
+				n = -1
+			}
+			answering <- n
+		})
+	}
+	for range len(w.Partitions) - 1 {
+		n := <-answering
+		if n < 0 {
+			continue
+		}
+		err := w.appendTo(ctx, n, records)
+		if err == nil {
+			w.preferredPartition.Store(int64(n))
+			return nil
+		}
+		if !errors.Is(err, citron.ErrRejected) {
+			first = citron.ErrUnavailable
+		}
+	}
+	if !errors.Is(first, citron.ErrRejected) {
+		w.appendTimeout.TimedOut(appendBounds)
+	}
+	return first
+}
+
 // awaitAny returns nil at the first success and ErrRejected if every append, including the first one, was rejected.
 func (w *Writer) awaitAny(first error, others int, outcomes <-chan error) error {
 	result := citron.ErrRejected
@@ -220,12 +275,13 @@
 
 // appendTo appends to partition n without a retry.
 func (w *Writer) appendTo(ctx context.Context, n int, records []citron.KeyedRecord) error {
-	bounded, cancel := context.WithTimeout(ctx, w.appendTimeout.Current(appendBounds))
+	transfer := waits.Transfer(citron.SizeOf(records))
+	bounded, cancel := context.WithTimeout(ctx, w.appendTimeout.Current(appendBounds)+transfer)
 	defer cancel()
 	began := w.Timer.Now().Boot
 	_, err := w.Store.Append(bounded, w.Partitions[n], records, citron.Condition{})
 	if err == nil {
-		w.appendTimeout.Answered(appendBounds, w.Timer.Now().Boot-began)
+		w.appendTimeout.Answered(appendBounds, w.Timer.Now().Boot-began-transfer)
 	}
 	return err
 }
--- a/citron/platform.go
+++ b/citron/platform.go
@@ -166,6 +166,19 @@
 	Value []byte
 }
 
+// Size returns the number of bytes of the key and the value.
+func (r KeyedRecord) Size() int {
+	return len(r.Key) + len(r.Value)
+}
+
+// SizeOf returns the total size of records.
+func SizeOf(records []KeyedRecord) (bytes int) {
+	for _, r := range records {
+		bytes += r.Size()
+	}
+	return bytes
+}
+
 // Condition makes an append conditional. The zero value sets no condition.
 type Condition struct {
 	// ExpectedOffset, if set, is the only offset at which the records may be written.
--- a/citron/waits/waits.go
+++ b/citron/waits/waits.go
@@ -37,3 +37,12 @@
 		t.current.Store(int64(b.Min))
 	}
 }
+
+// transferPerByte is the time per byte that is added for the transfer of a message: a link of 2 Mbit/s, the slowest that a
+// daemon has, shared with as much other traffic.
+const transferPerByte = 8 * time.Microsecond
+
+// Transfer returns the time to add to a timeout for the transfer of a message of some size.
+func Transfer(bytes int) time.Duration {
+	return time.Duration(bytes) * transferPerByte
+}
