--- a/citron/claim/claim.go
+++ b/citron/claim/claim.go
@@ -21,6 +21,9 @@
 	// PeerAnswerValidity is the greatest age of a holder's answer to another daemon that keeps this one from claiming:
 	// about one ping with its timeout. Such an answer means that the fault lies in the network or with this daemon.
 	PeerAnswerValidity = 300 * time.Millisecond
+	// MaxSilence is how long a holder may leave pings unanswered while it goes on storing records. Its link may be full, which
+	// would be no better at another daemon; but it may also be cut off from all VMs but the store.
+	MaxSilence = 4 * time.Second
 	// UnconfirmedAfter replaces UnresponsiveAfter if no other daemon answers either, as this daemon is then more likely to
 	// be isolated. A holder that is lost together with all others must still be replaced within 2.5 s.
 	UnconfirmedAfter = 2 * time.Second
@@ -81,6 +84,8 @@
 	startedAt    time.Duration
 	// peerAnsweredAt is when the holder is known to have last answered another daemon.
 	peerAnsweredAt time.Duration
+	// recordedAt is when a record of the holder was last read from the store.
+	recordedAt time.Duration
 }
 
 // RecordClaim records the newest claim; frequent claims increase the delay before the next one.
@@ -103,9 +108,19 @@
 	}
 }
 
-// UnresponsiveFor returns how long the holder is known to have answered neither this daemon nor another one.
+// RecordStored records that a record of the holder has been read from the store, so that it was alive shortly before.
+func (w *Watch) RecordStored(now time.Duration) {
+	w.recordedAt = max(w.recordedAt, now)
+}
+
+// UnresponsiveFor returns how long the holder is known to have answered neither this daemon nor another one. For up to
+// MaxSilence, records that it stores count as answers.
 func (w *Watch) UnresponsiveFor(now time.Duration, p PingResult) time.Duration {
-	return now - max(p.AnsweredAt, w.claimSeenAt, w.peerAnsweredAt)
+	silence := now - max(p.AnsweredAt, w.claimSeenAt, w.peerAnsweredAt)
+	if silence >= MaxSilence {
+		return silence
+	}
+	return min(silence, now-w.recordedAt)
 }
 
 // ConfirmUnresponsive reports whether an unresponsive holder should be replaced. Asked is the number of other daemons
--- a/citron/entry/claims.go
+++ b/citron/entry/claims.go
@@ -116,6 +116,7 @@
 		Store:          d.Store,
 		Producer:       producer,
 		Workers:        d.orders,
+		Relayed:        d.relaysOrders,
 		Timer:          d.Timer,
 		View:           &d.view,
 		ProgressTails:  d.progress,
--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -171,7 +171,7 @@
 	for n := range partitionCount {
 		writer.Partitions = append(writer.Partitions, citron.Partition{Topic: jobsTopic, Number: n})
 		d.jobs = append(d.jobs, d.newTail(writer.Partitions[n], d.view.NewSource().Apply, readInterval))
-		d.progress = append(d.progress, d.newTail(citron.Partition{Topic: progressTopic, Number: n}, d.view.NewSource().Apply, readInterval))
+		d.progress = append(d.progress, d.newTail(citron.Partition{Topic: progressTopic, Number: n}, d.applyProgress(d.view.NewSource()), readInterval))
 		if n > 0 {
 			d.jobs[n].Wait, d.progress[n].Wait = spareReadWait, spareReadWait
 		}
@@ -318,6 +318,19 @@
 	}
 }
 
+// applyProgress returns a function that applies records of a partition with the progress of jobs. Only the holder stores
+// such records, so they show that it is alive.
+func (d *Daemon) applyProgress(source *view.Source) func(citron.KeyedBatch, bool) {
+	return func(batch citron.KeyedBatch, fresh bool) {
+		source.Apply(batch, fresh)
+		if !fresh {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.watch.RecordStored(d.Timer.Now().Boot)
+		}
+	}
+}
+
 func (d *Daemon) applyClaim(r citron.KeyedRecord) {
 	var c work.Claim
 	if err := proto.Unmarshal(r.Value, &c); err != nil {
--- a/citron/entry/notify.go
+++ b/citron/entry/notify.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/event"
+	"github.com/citroncross/citroncross/citron/peers"
+	"github.com/citroncross/citroncross/citron/pool"
 	"github.com/citroncross/citroncross/citron/timer"
+	"github.com/citroncross/citroncross/schema/link"
+	"github.com/citroncross/citroncross/schema/work"
 )
 
 const (
@@ -15,63 +20,76 @@
 	notifyDelay = 25 * time.Millisecond
 	// notifyTimeout bounds one message; a daemon that misses it reads the records from the store.
 	notifyTimeout = 500 * time.Millisecond
-	// maxNotifyBacklog is the maximum number of records queued for one daemon; further ones are dropped.
+	// maxNotifyBacklog is the maximum number of notices queued for one daemon; further ones are dropped.
 	maxNotifyBacklog = 2000
 )
 
-// outbox queues records for each daemon. The zero value is empty.
+// notice tells another daemon of a stored record: either the record itself or the state of a job that it contains.
+type notice struct {
+	record citron.KeyedRecord
+	state  *link.JobState
+}
+
+// outbox queues notices for each daemon. The zero value is empty.
 type outbox struct {
 	mu      sync.Mutex
-	waiting map[citron.VMName][]citron.KeyedRecord
+	waiting map[citron.VMName][]notice
 	sending map[citron.VMName]bool
 }
 
-// add queues a record and reports whether the caller must start a sender.
-func (o *outbox) add(vm citron.VMName, r citron.KeyedRecord) (start bool) {
+// add queues a notice and reports whether the caller must start a sender.
+func (o *outbox) add(vm citron.VMName, n notice) (start bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.waiting == nil {
-		o.waiting, o.sending = map[citron.VMName][]citron.KeyedRecord{}, map[citron.VMName]bool{}
+		o.waiting, o.sending = map[citron.VMName][]notice{}, map[citron.VMName]bool{}
 	}
 	if len(o.waiting[vm]) < maxNotifyBacklog {
-		o.waiting[vm] = append(o.waiting[vm], r)
+		o.waiting[vm] = append(o.waiting[vm], n)
 	}
 	start = !o.sending[vm]
 	o.sending[vm] = true
 	return start
 }
 
-// dequeue removes and returns the queued records. The sender must end if there are none.
-func (o *outbox) dequeue(vm citron.VMName) []citron.KeyedRecord {
+// dequeue removes and returns the queued notices. The sender must end if there are none.
+func (o *outbox) dequeue(vm citron.VMName) []notice {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	records := o.waiting[vm]
+	notices := o.waiting[vm]
 	delete(o.waiting, vm)
-	if len(records) == 0 {
+	if len(notices) == 0 {
 		o.sending[vm] = false
 	}
-	return records
+	return notices
 }
 
 // forwardToHolder sends a stored job or cancellation to the holder.
 func (d *Daemon) forwardToHolder(r citron.KeyedRecord) {
 	d.view.Apply(r)
 	if holder := d.newestClaim().Holder.VM; holder != d.self.VM && holder != "" {
-		d.notify(holder, r, 0)
+		d.notify(holder, notice{record: r}, 0)
 	}
 }
 
-// publish sends a record stored by this holder to all live daemons.
+// publish sends the state in a record stored by this holder to all live daemons. They read the record itself, which they
+// need only to take over, from the store.
 func (d *Daemon) publish(r citron.KeyedRecord) {
 	d.view.Apply(r)
+	id := citron.JobID(strings.TrimPrefix(r.Key, pool.ProgressKey))
+	e, known := d.view.Get(id)
+	if !known {
+		return
+	}
+	state := &link.JobState{JobID: string(id), State: int32(e.Progress.GetState()), Epoch: e.Progress.GetEpoch(), Number: e.Progress.GetNumber()}
 	for _, vm := range d.peers.Live() {
-		d.notify(vm, r, notifyDelay)
+		d.notify(vm, notice{state: state}, notifyDelay)
 	}
 }
 
-// notify queues a record for a daemon and sends it after the collect time, with those queued meanwhile.
-func (d *Daemon) notify(vm citron.VMName, r citron.KeyedRecord, collect time.Duration) {
-	if !d.outbox.add(vm, r) {
+// notify queues a notice for a daemon and sends it after the collect time, with those queued meanwhile.
+func (d *Daemon) notify(vm citron.VMName, n notice, collect time.Duration) {
+	if !d.outbox.add(vm, n) {
 		return
 	}
 	d.exchanges.Go(func(ctx context.Context) {
@@ -79,12 +97,12 @@
 			if collect > 0 {
 				timer.Pause(ctx, d.Timer, collect)
 			}
-			records := d.outbox.dequeue(vm)
-			if len(records) == 0 {
+			notices := d.outbox.dequeue(vm)
+			if len(notices) == 0 {
 				return
 			}
 			bounded, cancel := context.WithTimeout(ctx, notifyTimeout)
-			err := d.peers.Notify(bounded, vm, records)
+			err := d.peers.Notify(bounded, vm, notifyRequest(notices))
 			cancel()
 			if err != nil && ctx.Err() == nil {
 				d.Log.Emit(event.ExchangeFailed, event.Fields{"Exchange": "notify", "VM": vm, "Error": err})
@@ -92,3 +110,24 @@
 		}
 	})
 }
+
+// notifyRequest returns the message with some notices.
+func notifyRequest(notices []notice) *link.NotifyRequest {
+	request := &link.NotifyRequest{}
+	for _, n := range notices {
+		if n.state != nil {
+			request.States = append(request.States, n.state)
+			continue
+		}
+		request.Records = append(request.Records, &link.Keyed{Key: n.record.Key, Value: n.record.Value})
+	}
+	return request
+}
+
+// applyNotices applies what another daemon has told of stored records.
+func (d *Daemon) applyNotices(r *link.NotifyRequest) {
+	d.view.Apply(peers.Decode(r.GetRecords())...)
+	for _, s := range r.GetStates() {
+		d.view.Announce(citron.JobID(s.GetJobID()), work.State(s.GetState()), s.GetEpoch(), s.GetNumber())
+	}
+}
--- a/citron/entry/relay.go
+++ b/citron/entry/relay.go
@@ -1,13 +1,18 @@
 package entry
 
 import (
+	"cmp"
+	"context"
+	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/relay"
 	"github.com/citroncross/citroncross/schema/link"
+	"github.com/citroncross/citroncross/schema/work"
 )
 
 // defaultDirectWorkers is the default of Settings.DirectWorkers.
@@ -31,34 +36,64 @@
 	return len(d.workerEntries) > most
 }
 
-// startVia returns the daemon that relays the start of a task, that is the one that accepted its job, or an empty name.
-func (d *Daemon) startVia(task citron.TaskRef) citron.VMName {
+// wideJob is the number of tasks above which the starts of a job are spread over all daemons. Those of smaller jobs are
+// left to the daemon that has accepted the job and so knows it first.
+const wideJob = 8
+
+// startVia returns the daemons that can relay the start of a task, in order of preference.
+func (d *Daemon) startVia(task citron.TaskRef, worker citron.Worker) (via []citron.VMName) {
 	if !d.relaysOrders() {
-		return ""
+		return nil
 	}
 	e, known := d.view.Get(jobOf(task))
-	if vm := citron.VMName(e.Spec.GetAcceptedBy()); known && d.peers.IsLive(vm) {
-		return vm
+	if !known {
+		return nil
+	}
+	via = d.nearest(worker)
+	if by := citron.VMName(e.Spec.GetAcceptedBy()); d.peers.IsLive(by) {
+		at := 0
+		if countTasks(e.Spec) > wideJob {
+			at = min(1, len(via))
+		}
+		via = slices.Insert(via, at, by)
 	}
-	return ""
+	return via
 }
 
-// renewVia returns the daemon that relays the renewals of a worker, or an empty name. Each live daemon relays those of an
-// equal share of the workers; a worker changes its daemon only if that one comes or goes.
-func (d *Daemon) renewVia(worker citron.Worker) (via citron.VMName) {
+// countTasks returns the number of tasks of a job.
+func countTasks(j *work.Job) (n int) {
+	for _, s := range j.GetSteps() {
+		n += int(s.GetTasks())
+	}
+	return n
+}
+
+// renewVia returns the daemons that can relay the renewals of a worker, in order of preference.
+func (d *Daemon) renewVia(worker citron.Worker) []citron.VMName {
 	if !d.relaysOrders() {
-		return ""
+		return nil
 	}
-	var highest uint64
-	for _, vm := range append(d.peers.Live(), d.self.VM) {
-		if weight := xxhash.Sum64String(string(vm) + "/" + string(worker)); weight >= highest {
-			highest, via = weight, vm
-		}
+	return d.nearest(worker)
+}
+
+// relayChoices is the number of daemons among which an order to a worker can choose.
+const relayChoices = 2
+
+// nearest returns the live daemons that relay the orders to a worker, in order of preference, up to this one, which sends
+// orders itself. Each daemon relays those of an equal share of the workers; a worker changes its daemon only if that one
+// comes or goes.
+func (d *Daemon) nearest(worker citron.Worker) []citron.VMName {
+	live := append(d.peers.Live(), d.self.VM)
+	weights := make(map[citron.VMName]uint64, len(live))
+	for _, vm := range live {
+		weights[vm] = xxhash.Sum64String(string(vm) + "/" + string(worker))
 	}
-	if via == d.self.VM {
-		return ""
+	slices.SortFunc(live, func(a, b citron.VMName) int { return cmp.Compare(weights[b], weights[a]) })
+	live = live[:min(len(live), relayChoices)]
+	if n := slices.Index(live, d.self.VM); n >= 0 {
+		live = live[:n]
 	}
-	return via
+	return live
 }
 
 // jobOf returns the job of a task.
@@ -67,11 +102,25 @@
 	return citron.JobID(id)
 }
 
+// payloadTimeout bounds the wait until a job is read that the holder has read already.
+const payloadTimeout = 200 * time.Millisecond
+
+// payloadOf returns the payload of a task. A job that is not known yet is read from the store.
+func (d *Daemon) payloadOf(ctx context.Context, task citron.TaskRef) (payload string, ok bool) {
+	e, known := d.view.Get(jobOf(task))
+	if !known {
+		bounded, cancel := context.WithTimeout(ctx, payloadTimeout)
+		defer cancel()
+		if d.jobs[0].CatchUp(bounded) != nil {
+			return "", false
+		}
+		e, known = d.view.Get(jobOf(task))
+	}
+	return e.Spec.GetPayload(), known
+}
+
 // CarryOrders carries out orders of the holder.
 func (s *server) CarryOrders(stream link.Link_CarryOrdersServer) error {
-	carrier := relay.Server{Workers: s.d.Workers, Payload: func(task citron.TaskRef) (string, bool) {
-		e, known := s.d.view.Get(jobOf(task))
-		return e.Spec.GetPayload(), known
-	}}
+	carrier := relay.Server{Workers: s.d.Workers, Payload: s.d.payloadOf}
 	return carrier.Serve(stream)
 }
--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -102,7 +102,7 @@
 
 // Notify applies stored records before this daemon reads them from the store.
 func (s *server) Notify(_ context.Context, r *link.NotifyRequest) (*link.NotifyReply, error) {
-	s.d.view.Apply(peers.Decode(r.GetRecords())...)
+	s.d.applyNotices(r)
 	return &link.NotifyReply{}, nil
 }
 
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -4,9 +4,11 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -68,6 +70,8 @@
 	conn *grpc.ClientConn
 	// unanswered counts the consecutive exchanges without an answer.
 	unanswered int
+	// refused is set if the last attempt to connect was refused, so that no process listens there.
+	refused bool
 	// ping is the result of the last pings.
 	ping claim.PingResult
 }
@@ -222,7 +226,7 @@
 			HeldEpoch:           citron.Epoch(reply.GetEpoch()),
 			Stopping:            reply.GetStopping(),
 		}
-	case status.Code(err) == codes.Unavailable:
+	case status.Code(err) == codes.Unavailable && remote.refused:
 		if remote.ping.RefusedSince == 0 {
 			remote.ping.RefusedSince = now
 		}
@@ -341,11 +345,11 @@
 	return int(reply.GetJobs()), nil
 }
 
-// Notify sends records that have been stored to a daemon.
-func (p *Peers) Notify(ctx context.Context, vm citron.VMName, records []citron.KeyedRecord) (err error) {
+// Notify tells a daemon of records that have been stored.
+func (p *Peers) Notify(ctx context.Context, vm citron.VMName, request *link.NotifyRequest) (err error) {
 	defer func() { err = eris.Wrapf(err, "notify %s", vm) }()
 	return p.call(vm, func(c link.LinkClient) error {
-		_, err := c.Notify(ctx, &link.NotifyRequest{Records: Encode(records)})
+		_, err := c.Notify(ctx, request)
 		return err
 	})
 }
@@ -427,7 +431,17 @@
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
 		grpc.WithNoProxy(),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) { return p.dial(ctx, remote, address) }),
 		grpc.WithStatsHandler(&traffic{count: p.CountTraffic}),
 	)
 	return remote.conn, err
 }
+
+// dial connects to a daemon and records whether it refused.
+func (p *Peers) dial(ctx context.Context, remote *peer, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	remote.refused = errors.Is(err, syscall.ECONNREFUSED)
+	return conn, err
+}
--- a/citron/relay/relay.go
+++ b/citron/relay/relay.go
@@ -38,7 +38,7 @@
 // Stream carries orders to one daemon.
 type Stream = grpc.BidiStreamingClient[link.Orders, link.Answers]
 
-// Workers sends orders to workers, through other daemons where StartVia and RenewVia name one. Stops are always sent
+// Workers sends orders to workers, through other daemons where StartVia and RenewVia name some. Stops are always sent
 // directly.
 type Workers struct {
 	// Direct sends the orders that are not relayed.
@@ -46,10 +46,10 @@
 	Timer  citron.Timer
 	// Open opens a stream to a daemon that lasts until the context ends.
 	Open func(ctx context.Context, vm citron.VMName) (Stream, error)
-	// StartVia returns the daemon that relays the start of a task, RenewVia that for the renewals of a worker; empty for
-	// none.
-	StartVia func(citron.TaskRef) citron.VMName
-	RenewVia func(citron.Worker) citron.VMName
+	// StartVia returns the daemons that can relay the start of a task on a worker, RenewVia those for the renewals of a
+	// worker, in order of preference. An order for which there is none is sent directly.
+	StartVia func(citron.TaskRef, citron.Worker) []citron.VMName
+	RenewVia func(citron.Worker) []citron.VMName
 	// Exchanges runs the streams.
 	Exchanges *spawn.Group
 
@@ -64,22 +64,15 @@
 
 // Start starts a run.
 func (w *Workers) Start(ctx context.Context, to *citron.WorkerEntry, o citron.StartOrder) (outcome citron.StartOutcome, clock time.Duration, err error) {
-	vm := w.StartVia(o.Task)
-	if !w.usable(vm, to.ID) {
-		return w.Direct.Start(ctx, to, o)
-	}
-	defer func() { err = eris.Wrapf(err, "start %s on %s through %s", o.Task, to.ID, vm) }()
-	a, err := w.exchange(ctx, vm, &link.Order{
-		Worker: string(to.ID), Address: to.Address, Epoch: uint64(o.Epoch), DeadlineMs: o.Deadline.Milliseconds(),
+	a, err := w.relay(ctx, to, w.StartVia(o.Task, to.ID), &link.Order{
+		Epoch: uint64(o.Epoch), DeadlineMs: o.Deadline.Milliseconds(),
 		Start: &link.StartTask{Task: string(o.Task), Run: o.Run, Checkpoint: o.Checkpoint, Ticket: o.Ticket},
 	})
 	switch {
 	case err != nil:
-		return citron.StartUnknown, 0, err
-	case a.GetResult() == link.OrderResult_ORDER_RESULT_NOT_SENT:
+		return citron.StartUnknown, 0, eris.Wrapf(err, "start %s on %s", o.Task, to.ID)
+	case a == nil:
 		return w.Direct.Start(ctx, to, o)
-	case a.GetResult() != link.OrderResult_ORDER_RESULT_ANSWERED:
-		return citron.StartUnknown, 0, w.workerError(to.ID, a)
 	}
 	return citron.StartOutcome(a.GetOutcome()), millis(a.GetClockMs()), nil
 }
@@ -91,26 +84,40 @@
 
 // Renew renews the lease and returns the running and the ended runs.
 func (w *Workers) Renew(ctx context.Context, to *citron.WorkerEntry, o citron.RenewOrder) (report citron.WorkerReport, clock time.Duration, err error) {
-	vm := w.RenewVia(to.ID)
-	if !w.usable(vm, to.ID) {
-		return w.Direct.Renew(ctx, to, o)
-	}
-	defer func() { err = eris.Wrapf(err, "renew lease of %s through %s", to.ID, vm) }()
-	a, err := w.exchange(ctx, vm, &link.Order{
-		Worker: string(to.ID), Address: to.Address, Epoch: uint64(o.Epoch), DeadlineMs: o.Deadline.Milliseconds(),
+	a, err := w.relay(ctx, to, w.RenewVia(to.ID), &link.Order{
+		Epoch: uint64(o.Epoch), DeadlineMs: o.Deadline.Milliseconds(),
 		Renew: &link.RenewLease{Acked: o.Acked, WaitMs: o.Wait.Milliseconds()},
 	})
 	switch {
 	case err != nil:
-		return report, 0, err
-	case a.GetResult() == link.OrderResult_ORDER_RESULT_NOT_SENT:
+		return report, 0, eris.Wrapf(err, "renew lease of %s", to.ID)
+	case a == nil:
 		return w.Direct.Renew(ctx, to, o)
-	case a.GetResult() != link.OrderResult_ORDER_RESULT_ANSWERED:
-		return report, 0, w.workerError(to.ID, a)
 	}
 	return decodeReport(a.GetReport()), millis(a.GetClockMs()), nil
 }
 
+// relay sends an order through the first of several daemons that can send it. The answer is nil if none can.
+func (w *Workers) relay(ctx context.Context, to *citron.WorkerEntry, via []citron.VMName, o *link.Order) (a *link.Answer, err error) {
+	o.Worker, o.Address = string(to.ID), to.Address
+	for _, vm := range via {
+		if !w.usable(vm, to.ID) {
+			continue
+		}
+		if a, err = w.exchange(ctx, vm, o); err != nil {
+			return nil, eris.Wrapf(err, "relay through %s", vm)
+		}
+		switch a.GetResult() {
+		case link.OrderResult_ORDER_RESULT_NOT_SENT:
+		case link.OrderResult_ORDER_RESULT_ANSWERED:
+			return a, nil
+		default:
+			return nil, eris.Wrapf(w.workerError(to.ID, a), "relay through %s", vm)
+		}
+	}
+	return nil, nil
+}
+
 // workerError returns the error for an order that the worker has not carried out, or not answered. In the latter case the
 // next orders to the worker are sent directly.
 func (w *Workers) workerError(id citron.Worker, a *link.Answer) error {
@@ -128,9 +135,6 @@
 
 // usable reports whether orders to a worker should be relayed through a daemon.
 func (w *Workers) usable(vm citron.VMName, to citron.Worker) bool {
-	if vm == "" {
-		return false
-	}
 	now := w.Timer.Now().Boot
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/citron/view/view.go
+++ b/citron/view/view.go
@@ -21,6 +21,8 @@
 	Spec      *work.Job
 	Progress  *work.Progress
 	Cancelled bool
+	// announced is the state of a record of the progress that has not been read yet; nil if there is none. Only State uses it.
+	announced *work.Progress
 	// progressRemoved is set if the progress has been removed from the store, which happens only after the job has been.
 	progressRemoved bool
 	// sources are the partitions that hold each of the records.
@@ -38,6 +40,7 @@
 	case cancelRecord:
 		e.Cancelled = false
 	case progressRecord:
+		e.announced = nil
 		// A job without progress looks as if it had never started.
 		if e.progressRemoved = e.Spec != nil; !e.progressRemoved {
 			e.Progress = nil
@@ -67,13 +70,17 @@
 
 // State returns the job's state as reported to callers. A cancelled job counts as cancelled before its runs have ended.
 func (e Entry) State() work.State {
-	if s := e.Progress.GetState(); pool.IsTerminal(s) {
+	newest := e.Progress
+	if e.announced != nil && (newest == nil || newer(e.announced, newest)) {
+		newest = e.announced
+	}
+	if s := newest.GetState(); pool.IsTerminal(s) {
 		return s
 	}
 	if e.Cancelled {
 		return work.State_STATE_CANCELLED
 	}
-	return e.Progress.GetState()
+	return newest.GetState()
 }
 
 // pending reports whether the job is queued and has not started. Repeating jobs are never pending.
@@ -169,6 +176,20 @@
 	}
 }
 
+// Announce applies the state of a stored record of a job's progress before the record itself is read. It has no effect on a
+// job that is not known.
+func (v *View) Announce(id citron.JobID, state work.State, epoch, number uint64) {
+	if _, known := v.Get(id); !known {
+		return
+	}
+	announced := &work.Progress{State: state, Epoch: epoch, Number: number}
+	v.update(id, func(e *Entry) {
+		if e.announced == nil || newer(announced, e.announced) {
+			e.announced = announced
+		}
+	})
+}
+
 // apply applies one record by the prefix of its key; it ignores other keys.
 func (v *View) apply(r citron.KeyedRecord, source sourceSet) {
 	kind, id, ok := parseKey(r.Key)
@@ -211,6 +232,9 @@
 			if e.Progress == nil || newer(progress, e.Progress) {
 				e.Progress = progress
 			}
+			if e.announced != nil && !newer(e.announced, e.Progress) {
+				e.announced = nil
+			}
 		}, proto.Unmarshal(value, progress)
 	}
 	return func(e *Entry) { e.Cancelled = true }, nil
