--- a/citron/entry/notify.go
+++ b/citron/entry/notify.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/event"
 	"github.com/citroncross/citroncross/citron/peers"
@@ -68,8 +70,28 @@
 func (d *Daemon) forwardToHolder(r citron.KeyedRecord) {
 	d.view.Apply(r)
 	if holder := d.newestClaim().Holder.VM; holder != d.self.VM && holder != "" {
-		d.notify(holder, notice{record: r}, 0)
+		d.notify(holder, notice{record: d.brief(r)}, 0)
+	}
+}
+
+// brief returns the record of a job without its payload if the holder does not need that, and any other record unchanged.
+func (d *Daemon) brief(r citron.KeyedRecord) citron.KeyedRecord {
+	id, isJob := strings.CutPrefix(r.Key, pool.JobKey)
+	if !isJob || !d.relaysOrders() {
+		return r
+	}
+	var job work.Job
+	if err := proto.Unmarshal(r.Value, &job); err != nil {
+		d.view.Unreadable(r.Key, err)
+		return r
+	}
+	job.Payload, job.PayloadOmitted = "", true
+	value, err := proto.Marshal(&job)
+	if err != nil {
+		d.view.Unreadable(r.Key, err)
+		return r
 	}
+	return citron.KeyedRecord{Key: pool.BriefKey + id, Value: value}
 }
 
 // publish sends the state in a record stored by this holder to all live daemons. They read the record itself, which they
--- a/citron/entry/relay.go
+++ b/citron/entry/relay.go
@@ -108,7 +108,7 @@
 // payloadOf returns the payload of a task. A job that is not known yet is read from the store.
 func (d *Daemon) payloadOf(ctx context.Context, task citron.TaskRef) (payload string, ok bool) {
 	e, known := d.view.Get(jobOf(task))
-	if !known {
+	if !known || e.Spec.GetPayloadOmitted() {
 		bounded, cancel := context.WithTimeout(ctx, payloadTimeout)
 		defer cancel()
 		if d.jobs[0].CatchUp(bounded) != nil {
@@ -116,7 +116,7 @@
 		}
 		e, known = d.view.Get(jobOf(task))
 	}
-	return e.Spec.GetPayload(), known
+	return e.Spec.GetPayload(), known && !e.Spec.GetPayloadOmitted()
 }
 
 // CarryOrders carries out orders of the holder.
--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -262,13 +263,14 @@
 	for outcome == citron.StartUnknown && ctx.Err() == nil && h.Timer.Now().Boot-began < h.Pool.Options.StartTimeout-timeout {
 		bounded, cancel := context.WithTimeout(ctx, timeout)
 		var err error
+		h.fillPayload(&s.Order)
 		outcome, clock, err = h.Workers.Start(bounded, &s.Worker, s.Order)
 		cancel()
 		if err != nil {
 			h.reportFailure("start", err)
 			timer.Pause(ctx, h.Timer, orderRetry)
 		}
-		if outcome == citron.StartUnknown {
+		if outcome == citron.StartUnknown && !errors.Is(err, citron.ErrRejected) {
 			unanswered++
 		}
 		if unanswered == unresponsiveTries {
@@ -279,6 +281,10 @@
 		// The refusal applies to the last try only; an earlier unanswered one may have started the run.
 		outcome = citron.StartUnknown
 	}
+	if unanswered == 0 && outcome == citron.StartUnknown {
+		// No try was sent.
+		outcome = citron.StartLate
+	}
 	h.Pool.Started(h.Timer.Now(), s, outcome, clock)
 	if outcome != citron.Started {
 		h.requestPlan()
@@ -286,6 +292,17 @@
 	h.wakePoll(s.Worker.ID)
 }
 
+// fillPayload adds the payload to an order for a job that was accepted here without it, if it has been read since.
+func (h *Holder) fillPayload(o *citron.StartOrder) {
+	if !o.PayloadOmitted {
+		return
+	}
+	id, _, _ := strings.Cut(string(o.Task), ".")
+	if e, known := h.View.Get(citron.JobID(id)); known && !e.Spec.GetPayloadOmitted() {
+		o.Payload, o.PayloadOmitted = e.Spec.GetPayload(), false
+	}
+}
+
 func (h *Holder) stop(ctx context.Context, s pool.Stop) {
 	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
--- a/citron/platform.go
+++ b/citron/platform.go
@@ -224,9 +224,11 @@
 
 // StartOrder starts a run of a task.
 type StartOrder struct {
-	Task       TaskRef
-	Run        int32
-	Payload    string
+	Task    TaskRef
+	Run     int32
+	Payload string
+	// PayloadOmitted is set if the payload is not known yet. Such an order can only be relayed.
+	PayloadOmitted bool
 	Checkpoint string
 	Ticket     string
 	Epoch      Epoch
@@ -320,7 +322,7 @@
 
 // Workers sends orders to workers. Every method also returns the worker's clock.
 type Workers interface {
-	// Start starts a run.
+	// Start starts a run. It returns ErrRejected if the order was not sent.
 	Start(ctx context.Context, w *WorkerEntry, o StartOrder) (StartOutcome, time.Duration, error)
 	// Stop stops a run. A nil error means that the run has ended, is ending or will never start.
 	Stop(ctx context.Context, w *WorkerEntry, o StopOrder) (time.Duration, error)
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -362,13 +362,14 @@
 	j := s.job
 	p.dirty[j] = true
 	wp.effects.Starts = append(wp.effects.Starts, Start{Worker: w.entry, Order: citron.StartOrder{
-		Task:       t.ref,
-		Run:        run,
-		Payload:    j.spec.GetPayload(),
-		Checkpoint: t.checkpoint,
-		Ticket:     s.permits[w.entry.ID].ticket,
-		Epoch:      p.Epoch,
-		Deadline:   wp.now + w.clockOffset + p.Options.StartTimeout,
+		Task:           t.ref,
+		Run:            run,
+		Payload:        j.spec.GetPayload(),
+		PayloadOmitted: j.spec.GetPayloadOmitted(),
+		Checkpoint:     t.checkpoint,
+		Ticket:         s.permits[w.entry.ID].ticket,
+		Epoch:          p.Epoch,
+		Deadline:       wp.now + w.clockOffset + p.Options.StartTimeout,
 	}})
 	p.observe(Decision{Kind: DecidedStart, Job: j.id, Task: t.ref, Run: run, Worker: w.entry.ID, Age: wp.now - t.waitingSince})
 }
--- a/citron/pool/record.go
+++ b/citron/pool/record.go
@@ -14,6 +14,8 @@
 const (
 	// JobKey is the prefix for accepted jobs.
 	JobKey = "job/"
+	// BriefKey is the prefix for accepted jobs without their payload, which daemons send to the holder.
+	BriefKey = "brief/"
 	// CancelKey is the prefix for jobs cancelled by their caller.
 	CancelKey = "cancel/"
 	// ProgressKey is the prefix for the progress recorded by the lease holder.
--- a/citron/view/source.go
+++ b/citron/view/source.go
@@ -22,6 +22,9 @@
 
 // parseKey splits the key of a record.
 func parseKey(key string) (kind recordKind, id citron.JobID, ok bool) {
+	if rest, found := strings.CutPrefix(key, pool.BriefKey); found {
+		return jobRecord, citron.JobID(rest), true
+	}
 	for n, prefix := range keyPrefixes {
 		if rest, found := strings.CutPrefix(key, prefix); found {
 			return recordKind(n), citron.JobID(rest), true
--- a/citron/view/view.go
+++ b/citron/view/view.go
@@ -54,7 +54,11 @@
 	if err != nil {
 		return nil, err
 	}
-	records = append(records, citron.KeyedRecord{Key: pool.JobKey + string(id), Value: spec})
+	key := pool.JobKey
+	if e.Spec.GetPayloadOmitted() {
+		key = pool.BriefKey
+	}
+	records = append(records, citron.KeyedRecord{Key: key + string(id), Value: spec})
 	if e.Progress != nil {
 		progress, err := proto.Marshal(e.Progress)
 		if err != nil {
@@ -220,8 +224,8 @@
 	case jobRecord:
 		spec := &work.Job{}
 		return func(e *Entry) {
-			// Later specs with the same id are ignored.
-			if e.Spec == nil {
+			// Later specs with the same id are ignored, but for one that adds the payload.
+			if e.Spec == nil || e.Spec.GetPayloadOmitted() {
 				e.Spec = spec
 			}
 		}, proto.Unmarshal(value, spec)
