--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"google.golang.org/grpc/codes"
@@ -22,8 +23,9 @@
 }
 
 // Ping returns this daemon's liveness data: whether it is stopping, the epoch it holds, the time without the store.
-func (s *server) Ping(context.Context, *link.PingRequest) (*link.PingReply, error) {
+func (s *server) Ping(_ context.Context, r *link.PingRequest) (*link.PingReply, error) {
 	d := s.d
+	d.peers.RecordHeard(citron.Member{VM: citron.VMName(r.GetVM()), Incarnation: citron.Incarnation(r.GetIncarnation())}, r.GetStopping())
 	reply := &link.PingReply{
 		VM:          string(d.self.VM),
 		Incarnation: uint64(d.self.Incarnation),
@@ -53,7 +55,13 @@
 	}
 	reply := &link.AdviseReply{ValidMs: valid.Milliseconds()}
 	for _, p := range permits {
-		reply.Permits = append(reply.Permits, &link.Permit{Worker: string(p.Worker), Ticket: p.Ticket})
+		permit := &link.Permit{Ticket: p.Ticket}
+		if n := slices.Index(workers, p.Worker); r.GetPositions() && n >= 0 {
+			permit.Position = int32(n + 1)
+		} else {
+			permit.Worker = string(p.Worker)
+		}
+		reply.Permits = append(reply.Permits, permit)
 	}
 	return reply, nil
 }
--- a/citron/entry/watch.go
+++ b/citron/entry/watch.go
@@ -9,11 +9,13 @@
 )
 
 const (
-	// pingInterval is the period at which the holder and the other daemons ping each other.
+	// pingInterval is the period at which the other daemons ping the holder.
 	pingInterval = 130 * time.Millisecond
 	// lowRankPingRatio is the number of ping intervals per ping of the holder by a daemon whose rank among all known
 	// daemons is claim.PreferredClaimants or higher.
 	lowRankPingRatio = 3
+	// unheardAfter is the time without a ping from another daemon after which the holder pings that daemon.
+	unheardAfter = 600 * time.Millisecond
 	// reclaimAfter is the time after which a daemon that stopped running the pool claims it again if no other daemon has.
 	reclaimAfter = 4 * time.Second
 )
@@ -125,7 +127,7 @@
 	return err == nil
 }
 
-// runPings tracks the liveness of the holder or, on the holder, that of all daemons.
+// runPings tracks the liveness of the holder or, on the holder, that of all daemons that do not ping it.
 func (d *Daemon) runPings() <-chan error {
 	ended := make(chan error, 1)
 	go func() {
@@ -144,14 +146,12 @@
 					continue
 				}
 				if newest.VM != "" && newest.VM != d.self.VM {
-					d.exchanges.Go(func(ctx context.Context) { d.peers.Ping(ctx, newest.VM) })
+					d.exchanges.Go(func(ctx context.Context) { d.peers.Ping(ctx, newest.VM, d.stopping.Load()) })
 				}
 				continue
 			}
-			for _, vm := range d.peers.All() {
-				if vm != d.self.VM {
-					d.exchanges.Go(func(ctx context.Context) { d.peers.Ping(ctx, vm) })
-				}
+			for _, vm := range d.peers.Unheard(unheardAfter) {
+				d.exchanges.Go(func(ctx context.Context) { d.peers.Ping(ctx, vm, d.stopping.Load()) })
 			}
 			d.balancer.SetDaemons(append(d.peers.Live(), d.self.VM))
 		}
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -70,6 +70,9 @@
 	conn *grpc.ClientConn
 	// unanswered counts the consecutive exchanges without an answer.
 	unanswered int
+	// heardAt is the boot time of the last ping that came from the daemon, heardStopping is set if it was about to stop.
+	heardAt       time.Duration
+	heardStopping bool
 	// refused is set if the last attempt to connect was refused, so that no process listens there.
 	refused bool
 	// ping is the result of the last pings.
@@ -169,7 +172,8 @@
 	return p.known[vm].presence.GetMilliCores()
 }
 
-// Live returns the other daemons that have answered a ping within liveFor and are not stopping, in order of preference.
+// Live returns the other daemons that have answered or sent a ping within liveFor and are not stopping, in order of
+// preference.
 func (p *Peers) Live() (live []citron.VMName) {
 	now := p.Timer.Now().Boot
 	p.mu.Lock()
@@ -183,9 +187,36 @@
 	return live
 }
 
-// live reports whether the daemon has answered a ping within liveFor and is not stopping. The caller holds the lock.
+// live reports whether the daemon has answered or sent a ping within liveFor and is not stopping. The caller holds the lock.
 func (r *peer) live(now time.Duration) bool {
-	return r.ping.AnsweredAt > 0 && now-r.ping.AnsweredAt < liveFor && !r.ping.Stopping
+	at, stopping := r.ping.AnsweredAt, r.ping.Stopping
+	if r.heardAt > at {
+		at, stopping = r.heardAt, r.heardStopping
+	}
+	return at > 0 && now-at < liveFor && !stopping
+}
+
+// RecordHeard records a ping that came from another daemon.
+func (p *Peers) RecordHeard(from citron.Member, stopping bool) {
+	now := p.Timer.Now().Boot
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if remote := p.known[from.VM]; remote != nil && remote.presence.GetIncarnation() == uint64(from.Incarnation) {
+		remote.heardAt, remote.heardStopping = now, stopping
+	}
+}
+
+// Unheard returns the other daemons that have neither answered nor sent a ping for some time.
+func (p *Peers) Unheard(since time.Duration) (vms []citron.VMName) {
+	now := p.Timer.Now().Boot
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for vm, remote := range p.known {
+		if now-max(remote.ping.AnsweredAt, remote.heardAt) >= since {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
 }
 
 // LastPing returns the result of the last pings to a daemon.
@@ -198,13 +229,14 @@
 	return claim.PingResult{}
 }
 
-// Ping pings a daemon and stores the result for LastPing and Live.
-func (p *Peers) Ping(ctx context.Context, vm citron.VMName) {
+// Ping pings a daemon and stores the result for LastPing and Live. Stopping tells that daemon that this one is about to
+// stop.
+func (p *Peers) Ping(ctx context.Context, vm citron.VMName, stopping bool) {
 	bounded, cancel := context.WithTimeout(ctx, PingTimeout)
 	defer cancel()
 	var reply *link.PingReply
 	err := p.call(vm, func(c link.LinkClient) (err error) {
-		reply, err = c.Ping(bounded, &link.PingRequest{VM: string(p.Self.VM), Incarnation: uint64(p.Self.Incarnation)})
+		reply, err = c.Ping(bounded, &link.PingRequest{VM: string(p.Self.VM), Incarnation: uint64(p.Self.Incarnation), Stopping: stopping})
 		return err
 	})
 	if ctx.Err() != nil {
@@ -249,7 +281,7 @@
 // the service is busy.
 func (p *Peers) Advise(ctx context.Context, vm citron.VMName, step citron.StepRef, workers []citron.Worker, timeout time.Duration) (permits []citron.Permit, valid time.Duration, err error) {
 	defer func() { err = eris.Wrapf(err, "request advice through %s", vm) }()
-	request := &link.AdviseRequest{Step: string(step), TimeoutMs: timeout.Milliseconds()}
+	request := &link.AdviseRequest{Step: string(step), TimeoutMs: timeout.Milliseconds(), Positions: true}
 	for _, w := range workers {
 		request.Workers = append(request.Workers, string(w))
 	}
@@ -264,7 +296,11 @@
 		return nil, 0, citron.ErrRejected
 	}
 	for _, r := range reply.GetPermits() {
-		permits = append(permits, citron.Permit{Worker: citron.Worker(r.GetWorker()), Ticket: r.GetTicket()})
+		worker := citron.Worker(r.GetWorker())
+		if n := int(r.GetPosition()); n > 0 && n <= len(workers) {
+			worker = workers[n-1]
+		}
+		permits = append(permits, citron.Permit{Worker: worker, Ticket: r.GetTicket()})
 	}
 	return permits, time.Duration(reply.GetValidMs()) * time.Millisecond, nil
 }
@@ -365,7 +401,7 @@
 	return link.NewLinkClient(conn).CarryOrders(ctx)
 }
 
-// IsLive reports whether a daemon has answered a ping within liveFor and is not stopping.
+// IsLive reports whether a daemon has answered or sent a ping within liveFor and is not stopping.
 func (p *Peers) IsLive(vm citron.VMName) bool {
 	now := p.Timer.Now().Boot
 	p.mu.Lock()
