--- a/citron/pool/advice.go
+++ b/citron/pool/advice.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/citroncross/citroncross/citron"
 )
 
@@ -16,6 +18,18 @@
 	adviceRetry = 100 * time.Millisecond
 	// maxAdviceWorkers is the maximum number of workers in one request.
 	maxAdviceWorkers = 100
+	// maxAdviseAll is the number of candidates up to which a request covers all of them.
+	maxAdviseAll = 64
+	// minAdviceWorkers is the number of workers in a request that is not exceeded unless the tasks are expected not to fit.
+	minAdviceWorkers = 16
+	// adviceMargin is the factor by which the room on the workers asked about is expected to exceed the waiting tasks. Other
+	// steps take a part of that room before the answer is there.
+	adviceMargin = 3
+	// adviceCheckInterval is the time after which it is checked again whether a waiting step needs more advice.
+	adviceCheckInterval = 60 * time.Millisecond
+	// priorPermitShare is the expected share of permitted workers before any answer; it counts like priorDecisions decisions.
+	priorPermitShare = 0.4
+	priorDecisions   = 50
 	// maxAdvisedSteps is the maximum number of waiting steps of one queue that have tickets or a pending request.
 	maxAdvisedSteps = 16
 	// ticketRenewMargin is added to the cost of a request to get how long before expiry the tickets of a waiting step are
@@ -32,18 +46,14 @@
 	if s.advicePending || wp.now < s.adviceRetryAt || wp.advisedSteps[queue] > maxAdvisedSteps {
 		return
 	}
-	if s.coveredVersion == wp.pool.listVersion && wp.earliestExpiry(s) > wp.now+s.adviceCost+ticketRenewMargin {
+	if s.coveredVersion == wp.pool.listVersion && wp.earliestExpiry(s) > wp.now+s.adviceCost+ticketRenewMargin || wp.now < s.adviceCheckAt {
 		return
 	}
-	a := s.job.spec.GetTerms().GetAdvice()
-	allowed, undecided, slots := wp.splitByAdvice(s)
-	workers := append(allowed, undecided...)
-	workers = workers[:min(len(workers), maxAdviceWorkers)]
+	workers, enough := wp.selectAdvised(s)
 	if len(workers) == 0 {
 		return
 	}
-	cost := time.Duration(a.GetDecideUs()+a.GetPerWorkerUs()*int64(len(workers))) * time.Microsecond
-	enough := slots >= len(s.tasks) || len(undecided) == 0
+	cost := adviceCost(s, len(workers))
 	if enough && wp.earliestExpiry(s) > wp.now+cost+ticketRenewMargin {
 		s.coveredVersion, s.adviceCost = wp.pool.listVersion, cost
 		return
@@ -57,10 +67,26 @@
 	wp.pool.observe(Decision{Kind: DecidedAdviceRequest, Job: s.job.id, Task: citron.TaskRef(s.ref), Outcome: string(vm), Age: wp.now - s.readyAt})
 }
 
-// splitByAdvice returns the candidates that may run the step and those that the policy service has not decided on, most
-// free cores first. Slots is how many tasks the allowed workers could run if they were empty.
-func (wp *waitingPass) splitByAdvice(s *step) (allowed, undecided []citron.Worker, slots int) {
-	for _, w := range wp.candidates(s) {
+// adviceCost returns the time that the policy service takes to decide on a number of workers for a step.
+func adviceCost(s *step, workers int) time.Duration {
+	a := s.job.spec.GetTerms().GetAdvice()
+	return time.Duration(a.GetDecideUs()+a.GetPerWorkerUs()*int64(workers)) * time.Microsecond
+}
+
+// selectAdvised returns the workers to request advice on for a step. Enough is set if the decisions so far suffice.
+func (wp *waitingPass) selectAdvised(s *step) (workers []citron.Worker, enough bool) {
+	candidates := wp.candidates(s)
+	if len(candidates) > maxAdviseAll {
+		return wp.selectLikely(s, candidates)
+	}
+	allowed, undecided, slots := splitByAdvice(s, candidates)
+	return append(allowed, undecided...), slots >= len(s.tasks) || len(undecided) == 0
+}
+
+// splitByAdvice returns the candidates that may run the step and those that the policy service has not decided on. Slots is
+// how many tasks the allowed workers could run if they were empty.
+func splitByAdvice(s *step, candidates []*worker) (allowed, undecided []citron.Worker, slots int) {
+	for _, w := range candidates {
 		eligible, decided := s.eligible[w.entry.ID]
 		switch {
 		case !decided:
@@ -73,6 +99,61 @@
 	return allowed, undecided, slots
 }
 
+// selectLikely returns a part of many candidates: those that may run the step, then as many of the undecided ones as are
+// expected to hold adviceMargin times its waiting tasks. Those with room come first, in an order that differs from step to
+// step, so that steps waiting at the same time do not ask about the same workers.
+func (wp *waitingPass) selectLikely(s *step, candidates []*worker) (workers []citron.Worker, enough bool) {
+	var withRoom, full []*worker
+	roomNow, slots := 0, 0
+	for _, w := range candidates {
+		eligible, decided := s.eligible[w.entry.ID]
+		copies := w.free().MaxCopies(s.need)
+		switch {
+		case eligible:
+			workers = append(workers, w.entry.ID)
+			roomNow += copies
+			slots += w.entry.Capacity.MaxCopies(s.need)
+		case decided:
+		case copies > 0:
+			withRoom = append(withRoom, w)
+		default:
+			full = append(full, w)
+		}
+	}
+	waiting := s.waitingTasks()
+	if roomNow >= waiting || len(withRoom) == 0 && (slots >= len(s.tasks) || len(full) == 0) {
+		s.adviceCheckAt = wp.now + adviceCheckInterval
+		return workers[:min(len(workers), maxAdviceWorkers)], true
+	}
+	slices.SortFunc(withRoom, func(x, y *worker) int { return cmp.Compare(spread(s, x), spread(s, y)) })
+	share := wp.pool.permitShare(s.job.spec.GetQueue())
+	expected := float64(roomNow)
+	for _, w := range append(withRoom, full...) {
+		if len(workers) >= maxAdviceWorkers || len(workers) >= minAdviceWorkers && expected >= adviceMargin*float64(waiting) {
+			break
+		}
+		workers = append(workers, w.entry.ID)
+		expected += share * float64(max(w.free().MaxCopies(s.need), 1))
+	}
+	return workers, false
+}
+
+// spread returns the position of a worker in the order in which a step asks about workers.
+func spread(s *step, w *worker) uint64 {
+	return xxhash.Sum64String(string(s.ref) + "/" + string(w.entry.ID))
+}
+
+// permitCount counts for one queue on how many workers the policy service decided and how many of them it permitted.
+type permitCount struct {
+	decided, permitted float64
+}
+
+// permitShare returns the share of workers that the policy service is expected to permit for a queue.
+func (p *Pool) permitShare(queue string) float64 {
+	c := p.permitCounts[queue]
+	return (c.permitted + priorPermitShare*priorDecisions) / (c.decided + priorDecisions)
+}
+
 // candidates returns the listed workers whose service, label and capacity suit the step, most free cores first. It
 // includes workers without a report in this epoch, since they will have reported by the time that they are needed.
 func (wp *waitingPass) candidates(s *step) (list []*worker) {
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -53,6 +53,8 @@
 	// byID holds the workers sorted by id, so that equal events lead to equal decisions.
 	byID  []*worker
 	steps map[citron.StepRef]*step
+	// permitCounts are counts of the policy service's decisions by queue.
+	permitCounts map[string]permitCount
 	// scheduled lists the jobs with occurrences at set times.
 	scheduled []*job
 	// waiting lists the steps that may have waiting tasks.
@@ -210,6 +212,8 @@
 	adviceCost     time.Duration
 	advicePending  bool
 	adviceRetryAt  time.Duration
+	// adviceCheckAt is the boot time before which the decisions so far count as enough.
+	adviceCheckAt time.Duration
 	// backoffUntil is when the step may be placed again after a worker refused a start.
 	backoffUntil time.Duration
 	// explainedAt is when the reason for waiting was last reported.
@@ -333,6 +337,8 @@
 		dirty:    map[*job]bool{},
 		ended:    map[citron.JobID]endedJob{},
 		runTimes: runTimes{},
+
+		permitCounts: map[string]permitCount{},
 	}
 }
 
--- a/citron/pool/report.go
+++ b/citron/pool/report.go
@@ -259,6 +259,11 @@
 	if s.permits == nil {
 		s.permits, s.eligible = map[citron.Worker]permit{}, map[citron.Worker]bool{}
 	}
+	counts := p.permitCounts[s.job.spec.GetQueue()]
+	counts.decided += float64(len(a.Workers))
+	counts.permitted += float64(len(permits))
+	p.permitCounts[s.job.spec.GetQueue()] = counts
+	s.adviceCheckAt = 0
 	for _, id := range a.Workers {
 		s.eligible[id] = false
 	}
