--- a/citron/entry/notify.go
+++ b/citron/entry/notify.go
@@ -94,8 +94,9 @@
 	return citron.KeyedRecord{Key: pool.BriefKey + id, Value: value}
 }
 
-// publish sends the state in a record stored by this holder to all live daemons. They read the record itself, which they
-// need only to take over, from the store.
+// publish sends the state in a record stored by this holder to all live daemons, or, in a cell with many workers, only to
+// the one that accepted the job, whose caller asks it for the state. Daemons read the record itself, which they need only
+// to take over, from the store.
 func (d *Daemon) publish(r citron.KeyedRecord) {
 	d.view.Apply(r)
 	id := citron.JobID(strings.TrimPrefix(r.Key, pool.ProgressKey))
@@ -104,6 +105,12 @@
 		return
 	}
 	state := &link.JobState{JobID: string(id), State: int32(e.Progress.GetState()), Epoch: e.Progress.GetEpoch(), Number: e.Progress.GetNumber()}
+	if by := citron.VMName(e.Spec.GetAcceptedBy()); by != "" && d.relaysOrders() {
+		if d.peers.IsLive(by) {
+			d.notify(by, notice{state: state}, notifyDelay)
+		}
+		return
+	}
 	for _, vm := range d.peers.Live() {
 		d.notify(vm, notice{state: state}, notifyDelay)
 	}
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -46,6 +46,9 @@
 	// maxConnections is the maximum number of connections to the peer port: one from each daemon of a large cell, and
 	// some from operators.
 	maxConnections = 1024
+	// flowWindow is the flow control window of a stream and of a connection. A fixed one saves the pings with which gRPC
+	// would measure the bandwidth.
+	flowWindow = 1 << 20
 	// liveFor is how long a daemon counts as live after its last answer.
 	liveFor = 1500 * time.Millisecond
 )
@@ -82,7 +85,7 @@
 // Serve serves requests of other daemons until the context ends and reports its end on the returned channel.
 func (p *Peers) Serve(ctx context.Context, listener net.Listener, server link.LinkServer) <-chan error {
 	ended := make(chan error, 1)
-	g := grpc.NewServer(grpc.StatsHandler(&traffic{count: p.CountTraffic}), grpc.ConnectionTimeout(handshakeTimeout), grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: probeAfter / 2, PermitWithoutStream: true}))
+	g := grpc.NewServer(grpc.InitialWindowSize(flowWindow), grpc.InitialConnWindowSize(flowWindow), grpc.StatsHandler(&traffic{count: p.CountTraffic}), grpc.ConnectionTimeout(handshakeTimeout), grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: probeAfter / 2, PermitWithoutStream: true}))
 	link.RegisterLinkServer(g, server)
 	listener = netutil.LimitListener(listener, maxConnections)
 	stop := context.AfterFunc(ctx, g.Stop)
@@ -467,6 +470,8 @@
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
 		grpc.WithNoProxy(),
+		grpc.WithInitialWindowSize(flowWindow),
+		grpc.WithInitialConnWindowSize(flowWindow),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) { return p.dial(ctx, remote, address) }),
 		grpc.WithStatsHandler(&traffic{count: p.CountTraffic}),
 	)
