--- a/citron/entry/notify.go
+++ b/citron/entry/notify.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -30,6 +32,8 @@
 type notice struct {
 	record citron.KeyedRecord
 	state  *link.JobState
+	// forward are the daemons to which the receiver passes the state on.
+	forward []citron.VMName
 }
 
 // outbox queues notices for each daemon. The zero value is empty.
@@ -94,9 +98,8 @@
 	return citron.KeyedRecord{Key: pool.BriefKey + id, Value: value}
 }
 
-// publish sends the state in a record stored by this holder to all live daemons, or, in a cell with many workers, only to
-// the one that accepted the job, whose caller asks it for the state. Daemons read the record itself, which they need only
-// to take over, from the store.
+// publish sends the state in a record stored by this holder to all live daemons. They read the record itself, which they
+// need only to take over, from the store.
 func (d *Daemon) publish(r citron.KeyedRecord) {
 	d.view.Apply(r)
 	id := citron.JobID(strings.TrimPrefix(r.Key, pool.ProgressKey))
@@ -105,15 +108,26 @@
 		return
 	}
 	state := &link.JobState{JobID: string(id), State: int32(e.Progress.GetState()), Epoch: e.Progress.GetEpoch(), Number: e.Progress.GetNumber()}
-	if by := citron.VMName(e.Spec.GetAcceptedBy()); by != "" && d.relaysOrders() {
-		if d.peers.IsLive(by) {
-			d.notify(by, notice{state: state}, notifyDelay)
-		}
-		return
+	for _, vms := range publishGroups(d.peers.Live()) {
+		d.notify(vms[0], notice{state: state, forward: vms[1:]}, notifyDelay)
+	}
+}
+
+// maxPublishTargets is the number of daemons up to which the holder sends all notices itself.
+const maxPublishTargets = 8
+
+// publishGroups divides many daemons into groups, the first daemon of which passes notices on to the others. There are
+// about as many groups as daemons in each, and the preferred daemons come first.
+func publishGroups(live []citron.VMName) (groups [][]citron.VMName) {
+	n := len(live)
+	if n > maxPublishTargets {
+		n = int(math.Ceil(math.Sqrt(float64(n))))
 	}
-	for _, vm := range d.peers.Live() {
-		d.notify(vm, notice{state: state}, notifyDelay)
+	groups = make([][]citron.VMName, n)
+	for i, vm := range live {
+		groups[i%n] = append(groups[i%n], vm)
 	}
+	return groups
 }
 
 // notify queues a notice for a daemon and sends it after the collect time, with those queued meanwhile.
@@ -146,6 +160,11 @@
 	for _, n := range notices {
 		if n.state != nil {
 			request.States = append(request.States, n.state)
+			for _, vm := range n.forward {
+				if !slices.Contains(request.GetForward(), string(vm)) {
+					request.Forward = append(request.Forward, string(vm))
+				}
+			}
 			continue
 		}
 		request.Records = append(request.Records, &link.Keyed{Key: n.record.Key, Value: n.record.Value})
@@ -158,5 +177,8 @@
 	d.view.Apply(peers.Decode(r.GetRecords())...)
 	for _, s := range r.GetStates() {
 		d.view.Announce(citron.JobID(s.GetJobID()), work.State(s.GetState()), s.GetEpoch(), s.GetNumber())
+		for _, vm := range r.GetForward() {
+			d.notify(citron.VMName(vm), notice{state: s}, 0)
+		}
 	}
 }
--- a/citron/entry/relay.go
+++ b/citron/entry/relay.go
@@ -77,23 +77,18 @@
 }
 
 // relayChoices is the number of daemons among which an order to a worker can choose.
-const relayChoices = 2
+const relayChoices = 3
 
-// nearest returns the live daemons that relay the orders to a worker, in order of preference, up to this one, which sends
-// orders itself. Each daemon relays those of an equal share of the workers; a worker changes its daemon only if that one
-// comes or goes.
+// nearest returns the live daemons that relay the orders to a worker, in order of preference. Each daemon relays those of an
+// equal share of the workers; a worker changes its daemon only if that one comes or goes.
 func (d *Daemon) nearest(worker citron.Worker) []citron.VMName {
-	live := append(d.peers.Live(), d.self.VM)
+	live := d.peers.Live()
 	weights := make(map[citron.VMName]uint64, len(live))
 	for _, vm := range live {
 		weights[vm] = xxhash.Sum64String(string(vm) + "/" + string(worker))
 	}
 	slices.SortFunc(live, func(a, b citron.VMName) int { return cmp.Compare(weights[b], weights[a]) })
-	live = live[:min(len(live), relayChoices)]
-	if n := slices.Index(live, d.self.VM); n >= 0 {
-		live = live[:n]
-	}
-	return live
+	return live[:min(len(live), relayChoices)]
 }
 
 // jobOf returns the job of a task.
--- a/citron/relay/relay.go
+++ b/citron/relay/relay.go
@@ -27,8 +27,8 @@
 	answerSlack = 60 * time.Millisecond
 	// avoidDaemonFor is how long no orders are relayed through a daemon that did not answer.
 	avoidDaemonFor = 2 * time.Second
-	// avoidRelayFor is how long orders to a worker are sent directly after a relayed one was not answered: the path from the
-	// relaying daemon to the worker may be cut.
+	// avoidRelayFor is how long a daemon relays no orders to a worker that has not answered it: the path between them may be
+	// cut.
 	avoidRelayFor = 3 * time.Second
 )
 
@@ -55,9 +55,15 @@
 
 	mu       sync.Mutex
 	sessions map[citron.VMName]*session
-	// avoidDaemon and avoidRelay hold boot times until which a daemon is not used and a worker is reached directly.
+	// avoidDaemon and avoidRelay hold boot times until which a daemon is not used, at all or for one worker.
 	avoidDaemon map[citron.VMName]time.Duration
-	avoidRelay  map[citron.Worker]time.Duration
+	avoidRelay  map[path]time.Duration
+}
+
+// path is the way of an order through a daemon to a worker.
+type path struct {
+	via citron.VMName
+	to  citron.Worker
 }
 
 var _ citron.Workers = (*Workers)(nil)
@@ -101,7 +107,7 @@
 func (w *Workers) relay(ctx context.Context, to *citron.WorkerEntry, via []citron.VMName, o *link.Order) (a *link.Answer, err error) {
 	o.Worker, o.Address = string(to.ID), to.Address
 	for _, vm := range via {
-		if !w.usable(vm, to.ID) {
+		if !w.usable(path{vm, to.ID}) {
 			continue
 		}
 		if a, err = w.exchange(ctx, vm, o); err != nil {
@@ -112,15 +118,15 @@
 		case link.OrderResult_ORDER_RESULT_ANSWERED:
 			return a, nil
 		default:
-			return nil, eris.Wrapf(w.workerError(to.ID, a), "relay through %s", vm)
+			return nil, eris.Wrapf(w.workerError(path{vm, to.ID}, a), "relay through %s", vm)
 		}
 	}
 	return nil, nil
 }
 
 // workerError returns the error for an order that the worker has not carried out, or not answered. In the latter case the
-// next orders to the worker are sent directly.
-func (w *Workers) workerError(id citron.Worker, a *link.Answer) error {
+// next orders to the worker take another path.
+func (w *Workers) workerError(p path, a *link.Answer) error {
 	switch a.GetResult() {
 	case link.OrderResult_ORDER_RESULT_WORKER_GONE:
 		return citron.ErrWorkerGone
@@ -129,16 +135,16 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.avoidRelay[id] = w.Timer.Now().Boot + avoidRelayFor
+	w.avoidRelay[p] = w.Timer.Now().Boot + avoidRelayFor
 	return fmt.Errorf("%w: %s", citron.ErrUnavailable, a.GetError())
 }
 
-// usable reports whether orders to a worker should be relayed through a daemon.
-func (w *Workers) usable(vm citron.VMName, to citron.Worker) bool {
+// usable reports whether orders should take a path.
+func (w *Workers) usable(p path) bool {
 	now := w.Timer.Now().Boot
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return now >= w.avoidDaemon[vm] && now >= w.avoidRelay[to]
+	return now >= w.avoidDaemon[p.via] && now >= w.avoidRelay[p]
 }
 
 // exchange sends an order through a daemon and returns the answer.
@@ -164,7 +170,7 @@
 	defer w.mu.Unlock()
 	if w.sessions == nil {
 		w.sessions = map[citron.VMName]*session{}
-		w.avoidDaemon, w.avoidRelay = map[citron.VMName]time.Duration{}, map[citron.Worker]time.Duration{}
+		w.avoidDaemon, w.avoidRelay = map[citron.VMName]time.Duration{}, map[path]time.Duration{}
 	}
 	s := w.sessions[vm]
 	if s != nil {
