--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -165,7 +165,7 @@
 		d.Log.Emit(event.RecordUnreadable, event.Fields{"Key": key, "Error": err})
 	}
 	d.cell = d.newTail(cellPartition, d.applyCell, 0)
-	writer := &intake.Writer{Store: d.Store, Timer: d.Timer, Relay: d.relay, AnsweredSince: func(n int, since time.Duration) bool {
+	writer := &intake.Writer{Store: d.Store, Timer: d.Timer, Relay: d.relay, Home: d.homePartition, AnsweredSince: func(n int, since time.Duration) bool {
 		return d.jobs[n].AnsweredSince(since)
 	}}
 	for n := range partitionCount {
--- a/citron/entry/notify.go
+++ b/citron/entry/notify.go
@@ -22,6 +22,8 @@
 const (
 	// notifyDelay is how long records are collected for one message to a daemon.
 	notifyDelay = 25 * time.Millisecond
+	// groupNotifyDelay replaces it for messages to a group of daemons.
+	groupNotifyDelay = 40 * time.Millisecond
 	// notifyTimeout bounds one message; a daemon that misses it reads the records from the store.
 	notifyTimeout = 500 * time.Millisecond
 	// maxNotifyBacklog is the maximum number of notices queued for one daemon; further ones are dropped.
@@ -109,7 +111,11 @@
 	}
 	state := &link.JobState{JobID: string(id), State: int32(e.Progress.GetState()), Epoch: e.Progress.GetEpoch(), Number: e.Progress.GetNumber()}
 	for _, vms := range publishGroups(d.peers.Live()) {
-		d.notify(vms[0], notice{state: state, forward: vms[1:]}, notifyDelay)
+		delay := notifyDelay
+		if len(vms) > 1 {
+			delay = groupNotifyDelay
+		}
+		d.notify(vms[0], notice{state: state, forward: vms[1:]}, delay)
 	}
 }
 
--- a/citron/entry/relay.go
+++ b/citron/entry/relay.go
@@ -36,6 +36,15 @@
 	return len(d.workerEntries) > most
 }
 
+// homePartition returns the partition of accepted jobs that this daemon uses while the first one is slow or fails. A cell
+// with few workers has too few daemons to need one.
+func (d *Daemon) homePartition() int {
+	if !d.relaysOrders() {
+		return 0
+	}
+	return 1 + int(xxhash.Sum64String(string(d.self.VM))%(partitionCount-1))
+}
+
 // wideJob is the number of tasks above which the starts of a job are spread over all daemons. Those of smaller jobs are
 // left to the daemon that has accepted the job and so knows it first.
 const wideJob = 8
@@ -79,10 +88,18 @@
 // relayChoices is the number of daemons among which an order to a worker can choose.
 const relayChoices = 3
 
-// nearest returns the live daemons that relay the orders to a worker, in order of preference. Each daemon relays those of an
-// equal share of the workers; a worker changes its daemon only if that one comes or goes.
+// workersPerRelay is the number of workers for which one daemon relays orders. The fewer daemons do so, the more orders
+// share a message.
+const workersPerRelay = 24
+
+// nearest returns the live daemons that relay the orders to a worker, in order of preference. The daemons with the most
+// processor time each relay those of an equal share of the workers; most workers keep their daemon when one comes or goes.
 func (d *Daemon) nearest(worker citron.Worker) []citron.VMName {
+	d.mu.Lock()
+	relays := len(d.workerEntries)/workersPerRelay + 1
+	d.mu.Unlock()
 	live := d.peers.Live()
+	live = live[:min(len(live), max(relays, relayChoices))]
 	weights := make(map[citron.VMName]uint64, len(live))
 	for _, vm := range live {
 		weights[vm] = xxhash.Sum64String(string(vm) + "/" + string(worker))
@@ -116,6 +133,6 @@
 
 // CarryOrders carries out orders of the holder.
 func (s *server) CarryOrders(stream link.Link_CarryOrdersServer) error {
-	carrier := relay.Server{Workers: s.d.Workers, Payload: s.d.payloadOf}
+	carrier := relay.Server{Workers: s.d.Workers, Timer: s.d.Timer, Payload: s.d.payloadOf}
 	return carrier.Serve(stream)
 }
--- a/citron/intake/writer.go
+++ b/citron/intake/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,9 @@
 	retryPause = 50 * time.Millisecond
 	// relayFirstFor is how long relaying is tried first after it has succeeded where a direct append failed.
 	relayFirstFor = time.Second
+	// slowAppend is the time above which an append is slow. The store carries out the appends to one partition in turn, so
+	// that those of many daemons delay one another.
+	slowAppend = 150 * time.Millisecond
 	// maxBatchRecords and maxBatchBytes limit the records of one append.
 	maxBatchRecords = 200
 	maxBatchBytes   = 64 << 10
@@ -41,6 +45,10 @@
 	Timer      citron.Timer
 	// AnsweredSince, if set, reports whether the store has answered for a partition after a boot time.
 	AnsweredSince func(partition int, since time.Duration) bool
+	// Home, if set, returns the partition that this daemon uses while the first one does not answer or is slow; 0 for none.
+	// Each of many daemons has its own, since a slow store is slow for each partition and would be slower still if all
+	// daemons used the same ones.
+	Home func() int
 	// Relay, if set, lets another daemon append the records when this one cannot.
 	Relay func(ctx context.Context, records []citron.KeyedRecord) error
 
@@ -52,6 +60,8 @@
 	// failedOverAt, the boot time of the last failure of the preferred partition; zero if there was none.
 	preferredPartition atomic.Int64
 	failedOverAt       atomic.Int64
+	// slow is set while appends take longer than slowAppend.
+	slow atomic.Bool
 	// relayFirstUntil is the boot time until which relaying is tried before a direct append.
 	relayFirstUntil atomic.Int64
 
@@ -182,7 +192,7 @@
 // AppendDirect appends from this daemon: to the preferred partition, then to all others at once. Storing the same
 // records in several partitions is harmless.
 func (w *Writer) AppendDirect(ctx context.Context, records []citron.KeyedRecord) error {
-	if since := time.Duration(w.failedOverAt.Load()); since > 0 && w.AnsweredSince != nil && w.AnsweredSince(0, since) {
+	if since := time.Duration(w.failedOverAt.Load()); since > 0 && w.AnsweredSince != nil && w.AnsweredSince(0, since) && !w.slow.Load() {
 		w.preferredPartition.Store(0)
 		w.failedOverAt.Store(0)
 	}
@@ -192,8 +202,19 @@
 		return nil
 	}
 	w.failedOverAt.Store(int64(w.Timer.Now().Boot))
+	if home := w.home(); home > 0 && home != preferred {
+		err := w.appendTo(ctx, home, records)
+		if err == nil {
+			w.preferredPartition.Store(int64(home))
+			return nil
+		}
+		if !errors.Is(err, citron.ErrRejected) {
+			first = citron.ErrUnavailable
+		}
+		return w.appendToAnswering(ctx, []int{preferred, home}, first, records)
+	}
 	if citron.SizeOf(records) > maxRaceBytes {
-		return w.appendToAnswering(ctx, preferred, first, records)
+		return w.appendToAnswering(ctx, []int{preferred}, first, records)
 	}
 	outcomes := make(chan error, len(w.Partitions))
 	bounded, cancel := context.WithCancel(ctx)
@@ -215,15 +236,25 @@
 	return w.awaitAny(first, others, outcomes)
 }
 
-// appendToAnswering appends to the first partition but the failed one that answers a read. First is the error of that one.
-func (w *Writer) appendToAnswering(ctx context.Context, failed int, first error, records []citron.KeyedRecord) error {
+// home returns the partition to use while the first one fails, or 0.
+func (w *Writer) home() int {
+	if w.Home == nil {
+		return 0
+	}
+	return w.Home()
+}
+
+// appendToAnswering appends to the first partition but the failed ones that answers a read. First is the error of those.
+func (w *Writer) appendToAnswering(ctx context.Context, failed []int, first error, records []citron.KeyedRecord) error {
 	bounded, cancel := context.WithTimeout(ctx, w.appendTimeout.Current(appendBounds))
 	defer cancel()
 	answering := make(chan int, len(w.Partitions))
+	asked := 0
 	for n, p := range w.Partitions {
-		if n == failed {
+		if slices.Contains(failed, n) {
 			continue
 		}
+		asked++
 		w.exchanges.Go(func(context.Context) {
 			if _, err := w.Store.Read(bounded, p, 0, 0); err != nil && !errors.Is(err, citron.ErrRecordsDeleted) {
 				n = -1
@@ -231,7 +262,7 @@
 			answering <- n
 		})
 	}
-	for range len(w.Partitions) - 1 {
+	for range asked {
 		n := <-answering
 		if n < 0 {
 			continue
@@ -281,7 +312,18 @@
 	began := w.Timer.Now().Boot
 	_, err := w.Store.Append(bounded, w.Partitions[n], records, citron.Condition{})
 	if err == nil {
-		w.appendTimeout.Answered(appendBounds, w.Timer.Now().Boot-began-transfer)
+		took := w.Timer.Now().Boot - began - transfer
+		w.appendTimeout.Answered(appendBounds, took)
+		w.recordPace(n, took)
 	}
 	return err
 }
+
+// recordPace moves this daemon to its home partition while the store is slow, and back once it no longer is.
+func (w *Writer) recordPace(partition int, took time.Duration) {
+	w.slow.Store(took > slowAppend)
+	if home := w.home(); partition == 0 && home > 0 && took > slowAppend {
+		w.failedOverAt.Store(int64(w.Timer.Now().Boot))
+		w.preferredPartition.Store(int64(home))
+	}
+}
--- a/citron/relay/relay.go
+++ b/citron/relay/relay.go
@@ -179,7 +179,7 @@
 	s = newSession()
 	w.sessions[vm] = s
 	w.Exchanges.Go(func(ctx context.Context) {
-		s.run(ctx, func(ctx context.Context) (Stream, error) { return w.Open(ctx, vm) }, w.Exchanges)
+		s.run(ctx, w.Timer, func(ctx context.Context) (Stream, error) { return w.Open(ctx, vm) }, w.Exchanges)
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		delete(w.sessions, vm)
--- a/citron/relay/server.go
+++ b/citron/relay/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/spawn"
+	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/schema/link"
 )
 
@@ -20,6 +21,7 @@
 // Server carries out the orders of other daemons.
 type Server struct {
 	Workers citron.Workers
+	Timer   citron.Timer
 	// Payload returns the payload of a task. Ok is false if its job is not known here.
 	Payload func(context.Context, citron.TaskRef) (payload string, ok bool)
 }
@@ -108,9 +110,13 @@
 		answers := t.queue
 		t.queue = nil
 		t.mu.Unlock()
-		if len(answers) > 0 && stream.Send(&link.Answers{Answers: answers}) != nil {
+		if len(answers) == 0 {
+			continue
+		}
+		if stream.Send(&link.Answers{Answers: answers}) != nil {
 			return
 		}
+		timer.Pause(ctx, t.server.Timer, sendInterval)
 	}
 }
 
--- a/citron/relay/session.go
+++ b/citron/relay/session.go
@@ -3,12 +3,18 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/spawn"
+	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/schema/link"
 )
 
+// sendInterval is the minimum time between two messages of a stream. Under load, several orders or answers share a message,
+// each of which costs more than what it contains.
+const sendInterval = 12 * time.Millisecond
+
 // maxQueued is the maximum number of orders that wait to be sent on one stream.
 const maxQueued = 4096
 
@@ -78,7 +84,7 @@
 }
 
 // run opens the stream and carries orders until it fails or the context ends.
-func (s *session) run(ctx context.Context, open func(context.Context) (Stream, error), exchanges *spawn.Group) {
+func (s *session) run(ctx context.Context, clock citron.Timer, open func(context.Context) (Stream, error), exchanges *spawn.Group) {
 	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stream, err := open(inner)
@@ -109,6 +115,7 @@
 				s.fail(err)
 				return
 			}
+			timer.Pause(inner, clock, sendInterval)
 		}
 	}
 }
