--- a/citron/intake/writer.go
+++ b/citron/intake/writer.go
@@ -28,6 +28,8 @@
 	// slowAppend is the time above which an append is slow. The store carries out the appends to one partition in turn, so
 	// that those of many daemons delay one another.
 	slowAppend = 150 * time.Millisecond
+	// homeTimeout is the timeout of an append to the home partition.
+	homeTimeout = 1400 * time.Millisecond
 	// maxBatchRecords and maxBatchBytes limit the records of one append.
 	maxBatchRecords = 200
 	maxBatchBytes   = 64 << 10
@@ -156,7 +158,7 @@
 // that both routes rejected the records.
 func (w *Writer) tryRoutes(ctx context.Context, records []citron.KeyedRecord) error {
 	routes := []func(context.Context, []citron.KeyedRecord) error{w.AppendDirect}
-	if w.Relay != nil {
+	if w.Relay != nil && !w.storeAnswers() {
 		routes = append(routes, w.Relay)
 		if w.Timer.Now().Boot < time.Duration(w.relayFirstUntil.Load()) {
 			routes[0], routes[1] = routes[1], routes[0]
@@ -178,6 +180,24 @@
 	return result
 }
 
+// unreachableAfter is the time without an answer of the store after which this daemon relays records.
+const unreachableAfter = time.Second
+
+// storeAnswers reports whether the store answers the reads of this daemon. It may still be too slow for an append, but then
+// another daemon can do no better.
+func (w *Writer) storeAnswers() bool {
+	if w.AnsweredSince == nil || w.home() == 0 {
+		return false
+	}
+	since := w.Timer.Now().Boot - unreachableAfter
+	for n := range w.Partitions {
+		if w.AnsweredSince(n, since) {
+			return true
+		}
+	}
+	return false
+}
+
 // switchRoute puts the route that has just worked as the second one first: relaying for relayFirstFor, or the direct
 // append if relaying is first at present.
 func (w *Writer) switchRoute() {
@@ -202,16 +222,8 @@
 		return nil
 	}
 	w.failedOverAt.Store(int64(w.Timer.Now().Boot))
-	if home := w.home(); home > 0 && home != preferred {
-		err := w.appendTo(ctx, home, records)
-		if err == nil {
-			w.preferredPartition.Store(int64(home))
-			return nil
-		}
-		if !errors.Is(err, citron.ErrRejected) {
-			first = citron.ErrUnavailable
-		}
-		return w.appendToAnswering(ctx, []int{preferred, home}, first, records)
+	if home := w.home(); home > 0 {
+		return w.appendToHome(ctx, home, preferred, first, records)
 	}
 	if citron.SizeOf(records) > maxRaceBytes {
 		return w.appendToAnswering(ctx, []int{preferred}, first, records)
@@ -236,6 +248,24 @@
 	return w.awaitAny(first, others, outcomes)
 }
 
+// appendToHome appends to the home partition after the preferred one has failed with the error first. If the store is slow,
+// a copy in yet another partition would only delay the appends of other daemons, so the home partition gets more time.
+func (w *Writer) appendToHome(ctx context.Context, home, preferred int, first error, records []citron.KeyedRecord) error {
+	failed := []int{preferred}
+	if home != preferred {
+		failed = append(failed, home)
+		w.preferredPartition.Store(int64(home))
+		err := w.appendTo(ctx, home, records)
+		if err == nil {
+			return nil
+		}
+		if !errors.Is(err, citron.ErrRejected) {
+			first = citron.ErrUnavailable
+		}
+	}
+	return w.appendToAnswering(ctx, failed, first, records)
+}
+
 // home returns the partition to use while the first one fails, or 0.
 func (w *Writer) home() int {
 	if w.Home == nil {
@@ -307,7 +337,11 @@
 // appendTo appends to partition n without a retry.
 func (w *Writer) appendTo(ctx context.Context, n int, records []citron.KeyedRecord) error {
 	transfer := waits.Transfer(citron.SizeOf(records))
-	bounded, cancel := context.WithTimeout(ctx, w.appendTimeout.Current(appendBounds)+transfer)
+	timeout := w.appendTimeout.Current(appendBounds)
+	if n > 0 && n == w.home() {
+		timeout = homeTimeout
+	}
+	bounded, cancel := context.WithTimeout(ctx, timeout+transfer)
 	defer cancel()
 	began := w.Timer.Now().Boot
 	_, err := w.Store.Append(bounded, w.Partitions[n], records, citron.Condition{})
--- a/citron/platform.go
+++ b/citron/platform.go
@@ -229,9 +229,9 @@
 	Payload string
 	// PayloadOmitted is set if the payload is not known yet. Such an order can only be relayed.
 	PayloadOmitted bool
-	Checkpoint string
-	Ticket     string
-	Epoch      Epoch
+	Checkpoint     string
+	Ticket         string
+	Epoch          Epoch
 	// Deadline is on the worker's clock; the worker refuses an order that arrives later.
 	Deadline time.Duration
 }
