--- a/citron/claim/claim_test.go
+++ b/citron/claim/claim_test.go
@@ -168,3 +168,21 @@
 		t.Errorf("the delay between claims grew only to %v, want at least %v", last, 2*minReclaimDelay)
 	}
 }
+
+// A holder whose link is full leaves pings unanswered but goes on storing records. It must not lose its pool to a daemon that
+// is no better off, but a holder that is cut off from all VMs must.
+func TestHolderThatStoresRecordsIsKeptForATime(t *testing.T) {
+	silent := PingResult{AnsweredAt: base - time.Second, Incarnation: 7, HeldEpoch: 3}
+	w := newWatch()
+	w.RecordStored(base - 100*time.Millisecond)
+	if reason, ok := w.ShouldClaim(base, self, 0, true, silent); ok {
+		t.Errorf("claims although the holder stores records: %s", reason)
+	}
+	if _, ok := w.ShouldClaim(base-100*time.Millisecond+UnresponsiveAfter, self, 0, true, silent); !ok {
+		t.Error("does not claim once the holder stores no records either")
+	}
+	long := PingResult{AnsweredAt: base - MaxSilence, Incarnation: 7, HeldEpoch: 3}
+	if _, ok := w.ShouldClaim(base, self, 0, true, long); !ok {
+		t.Error("does not claim although the holder has answered no daemon for MaxSilence")
+	}
+}
--- a/citron/holder/partition_log_test.go
+++ b/citron/holder/partition_log_test.go
@@ -13,6 +13,7 @@
 	"github.com/citroncross/citroncross/citron/pool"
 	"github.com/citroncross/citroncross/citron/tail"
 	"github.com/citroncross/citroncross/citron/timer"
+	"github.com/citroncross/citroncross/citron/waits"
 )
 
 // scriptedStore records appends as partition:sequence:key and answers the n-th append by calling answer.
@@ -170,3 +171,31 @@
 		t.Errorf("appends %v, want %v", s.appends, want)
 	}
 }
+
+// A plan of any size must reach the store over a thin link: what has to be repeated after a failure stays small, and the
+// timeout grows with the size.
+func TestRecordsOfAPlanAreStoredInSeveralAppends(t *testing.T) {
+	s := &scriptedStore{answer: func(int, citron.Partition) error { return nil }}
+	h := newHolder(s, 1)
+	var records []citron.KeyedRecord
+	for n := range 5 {
+		records = append(records, citron.KeyedRecord{Key: fmt.Sprintf("k%d", n), Value: make([]byte, maxAppendBytes/2)})
+	}
+	if err := h.store(context.Background(), records); err != nil {
+		t.Fatal(err)
+	}
+	// Two values of half the size exceed the limit by their keys.
+	if want := []string{"0:0:k0", "0:1:k1", "0:2:k2", "0:3:k3", "0:4:k4"}; !slices.Equal(s.appends, want) {
+		t.Errorf("appends %v, want %v", s.appends, want)
+	}
+	s.appends = nil
+	if err := h.store(context.Background(), append(record("a"), record("b")...)); err != nil {
+		t.Fatal(err)
+	}
+	if want := []string{"0:5:a"}; !slices.Equal(s.appends, want) {
+		t.Errorf("appends of two small records %v, want %v", s.appends, want)
+	}
+	if got := waits.Transfer(maxAppendBytes); got < 256*time.Millisecond {
+		t.Errorf("an append of %d bytes gets %s more, want at least its time on half of a link of 4 Mbit/s", maxAppendBytes, got)
+	}
+}
--- a/citron/holder/start_test.go
+++ b/citron/holder/start_test.go
@@ -5,10 +5,13 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/advice"
 	"github.com/citroncross/citroncross/citron/pool"
 	"github.com/citroncross/citroncross/citron/timer"
+	"github.com/citroncross/citroncross/citron/view"
 	"github.com/citroncross/citroncross/schema/work"
 )
 
@@ -86,3 +89,68 @@
 		t.Errorf("long-poll times %v, want that of a busy worker, then 0", w.waits)
 	}
 }
+
+// payloadWorkers rejects starts whose payload is not known yet and records the others.
+type payloadWorkers struct {
+	citron.Workers
+	rejected func()
+	payloads []string
+}
+
+func (w *payloadWorkers) Start(_ context.Context, _ *citron.WorkerEntry, o citron.StartOrder) (citron.StartOutcome, time.Duration, error) {
+	if o.PayloadOmitted {
+		w.rejected()
+		return citron.StartUnknown, 0, citron.ErrRejected
+	}
+	w.payloads = append(w.payloads, o.Payload)
+	return citron.Started, time.Second, nil
+}
+
+// A start of a job that is known only without its payload must never reach a worker without it; nor may it count as unanswered,
+// since nothing was sent.
+func TestStartWaitsForThePayload(t *testing.T) {
+	for name, known := range map[string]bool{"read meanwhile": true, "never read": false} {
+		clock := &timer.Immediate{}
+		clock.Advance(time.Hour)
+		p := pool.New(pool.Options{Lease: 4 * time.Second, StartTimeout: 1500 * time.Millisecond, AnswerTimeout: 2 * time.Second}, 1, &advice.Balancer{})
+		p.MarkAllJobsKnown()
+		p.UpdateWorkers(clock.Now(), []citron.WorkerEntry{{ID: "w", Address: "a", Service: "s", Capacity: citron.Capacity{MilliCores: 1000}}})
+		p.Renewed(clock.Now(), "w", clock.Now().Boot, citron.WorkerReport{}, time.Second)
+		job := &work.Job{ID: "j", Steps: []*work.Step{{Tasks: 1, MilliCores: 1000}}, Terms: &work.Terms{Service: "s"}, PayloadOmitted: true}
+		p.Accept(clock.Now(), job, nil)
+		e, err := p.Plan(clock.Now())
+		if err != nil || len(e.Starts) != 1 {
+			t.Fatalf("%s: plan has %d starts, error %v; want 1 start", name, len(e.Starts), err)
+		}
+		v := &view.View{}
+		apply := func(key string, j *work.Job) {
+			value, err := proto.Marshal(j)
+			if err != nil {
+				t.Fatal(err)
+			}
+			v.Apply(citron.KeyedRecord{Key: key, Value: value})
+		}
+		apply(pool.BriefKey+"j", job)
+		w := &payloadWorkers{rejected: func() {
+			if known {
+				apply(pool.JobKey+"j", &work.Job{ID: "j", Payload: "p"})
+			}
+		}}
+		h := &Holder{Workers: w, Timer: clock, Pool: p, View: v, replan: make(chan struct{}, 1)}
+		h.start(context.Background(), e.Starts[0])
+		again, err := p.Plan(clock.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if known && (len(w.payloads) != 1 || w.payloads[0] != "p" || len(again.Starts) != 0) {
+			t.Errorf("%s: started with payloads %q, then planned %d starts; want one with p and none", name, w.payloads, len(again.Starts))
+		}
+		clock.Advance(time.Second)
+		if again, err = p.Plan(clock.Now()); err != nil {
+			t.Fatal(err)
+		}
+		if !known && (len(w.payloads) != 0 || len(again.Starts) != 1 || len(again.Stops) != 0) {
+			t.Errorf("%s: %d sent, then %d starts and %d stops planned; want none, then the start again", name, len(w.payloads), len(again.Starts), len(again.Stops))
+		}
+	}
+}
--- a/citron/intake/writer_test.go
+++ b/citron/intake/writer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -113,3 +114,113 @@
 		t.Errorf("appended to partition %d after partition 0 answered again, want 0", last)
 	}
 }
+
+// readableStore also answers reads, except of the partitions in silent.
+type readableStore struct {
+	*scriptedStore
+	silent []int
+	sizes  []int
+}
+
+func (s *readableStore) Read(_ context.Context, p citron.Partition, _ citron.Offset, _ time.Duration) (citron.KeyedBatch, error) {
+	if slices.Contains(s.silent, p.Number) {
+		return citron.KeyedBatch{}, citron.ErrUnavailable
+	}
+	return citron.KeyedBatch{}, nil
+}
+
+func (s *readableStore) Append(ctx context.Context, p citron.Partition, records []citron.KeyedRecord, c citron.Condition) (citron.Offset, error) {
+	s.mu.Lock()
+	s.sizes = append(s.sizes, citron.SizeOf(records))
+	s.mu.Unlock()
+	return s.scriptedStore.Append(ctx, p, records, c)
+}
+
+// Copies of large records in all partitions would fill a thin link, so that all of them, and the next ones, time out too.
+func TestLargeRecordsGoToOneAnsweringPartitionOnly(t *testing.T) {
+	w, scripted := newWriter(citron.ErrUnavailable)
+	w.Store = &readableStore{scriptedStore: scripted, silent: []int{1}}
+	if err := w.Write(context.Background(), citron.KeyedRecord{Key: "k", Value: make([]byte, maxRaceBytes)}); err != nil {
+		t.Fatal(err)
+	}
+	<-w.exchanges.Idle()
+	if want := []int{0, 2}; !slices.Equal(scripted.appends, want) {
+		t.Errorf("appended to partitions %v, want %v", scripted.appends, want)
+	}
+}
+
+func TestAppendsHaveALimitedSize(t *testing.T) {
+	w, scripted := newWriter()
+	s := &readableStore{scriptedStore: scripted}
+	w.Store = s
+	const count = 60
+	done := make(chan error, count)
+	w.mu.Lock()
+	for n := range count {
+		w.waiting = append(w.waiting, pendingWrite{citron.KeyedRecord{Key: fmt.Sprint(n), Value: make([]byte, maxBatchBytes/20)}, done})
+	}
+	w.mu.Unlock()
+	w.appendWaiting()
+	for _, size := range s.sizes {
+		if size > maxBatchBytes {
+			t.Errorf("an append of %d bytes, want at most %d", size, maxBatchBytes)
+		}
+	}
+	if len(done) != count {
+		t.Errorf("%d records stored, want %d", len(done), count)
+	}
+	if one := batchSize([]pendingWrite{{record: citron.KeyedRecord{Value: make([]byte, 2*maxBatchBytes)}}}); one != 1 {
+		t.Errorf("batch of %d with a record above the limit, want 1", one)
+	}
+}
+
+// While the store is slow, each partition carries out a few appends a second. Many daemons that all use the first partition,
+// or copy their records to all of them, would make it useless; so each moves to a partition of its own.
+func TestSlowStoreMovesDaemonsToTheirHomePartitions(t *testing.T) {
+	w, s := newWriter(citron.ErrUnavailable)
+	w.Home = func() int { return 2 }
+	answering := true
+	w.AnsweredSince = func(int, time.Duration) bool { return answering }
+	relayed := 0
+	w.Relay = func(context.Context, []citron.KeyedRecord) error { relayed++; return nil }
+	w.slow.Store(true)
+	for range 2 {
+		if err := write(w); err != nil {
+			t.Fatal(err)
+		}
+		w.slow.Store(true)
+	}
+	if want := []int{0, 2, 2}; !slices.Equal(s.appends, want) || relayed != 0 {
+		t.Errorf("appended to partitions %v, %d relayed; want %v, none relayed", s.appends, relayed, want)
+	}
+	// The store is quick again.
+	w.slow.Store(false)
+	if err := write(w); err != nil {
+		t.Fatal(err)
+	}
+	if last := s.appends[len(s.appends)-1]; last != 0 {
+		t.Errorf("appended to partition %d after the store became quick, want 0", last)
+	}
+	// A daemon that the store does not answer at all still relays.
+	answering = false
+	w.Store = &scriptedStore{errs: []error{citron.ErrRejected, citron.ErrRejected, citron.ErrRejected}}
+	w.Store = &readableStore{scriptedStore: w.Store.(*scriptedStore), silent: []int{0, 1, 2}}
+	if err := write(w); err != nil || relayed != 1 {
+		t.Errorf("error %v, %d relayed; want none, 1", err, relayed)
+	}
+}
+
+// If the store is slow for all, another daemon can append no sooner, and the copies that it sends make the store slower.
+func TestSlowAppendsAreNotRelayed(t *testing.T) {
+	w, scripted := newWriter(citron.ErrUnavailable, citron.ErrUnavailable)
+	w.Store = &readableStore{scriptedStore: scripted, silent: []int{0, 1, 2}}
+	w.Home = func() int { return 2 }
+	w.AnsweredSince = func(int, time.Duration) bool { return true }
+	w.Relay = func(context.Context, []citron.KeyedRecord) error {
+		t.Error("relayed although the store answers this daemon")
+		return nil
+	}
+	if err := write(w); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/citron/pool/pool_test.go
+++ b/citron/pool/pool_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -644,3 +645,43 @@
 		}
 	}
 }
+
+// A request to the policy service takes longer the more workers it names, so that in a large pool it names only as many as the
+// step is expected to need.
+func TestAdviceIsRequestedOnLikelyWorkersOfALargePool(t *testing.T) {
+	r := newRig(t)
+	r.workers(300)
+	quick := newJob("quick", newStep(3, 8))
+	quick.Terms.Advice = &work.Advice{DecideUs: 1000, PerWorkerUs: 10, ValidMs: 2500}
+	other := newJob("other", newStep(3, 8))
+	other.Terms.Advice = quick.GetTerms().GetAdvice()
+	r.accept(quick)
+	r.accept(other)
+	requests := r.plan().AdviceRequests
+	if len(requests) != 2 || len(requests[0].Workers) != minAdviceWorkers {
+		t.Fatalf("advice requests %v, want two for %d workers", requests, minAdviceWorkers)
+	}
+	if slices.Equal(requests[0].Workers, requests[1].Workers) {
+		t.Error("two steps ask about the same workers")
+	}
+	// None of them may run the step, so that it asks about others.
+	r.p.Advised(r.now, requests[0], nil, 2500*time.Millisecond, false)
+	again := r.plan().AdviceRequests
+	if len(again) != 1 || slices.ContainsFunc(again[0].Workers, func(id citron.Worker) bool { return slices.Contains(requests[0].Workers, id) }) {
+		t.Fatalf("advice requests %v after a refusal of %v, want one for other workers", again, requests[0].Workers)
+	}
+	permits := make([]citron.Permit, 0, 3)
+	for _, id := range again[0].Workers[:3] {
+		permits = append(permits, citron.Permit{Worker: id, Ticket: "t"})
+	}
+	r.p.Advised(r.now, again[0], permits, 2500*time.Millisecond, false)
+	if e := r.plan(); len(e.Starts) != 3 || len(e.AdviceRequests) != 0 {
+		t.Errorf("%d starts and %d advice requests with three permits, want 3 and none", len(e.Starts), len(e.AdviceRequests))
+	}
+	wide := newJob("wide", newStep(90, 16))
+	wide.Terms.Advice = quick.GetTerms().GetAdvice()
+	r.accept(wide)
+	if requests := r.plan().AdviceRequests; len(requests) != 1 || len(requests[0].Workers) != maxAdviceWorkers {
+		t.Errorf("advice requests %v of a wide step, want one for %d workers", requests, maxAdviceWorkers)
+	}
+}
--- /dev/null
+++ b/citron/relay/relay_test.go
@@ -0,0 +1,363 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"reflect"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/spawn"
+	"github.com/citroncross/citroncross/citron/timer"
+	"github.com/citroncross/citroncross/schema/link"
+)
+
+// fakeWorkers records the orders that reach the workers, each after the name of the daemon that sent it.
+type fakeWorkers struct {
+	citron.Workers
+	name string
+	mu   *sync.Mutex
+	log  *[]string
+	// renew and start, if set, answer instead of the defaults.
+	renew func(ctx context.Context, o citron.RenewOrder) (citron.WorkerReport, error)
+	start func(ctx context.Context, o citron.StartOrder) (citron.StartOutcome, error)
+}
+
+func (f *fakeWorkers) record(format string, args ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	*f.log = append(*f.log, f.name+": "+fmt.Sprintf(format, args...))
+}
+
+func (f *fakeWorkers) Start(ctx context.Context, to *citron.WorkerEntry, o citron.StartOrder) (citron.StartOutcome, time.Duration, error) {
+	f.record("start %s run %d on %s at %s, payload %q, epoch %d, deadline %s", o.Task, o.Run, to.ID, to.Address, o.Payload, o.Epoch, o.Deadline)
+	if f.start != nil {
+		outcome, err := f.start(ctx, o)
+		return outcome, time.Minute, err
+	}
+	return citron.Started, time.Minute, nil
+}
+
+func (f *fakeWorkers) Renew(ctx context.Context, to *citron.WorkerEntry, o citron.RenewOrder) (citron.WorkerReport, time.Duration, error) {
+	f.record("renew %s, acked %d, deadline %s", to.ID, o.Acked, o.Deadline)
+	if f.renew != nil {
+		report, err := f.renew(ctx, o)
+		return report, time.Minute, err
+	}
+	return citron.WorkerReport{}, time.Minute, nil
+}
+
+// rig is a holder with relaying daemons on loopback.
+type rig struct {
+	t       *testing.T
+	mu      sync.Mutex
+	log     []string
+	workers map[citron.VMName]*fakeWorkers
+	streams map[citron.VMName]link.LinkClient
+	via     []citron.VMName
+	holder  *Workers
+	// unknown is the name of a daemon that does not know the payload.
+	unknown citron.VMName
+	cancel  context.CancelFunc
+}
+
+// carrier serves orders as one daemon.
+type carrier struct {
+	link.UnimplementedLinkServer
+	server *Server
+}
+
+func (c *carrier) CarryOrders(stream link.Link_CarryOrdersServer) error {
+	return c.server.Serve(stream)
+}
+
+func newRig(t *testing.T, daemons ...citron.VMName) *rig {
+	t.Helper()
+	r := &rig{t: t, workers: map[citron.VMName]*fakeWorkers{}, streams: map[citron.VMName]link.LinkClient{}, via: daemons}
+	direct := &fakeWorkers{name: "holder", mu: &r.mu, log: &r.log}
+	r.workers["holder"] = direct
+	exchanges := &spawn.Group{}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	exchanges.SetContext(ctx)
+	for _, vm := range daemons {
+		r.serve(vm)
+	}
+	r.holder = &Workers{
+		Direct: direct, Timer: timer.System{}, Exchanges: exchanges,
+		Open: func(ctx context.Context, vm citron.VMName) (Stream, error) {
+			if r.streams[vm] == nil {
+				return nil, errors.New("no such daemon")
+			}
+			return r.streams[vm].CarryOrders(ctx)
+		},
+		StartVia: func(citron.TaskRef, citron.Worker) []citron.VMName { return r.via },
+		RenewVia: func(citron.Worker) []citron.VMName { return r.via },
+	}
+	t.Cleanup(func() {
+		cancel()
+		<-exchanges.Idle()
+	})
+	return r
+}
+
+// serve starts a relaying daemon.
+func (r *rig) serve(vm citron.VMName) {
+	r.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	w := &fakeWorkers{name: string(vm), mu: &r.mu, log: &r.log}
+	server := grpc.NewServer()
+	link.RegisterLinkServer(server, &carrier{server: &Server{Workers: w, Timer: timer.System{}, Payload: func(_ context.Context, task citron.TaskRef) (string, bool) {
+		return "payload of " + string(task), vm != r.unknown
+	}}})
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	conn, err := grpc.NewClient("passthrough:///"+listener.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.workers[vm], r.streams[vm] = w, link.NewLinkClient(conn)
+	r.t.Cleanup(func() {
+		r.cancel()
+		_ = conn.Close()
+		server.Stop()
+		<-ended
+	})
+}
+
+var (
+	toWorker   = &citron.WorkerEntry{ID: "w", Address: "10.0.0.1:1"}
+	startOrder = citron.StartOrder{Task: "j.0.0.0", Run: 2, Epoch: 7, Deadline: 9 * time.Second, PayloadOmitted: true}
+)
+
+// orderTimeout is generous: no test waits for it unless a daemon is silent on purpose.
+const orderTimeout = 10 * time.Second
+
+func (r *rig) start(timeout time.Duration) (citron.StartOutcome, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	outcome, _, err := r.holder.Start(ctx, toWorker, startOrder)
+	return outcome, err
+}
+
+func (r *rig) renew(o citron.RenewOrder) (citron.WorkerReport, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	report, _, err := r.holder.Renew(ctx, toWorker, o)
+	return report, err
+}
+
+// sent returns the orders that have reached workers so far.
+func (r *rig) sent() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.log)
+}
+
+func TestStartIsRelayedWithThePayloadOfTheRelayingDaemon(t *testing.T) {
+	r := newRig(t, "a")
+	if outcome, err := r.start(orderTimeout); err != nil || outcome != citron.Started {
+		t.Errorf("outcome %d, error %v; want Started", outcome, err)
+	}
+	if want := []string{`a: start j.0.0.0 run 2 on w at 10.0.0.1:1, payload "payload of j.0.0.0", epoch 7, deadline 9s`}; !slices.Equal(r.sent(), want) {
+		t.Errorf("orders %q, want %q", r.sent(), want)
+	}
+}
+
+// A daemon that does not know the payload has sent nothing, so that the next one can.
+func TestStartGoesToTheNextDaemonIfOneHasNotSentIt(t *testing.T) {
+	r := newRig(t, "a", "b")
+	r.unknown = "a"
+	if outcome, err := r.start(orderTimeout); err != nil || outcome != citron.Started {
+		t.Errorf("outcome %d, error %v; want Started", outcome, err)
+	}
+	if got := r.sent(); len(got) != 1 || got[0][:1] != "b" {
+		t.Errorf("orders %q, want one by b", got)
+	}
+}
+
+// A start that was relayed and not answered may have been carried out. It must neither be reported as not sent nor be sent
+// by another daemon within the same try.
+func TestUnansweredStartIsInDoubtAndNotSentAgain(t *testing.T) {
+	r := newRig(t, "a", "b")
+	r.workers["a"].start = func(context.Context, citron.StartOrder) (citron.StartOutcome, error) {
+		return citron.StartUnknown, citron.ErrUnavailable
+	}
+	outcome, err := r.start(orderTimeout)
+	if outcome != citron.StartUnknown || !errors.Is(err, citron.ErrUnavailable) || errors.Is(err, citron.ErrRejected) {
+		t.Errorf("outcome %d, error %v; want StartUnknown and citron.ErrUnavailable", outcome, err)
+	}
+	if got := r.sent(); len(got) != 1 {
+		t.Errorf("orders %q, want one", got)
+	}
+	// The next try takes another path.
+	if outcome, err := r.start(orderTimeout); err != nil || outcome != citron.Started {
+		t.Errorf("next try: outcome %d, error %v; want Started", outcome, err)
+	}
+	if got := r.sent(); len(got) != 2 || got[1][:1] != "b" {
+		t.Errorf("orders %q, want the second by b", got)
+	}
+}
+
+// A relaying daemon that is paused answers nothing. Orders must not wait for it again and again.
+func TestSilentDaemonIsAvoided(t *testing.T) {
+	r := newRig(t, "a", "b")
+	paused := make(chan struct{})
+	defer close(paused)
+	r.workers["a"].start = func(ctx context.Context, _ citron.StartOrder) (citron.StartOutcome, error) {
+		<-paused
+		return citron.Started, nil
+	}
+	if outcome, err := r.start(100 * time.Millisecond); outcome != citron.StartUnknown || !errors.Is(err, errNoAnswer) {
+		t.Errorf("outcome %d, error %v; want StartUnknown and errNoAnswer", outcome, err)
+	}
+	if outcome, err := r.start(orderTimeout); err != nil || outcome != citron.Started {
+		t.Errorf("next try: outcome %d, error %v; want Started", outcome, err)
+	}
+}
+
+func TestEndedStreamLeavesOrdersInDoubtAndIsOpenedAgain(t *testing.T) {
+	r := newRig(t, "a")
+	reached := make(chan struct{})
+	r.workers["a"].start = func(ctx context.Context, _ citron.StartOrder) (citron.StartOutcome, error) {
+		close(reached)
+		<-ctx.Done()
+		return citron.StartUnknown, citron.ErrUnavailable
+	}
+	failed := make(chan error, 1)
+	go func() {
+		_, err := r.start(orderTimeout)
+		failed <- err
+	}()
+	<-reached
+	r.holder.mu.Lock()
+	s := r.holder.sessions["a"]
+	r.holder.mu.Unlock()
+	s.fail(errors.New("connection lost"))
+	if err := <-failed; !errors.Is(err, citron.ErrUnavailable) {
+		t.Errorf("error %v, want citron.ErrUnavailable", err)
+	}
+}
+
+func TestOrdersAreSentDirectlyWithoutARelay(t *testing.T) {
+	r := newRig(t)
+	if _, err := r.renew(citron.RenewOrder{Acked: 3}); err != nil {
+		t.Fatal(err)
+	}
+	if want := []string{"holder: renew w, acked 3, deadline 0s"}; !slices.Equal(r.sent(), want) {
+		t.Errorf("orders %q, want %q", r.sent(), want)
+	}
+}
+
+func TestErrorsOfWorkersPassTheRelay(t *testing.T) {
+	for _, want := range []error{citron.ErrWorkerGone, citron.ErrFenced, citron.ErrUnavailable} {
+		r := newRig(t, "a")
+		r.workers["a"].renew = func(context.Context, citron.RenewOrder) (citron.WorkerReport, error) {
+			return citron.WorkerReport{}, want
+		}
+		if _, err := r.renew(citron.RenewOrder{}); !errors.Is(err, want) {
+			t.Errorf("error %v, want %v", err, want)
+		}
+	}
+}
+
+// Reports are sent as changes. The holder must see the same runs as the worker reports, also after answers were lost.
+func TestRelayedReportsAreComplete(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	r := newRig(t, "a")
+	var report citron.WorkerReport
+	r.workers["a"].renew = func(context.Context, citron.RenewOrder) (citron.WorkerReport, error) { return report, nil }
+	for step := range 300 {
+		report = citron.WorkerReport{}
+		for n := range 8 {
+			if rng.IntN(3) > 0 {
+				report.Running = append(report.Running, citron.RunningTask{
+					Task: citron.TaskRef(fmt.Sprintf("j.0.0.%d", n)), Run: int32(1 + rng.IntN(2)), Checkpoint: fmt.Sprint(rng.IntN(3)), Percent: percentStep * rng.IntN(11),
+				})
+			}
+		}
+		if rng.IntN(4) == 0 {
+			report.Ended = append(report.Ended, citron.EndedTask{Number: int64(step), Task: "j.0.0.9", Run: 1, Kind: citron.EndDone})
+		}
+		if rng.IntN(5) == 0 {
+			// The answer is lost: nobody waits for it any more when it arrives.
+			r.loseAnswer()
+			continue
+		}
+		got, err := r.renew(citron.RenewOrder{})
+		if err != nil {
+			t.Fatalf("step %d: %v", step, err)
+		}
+		slices.SortFunc(got.Running, func(a, b citron.RunningTask) int { return compareTasks(a.Task, b.Task) })
+		if !reflect.DeepEqual(got, report) {
+			t.Fatalf("step %d: report %+v, want %+v", step, got, report)
+		}
+	}
+}
+
+func compareTasks(a, b citron.TaskRef) int {
+	if a < b {
+		return -1
+	}
+	return 1
+}
+
+// loseAnswer sends a renewal and gives up on it before the worker answers.
+func (r *rig) loseAnswer() {
+	w := r.workers["a"]
+	answer := w.renew
+	ctx, cancel := context.WithCancel(context.Background())
+	gaveUp := make(chan struct{})
+	answered := make(chan struct{})
+	w.renew = func(ctx context.Context, o citron.RenewOrder) (citron.WorkerReport, error) {
+		cancel()
+		<-gaveUp
+		defer close(answered)
+		return answer(ctx, o)
+	}
+	_, _ = r.holder.session("a").exchange(ctx, &link.Order{Worker: "w", TimeoutMs: orderTimeout.Milliseconds(), Renew: &link.RenewLease{}})
+	close(gaveUp)
+	<-answered
+	w.renew = answer
+}
+
+// A malformed order must not end the stream, let alone the process.
+func TestMalformedOrdersAreNotSent(t *testing.T) {
+	r := newRig(t, "a")
+	for _, o := range []*link.Order{{}, {Worker: "w"}, {TimeoutMs: -5, Start: nil}} {
+		a, err := r.holder.exchange(t.Context(), "a", o)
+		if err != nil || a.GetResult() != link.OrderResult_ORDER_RESULT_NOT_SENT {
+			t.Errorf("order %v: result %v, error %v; want not sent", o, a.GetResult(), err)
+		}
+	}
+	if outcome, err := r.start(orderTimeout); err != nil || outcome != citron.Started {
+		t.Errorf("start after malformed orders: outcome %d, error %v; want Started", outcome, err)
+	}
+}
+
+// A report that changes another one than the last is not used: a run that it does not list would look as if it had ended.
+func TestReportWithoutItsBaseIsNotUsed(t *testing.T) {
+	for name, known := range map[string]*baseReport{"none known": nil, "another one known": {number: 1}} {
+		s := newSession()
+		if known != nil {
+			s.reports["w"] = known
+		}
+		a := &link.Answer{Number: 3, Result: link.OrderResult_ORDER_RESULT_ANSWERED, Report: &link.Report{Base: 2}}
+		s.completeReport("w", a)
+		if a.GetResult() != link.OrderResult_ORDER_RESULT_UNANSWERED || a.GetReport() != nil {
+			t.Errorf("%s: answer %v, want unanswered", name, a)
+		}
+	}
+}
--- a/citron/view/view_test.go
+++ b/citron/view/view_test.go
@@ -73,3 +73,41 @@
 		t.Errorf("the listener received %v, want a and b", received)
 	}
 }
+
+// A state that the holder announces is shown before its record is read. The record itself must still be taken, since a daemon
+// that takes over needs all of it.
+func TestAnnouncedStateIsShownUntilItsRecordIsRead(t *testing.T) {
+	v := &View{}
+	v.Announce("j", work.State_STATE_RUNNING, 3, 1)
+	if _, known := v.Get("j"); known {
+		t.Fatal("an announcement makes a job known")
+	}
+	apply(v, newRecord(t, pool.JobKey+"j", &work.Job{ID: "j", Queue: "q"}))
+	v.Announce("j", work.State_STATE_RUNNING, 3, 1)
+	v.Announce("j", work.State_STATE_QUEUED, 2, 9)
+	if e, _ := v.Get("j"); e.State() != work.State_STATE_RUNNING || e.Progress != nil || v.Pending("q") != 0 {
+		t.Errorf("state %v, progress %v, %d pending; want running, none, 0", e.State(), e.Progress, v.Pending("q"))
+	}
+	apply(v, newRecord(t, pool.ProgressKey+"j", &work.Progress{State: work.State_STATE_RUNNING, Epoch: 3, Number: 1, NextOccurrence: 1}))
+	if e, _ := v.Get("j"); e.Progress.GetNextOccurrence() != 1 || e.announced != nil {
+		t.Errorf("progress %v after its record was read, want that of the record", e.Progress)
+	}
+	apply(v, newRecord(t, pool.ProgressKey+"j", &work.Progress{State: work.State_STATE_COMPLETED, Epoch: 4, Number: 1}))
+	v.Announce("j", work.State_STATE_RUNNING, 3, 2)
+	if e, _ := v.Get("j"); e.State() != work.State_STATE_COMPLETED {
+		t.Errorf("state %v after an announcement of a former holder, want completed", e.State())
+	}
+}
+
+// The holder learns of a job without its payload first. The stored record adds the payload and changes nothing else.
+func TestStoredRecordAddsThePayloadToABrief(t *testing.T) {
+	v := &View{}
+	apply(v, newRecord(t, pool.BriefKey+"j", &work.Job{ID: "j", Queue: "q", PayloadOmitted: true}))
+	if e, known := v.Get("j"); !known || !e.Spec.GetPayloadOmitted() {
+		t.Fatalf("known %t, spec %v; want the brief", known, e.Spec)
+	}
+	apply(v, newRecord(t, pool.JobKey+"j", &work.Job{ID: "j", Queue: "q", Payload: "p"}), newRecord(t, pool.BriefKey+"j", &work.Job{ID: "j", Queue: "q", PayloadOmitted: true}))
+	if e, _ := v.Get("j"); e.Spec.GetPayload() != "p" || e.Spec.GetPayloadOmitted() || v.Pending("q") != 1 {
+		t.Errorf("spec %v, %d pending; want the payload and 1", e.Spec, v.Pending("q"))
+	}
+}
--- a/citronlab/site/site.go
+++ b/citronlab/site/site.go
@@ -247,6 +247,8 @@
 	PeerPort              int
 	// Store is the address at which the daemon reaches the store; empty means StoreAddress.
 	Store string
+	// DirectWorkers is the setting direct_workers; 0 leaves it to its default.
+	DirectWorkers int
 }
 
 // WriteSettings writes the settings file of a daemon and returns its path.
@@ -260,6 +262,7 @@
 port_range = [%d, %d]
 advice = %q
 orders = "rpc"
+direct_workers = %d
 [listen]
 front = %q
 ready = %q
@@ -276,7 +279,7 @@
 address = %q
 [cloud]
 address = %q
-`, n.Name, s.IP, n.PeerPort, n.PeerPort, s.policyAddress, n.Front, n.Ready, n.Metrics, n.Store, s.cloudAddress)
+`, n.Name, s.IP, n.PeerPort, n.PeerPort, s.policyAddress, n.DirectWorkers, n.Front, n.Ready, n.Metrics, n.Store, s.cloudAddress)
 	file = filepath.Join(folder, n.Name+".toml")
 	return file, os.WriteFile(file, []byte(text), 0o600)
 }
--- a/citronlab/site/site_test.go
+++ b/citronlab/site/site_test.go
@@ -42,6 +42,8 @@
 	client    Client
 	submitted int
 	log       logBuffer
+	// directWorkers is the setting direct_workers of daemons that are launched later.
+	directWorkers int
 }
 
 // logBuffer collects the daemons' logs, which are printed if the test fails.
@@ -59,7 +61,13 @@
 // startCell starts a site and daemons, and waits until a daemon holds the pool.
 func startCell(t *testing.T, ip string, daemons int) *cell {
 	t.Helper()
-	c := &cell{t: t, folder: t.TempDir(), site: &Site{Timer: timer.System{}, IP: ip, Workers: 4, RunTime: 30 * time.Millisecond}}
+	return startCellWith(t, ip, daemons, 0)
+}
+
+// startCellWith is startCell with the setting direct_workers.
+func startCellWith(t *testing.T, ip string, daemons, directWorkers int) *cell {
+	t.Helper()
+	c := &cell{t: t, directWorkers: directWorkers, folder: t.TempDir(), site: &Site{Timer: timer.System{}, IP: ip, Workers: 4, RunTime: 30 * time.Millisecond}}
 	if err := c.site.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -112,7 +120,7 @@
 		c.t.Fatal(err)
 	}
 	file, err := c.site.WriteSettings(c.folder, Node{
-		Name: fmt.Sprintf("entry-%d", n), Front: c.fronts[n], Ready: c.ready[n], Metrics: c.metrics[n], PeerPort: peerPort,
+		Name: fmt.Sprintf("entry-%d", n), Front: c.fronts[n], Ready: c.ready[n], Metrics: c.metrics[n], PeerPort: peerPort, DirectWorkers: c.directWorkers,
 	})
 	if err != nil {
 		c.t.Fatal(err)
--- a/citronlab/soak/soak.go
+++ b/citronlab/soak/soak.go
@@ -163,6 +163,7 @@
 	name := fmt.Sprintf("entry-%d", n)
 	settings, err := s.site.WriteSettings(s.Folder, site.Node{
 		Name: name, Front: ports[0], Ready: ports[1], Metrics: ports[2], PeerPort: peerPort, Store: store.Address(),
+		DirectWorkers: s.directWorkers(),
 	})
 	if err != nil {
 		return err
@@ -172,6 +173,15 @@
 	return d.start()
 }
 
+// directWorkers returns the number of workers to which the holder sends orders itself. For even seeds it is so low that the
+// other daemons relay all orders.
+func (s *soak) directWorkers() int {
+	if s.Seed%2 == 0 {
+		return 1
+	}
+	return 0
+}
+
 // waitUntil polls until a condition holds and reports whether it did within the timeout.
 func (s *soak) waitUntil(ctx context.Context, timeout time.Duration, holds func() bool) bool {
 	deadline := clock.Now().Boot + timeout
--- a/citronlab/soak/soak_test.go
+++ b/citronlab/soak/soak_test.go
@@ -14,7 +14,7 @@
 	"github.com/citroncross/citroncross/citronlab/site"
 )
 
-// Runs one seed of faults against real processes. The test asserts only that no guarantee is violated and that all work
+// Runs two seeds of faults against real processes, with orders sent by the holder and with relayed ones. The test asserts only that no guarantee is violated and that all work
 // ends within a timeout far longer than any fault.
 func TestNoViolationsUnderFaults(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "citrond")
@@ -22,17 +22,19 @@
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
-	r, err := Run(context.Background(), Options{
-		Binary: binary, Folder: t.TempDir(), IP: "127.0.0.91", Seed: 7, Daemons: 3, Workers: 4, Duration: 5 * time.Second, CompletionTimeout: 2 * time.Minute,
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if len(r.Violations) > 0 {
-		t.Errorf("%s\nfaults:\n%s", strings.Join(r.Violations, "\n"), strings.Join(r.Faults, "\n"))
-	}
-	if r.Accepted == 0 || r.Starts == 0 || len(r.Faults) == 0 {
-		t.Errorf("%d jobs, %d starts, %d faults; want at least one of each", r.Accepted, r.Starts, len(r.Faults))
+	for _, seed := range []uint64{7, 8} {
+		r, err := Run(context.Background(), Options{
+			Binary: binary, Folder: t.TempDir(), IP: "127.0.0.91", Seed: seed, Daemons: 3, Workers: 4, Duration: 5 * time.Second, CompletionTimeout: 2 * time.Minute,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(r.Violations) > 0 {
+			t.Errorf("seed %d: %s\nfaults:\n%s", seed, strings.Join(r.Violations, "\n"), strings.Join(r.Faults, "\n"))
+		}
+		if r.Accepted == 0 || r.Starts == 0 || len(r.Faults) == 0 {
+			t.Errorf("seed %d: %d jobs, %d starts, %d faults; want at least one of each", seed, r.Accepted, r.Starts, len(r.Faults))
+		}
 	}
 }
 
