--- a/citron/pool/advice.go
+++ b/citron/pool/advice.go
@@ -30,8 +30,10 @@
 	// priorPermitShare is the expected share of permitted workers before any answer; it counts like priorDecisions decisions.
 	priorPermitShare = 0.4
 	priorDecisions   = 50
-	// maxAdvisedSteps is the maximum number of waiting steps of one queue that have tickets or a pending request.
-	maxAdvisedSteps = 16
+	// minAdvisedSteps is the number of waiting steps of one queue that may have tickets or a pending request in any pool;
+	// large pools may have one for each workersPerAdvisedStep workers.
+	minAdvisedSteps       = 16
+	workersPerAdvisedStep = 3
 	// ticketRenewMargin is added to the cost of a request to get how long before expiry the tickets of a waiting step are
 	// requested again.
 	ticketRenewMargin = 150 * time.Millisecond
@@ -43,7 +45,7 @@
 	if s.advicePending || len(s.permits) > 0 {
 		wp.advisedSteps[queue]++
 	}
-	if s.advicePending || wp.now < s.adviceRetryAt || wp.advisedSteps[queue] > maxAdvisedSteps {
+	if s.advicePending || wp.now < s.adviceRetryAt || wp.advisedSteps[queue] > wp.maxAdvisedSteps() {
 		return
 	}
 	if s.coveredVersion == wp.pool.listVersion && wp.earliestExpiry(s) > wp.now+s.adviceCost+ticketRenewMargin || wp.now < s.adviceCheckAt {
@@ -67,6 +69,12 @@
 	wp.pool.observe(Decision{Kind: DecidedAdviceRequest, Job: s.job.id, Task: citron.TaskRef(s.ref), Outcome: string(vm), Age: wp.now - s.readyAt})
 }
 
+// maxAdvisedSteps returns the maximum number of waiting steps of one queue that have tickets or a pending request. It grows
+// with the pool, since the rate of jobs does, while the time for an answer does not.
+func (wp *waitingPass) maxAdvisedSteps() int {
+	return max(minAdvisedSteps, len(wp.pool.byID)/workersPerAdvisedStep)
+}
+
 // adviceCost returns the time that the policy service takes to decide on a number of workers for a step.
 func adviceCost(s *step, workers int) time.Duration {
 	a := s.job.spec.GetTerms().GetAdvice()
--- a/citron/pool/pool_test.go
+++ b/citron/pool/pool_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -685,3 +686,24 @@
 		t.Errorf("advice requests %v of a wide step, want one for %d workers", requests, maxAdviceWorkers)
 	}
 }
+
+// The number of steps that may wait for advice at once must grow with the pool: with a fixed one, the steps of a burst waited
+// for their turn to ask, while most of the policy service's time was unused.
+func TestAdviceIsRequestedForMoreStepsInALargePool(t *testing.T) {
+	r := newRig(t)
+	vms := make([]citron.VMName, 40)
+	for n := range vms {
+		vms[n] = citron.VMName(fmt.Sprint(n))
+	}
+	r.p.Advisers.SetDaemons(vms)
+	r.workers(370)
+	const burst = 60
+	for n := range burst {
+		j := newJob(fmt.Sprintf("j%02d", n), newStep(3, 8))
+		j.Terms.Advice = &work.Advice{DecideUs: 10_000, PerWorkerUs: 150, ValidMs: 2500}
+		r.accept(j)
+	}
+	if got := len(r.plan().AdviceRequests); got != burst {
+		t.Errorf("%d advice requests for %d steps, want one for each", got, burst)
+	}
+}
