--- a/citron/entry/claims.go
+++ b/citron/entry/claims.go
@@ -121,6 +121,7 @@
 		View:           &d.view,
 		ProgressTails:  d.progress,
 		JobTails:       d.jobs,
+		JobSources:     d.jobSources,
 		ExtendClaim:    d.addClaimPartition,
 		NarrowClaim:    d.setClaimPartition,
 		LastConfirmed:  func() time.Duration { return d.claimConfirmedAt(epoch) },
--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -99,8 +99,10 @@
 	cell     *tail.Tail
 	jobs     []*tail.Tail
 	progress []*tail.Tail
-	balancer advice.Balancer
-	outbox   outbox
+	// jobSources are the sources of the view that jobs feed.
+	jobSources []*view.Source
+	balancer   advice.Balancer
+	outbox     outbox
 	// orders sends the orders of the pool while this daemon is its holder.
 	orders *relay.Workers
 	// exchanges runs the messages to other daemons, the announcement of this one and the upkeep waves.
@@ -170,7 +172,8 @@
 	}}
 	for n := range partitionCount {
 		writer.Partitions = append(writer.Partitions, citron.Partition{Topic: jobsTopic, Number: n})
-		d.jobs = append(d.jobs, d.newTail(writer.Partitions[n], d.view.NewSource().Apply, readInterval))
+		d.jobSources = append(d.jobSources, d.view.NewSource())
+		d.jobs = append(d.jobs, d.newTail(writer.Partitions[n], d.jobSources[n].Apply, readInterval))
 		d.progress = append(d.progress, d.newTail(citron.Partition{Topic: progressTopic, Number: n}, d.applyProgress(d.view.NewSource()), readInterval))
 		if n > 0 {
 			d.jobs[n].Wait, d.progress[n].Wait = spareReadWait, spareReadWait
--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -49,7 +49,9 @@
 	// ProgressTails follow the partitions with the progress of the pool's jobs, JobTails those with the accepted jobs.
 	ProgressTails []*tail.Tail
 	JobTails      []*tail.Tail
-	Pool          *pool.Pool
+	// JobSources are the sources of the view that JobTails feed.
+	JobSources []*view.Source
+	Pool       *pool.Pool
 	// Advise sends a request to the policy service through the daemon named in it.
 	Advise func(ctx context.Context, a pool.AdviceRequest) ([]citron.Permit, time.Duration, error)
 	// Relayed, if set, reports whether Workers sends orders through other daemons.
@@ -82,6 +84,7 @@
 	// unavailableSince is the boot time since which the store has stored no records; zero while it stores them.
 	unavailableSince atomic.Int64
 	exchanges        spawn.Group
+	trims            trims
 	// mu guards polls.
 	mu    sync.Mutex
 	polls map[citron.Worker]*poll
@@ -207,6 +210,7 @@
 		h.exchanges.Go(func(ctx context.Context) { h.start(ctx, s) })
 	}
 	h.pollWorkers(e.Acks)
+	h.trimJobs(e.Ended)
 	if len(e.Expired) > 0 {
 		h.exchanges.Go(func(ctx context.Context) { h.removeJobs(ctx, e.Expired) })
 	}
@@ -222,20 +226,20 @@
 		progress = append(progress, citron.KeyedRecord{Key: pool.ProgressKey + string(id)})
 	}
 	for _, t := range h.JobTails {
-		if err := h.deleteRecords(ctx, t.Partition, jobs); err != nil {
+		if err := h.replaceRecords(ctx, t.Partition, jobs); err != nil {
 			h.reportFailure("remove", err)
 			return
 		}
 	}
 	for _, t := range h.ProgressTails {
-		if err := h.deleteRecords(ctx, t.Partition, progress); err != nil {
+		if err := h.replaceRecords(ctx, t.Partition, progress); err != nil {
 			h.reportFailure("remove", err)
 		}
 	}
 }
 
-// deleteRecords appends tombstones for the keys of records to one partition.
-func (h *Holder) deleteRecords(ctx context.Context, p citron.Partition, records []citron.KeyedRecord) error {
+// replaceRecords appends records, or tombstones for their keys, to one partition without a condition.
+func (h *Holder) replaceRecords(ctx context.Context, p citron.Partition, records []citron.KeyedRecord) error {
 	bounded, cancel := context.WithTimeout(ctx, appendBounds.Max)
 	defer cancel()
 	_, err := h.Store.Append(bounded, p, records, citron.Condition{})
--- a/citron/holder/partition_log.go
+++ b/citron/holder/partition_log.go
@@ -77,11 +77,7 @@
 // other.
 func (h *Holder) store(ctx context.Context, records []citron.KeyedRecord) error {
 	for len(records) > 0 {
-		n, bytes := 0, 0
-		for n < len(records) && (n == 0 || bytes+records[n].Size() <= maxAppendBytes) {
-			bytes += records[n].Size()
-			n++
-		}
+		n := prefixWithin(records, maxAppendBytes)
 		if err := h.append(ctx, records[:n:n]); err != nil {
 			return err
 		}
@@ -90,6 +86,17 @@
 	return nil
 }
 
+// prefixWithin returns the number of records, from the first one on, that together have at most a number of bytes; at least
+// one.
+func prefixWithin(records []citron.KeyedRecord, most int) (n int) {
+	bytes := 0
+	for n < len(records) && (n == 0 || bytes+records[n].Size() <= most) {
+		bytes += records[n].Size()
+		n++
+	}
+	return n
+}
+
 // append stores records in an open partition, and fails over to another partition while the store does not answer.
 func (h *Holder) append(ctx context.Context, records []citron.KeyedRecord) error {
 	began := h.Timer.Now().Boot
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -149,6 +149,8 @@
 	AdviceRequests []AdviceRequest
 	// Acks holds for each worker the number of the last ended run that Records cover.
 	Acks map[citron.Worker]int64
+	// Ended lists the jobs that Records show as ended for good, without a run on any worker.
+	Ended []citron.JobID
 	// Expired lists the jobs whose records are to be removed.
 	Expired []citron.JobID
 }
--- a/citron/pool/record.go
+++ b/citron/pool/record.go
@@ -40,6 +40,7 @@
 		delete(p.dirty, j)
 		if j.terminal && len(r.GetOpen()) == 0 {
 			p.removeJob(now, j)
+			e.Ended = append(e.Ended, j.id)
 		}
 	}
 	return p.appendRewritten(e)
--- a/citron/view/source.go
+++ b/citron/view/source.go
@@ -51,6 +51,12 @@
 	return &Source{view: v, bit: 1 << (v.sources - 1)}
 }
 
+// HoldsJob reports whether the partition holds the record of a job as it was accepted.
+func (s *Source) HoldsJob(id citron.JobID) bool {
+	e, known := s.view.Get(id)
+	return known && e.sources[jobRecord]&s.bit != 0
+}
+
 // Apply applies records of the partition. Fresh means that they include the newest record of every key.
 func (s *Source) Apply(batch citron.KeyedBatch, fresh bool) {
 	if fresh {
