--- a/citron/entry/relay.go
+++ b/citron/entry/relay.go
@@ -2,10 +2,8 @@
 
 import (
 	"cmp"
-	"context"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -114,20 +112,9 @@
 	return citron.JobID(id)
 }
 
-// payloadTimeout bounds the wait until a job is read that the holder has read already.
-const payloadTimeout = 200 * time.Millisecond
-
-// payloadOf returns the payload of a task. A job that is not known yet is read from the store.
-func (d *Daemon) payloadOf(ctx context.Context, task citron.TaskRef) (payload string, ok bool) {
+// payloadOf returns the payload of a task. Ok is false if its job has not been read here.
+func (d *Daemon) payloadOf(task citron.TaskRef) (payload string, ok bool) {
 	e, known := d.view.Get(jobOf(task))
-	if !known || e.Spec.GetPayloadOmitted() {
-		bounded, cancel := context.WithTimeout(ctx, payloadTimeout)
-		defer cancel()
-		if d.jobs[0].CatchUp(bounded) != nil {
-			return "", false
-		}
-		e, known = d.view.Get(jobOf(task))
-	}
 	return e.Spec.GetPayload(), known && !e.Spec.GetPayloadOmitted()
 }
 
--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -25,7 +25,7 @@
 	// orderTimeout is the time limit of one start or stop order, relayedOrderTimeout that of one that other daemons may
 	// relay. Their links may be full of other starts, and a start that is repeated too early adds to that.
 	orderTimeout        = 300 * time.Millisecond
-	relayedOrderTimeout = 700 * time.Millisecond
+	relayedOrderTimeout = 500 * time.Millisecond
 	// orderRetry is the delay between the tries of one start order.
 	orderRetry = 10 * time.Millisecond
 	// unresponsiveTries is the number of unanswered tries after which a worker gets no more tasks until it answers. A
--- a/citron/pool/pool_test.go
+++ b/citron/pool/pool_test.go
@@ -697,13 +697,16 @@
 	}
 	r.p.Advisers.SetDaemons(vms)
 	r.workers(370)
-	const burst = 60
-	for n := range burst {
-		j := newJob(fmt.Sprintf("j%02d", n), newStep(3, 8))
-		j.Terms.Advice = &work.Advice{DecideUs: 10_000, PerWorkerUs: 150, ValidMs: 2500}
-		r.accept(j)
-	}
-	if got := len(r.plan().AdviceRequests); got != burst {
-		t.Errorf("%d advice requests for %d steps, want one for each", got, burst)
+	// The requests of the first wave are not answered yet when the second one comes.
+	const wave = 30
+	for n := range 2 {
+		for i := range wave {
+			j := newJob(fmt.Sprintf("j%d-%02d", n, i), newStep(3, 8))
+			j.Terms.Advice = &work.Advice{DecideUs: 10_000, PerWorkerUs: 150, ValidMs: 2500}
+			r.accept(j)
+		}
+		if got := len(r.plan().AdviceRequests); got != wave {
+			t.Errorf("wave %d: %d advice requests for %d steps, want one for each", n, got, wave)
+		}
 	}
 }
--- a/citron/relay/relay.go
+++ b/citron/relay/relay.go
@@ -70,10 +70,17 @@
 
 // Start starts a run.
 func (w *Workers) Start(ctx context.Context, to *citron.WorkerEntry, o citron.StartOrder) (outcome citron.StartOutcome, clock time.Duration, err error) {
-	a, err := w.relay(ctx, to, w.StartVia(o.Task, to.ID), &link.Order{
+	order := &link.Order{
 		Epoch: uint64(o.Epoch), DeadlineMs: o.Deadline.Milliseconds(),
 		Start: &link.StartTask{Task: string(o.Task), Run: o.Run, Checkpoint: o.Checkpoint, Ticket: o.Ticket},
-	})
+	}
+	via := w.StartVia(o.Task, to.ID)
+	a, err := w.relay(ctx, to, via, order)
+	if err == nil && a == nil && !o.PayloadOmitted {
+		// None of the daemons knows the payload yet.
+		order.Start.HasPayload, order.Start.Payload = true, o.Payload
+		a, err = w.relay(ctx, to, via, order)
+	}
 	switch {
 	case err != nil:
 		return citron.StartUnknown, 0, eris.Wrapf(err, "start %s on %s", o.Task, to.ID)
--- a/citron/relay/relay_test.go
+++ b/citron/relay/relay_test.go
@@ -119,7 +119,7 @@
 	}
 	w := &fakeWorkers{name: string(vm), mu: &r.mu, log: &r.log}
 	server := grpc.NewServer()
-	link.RegisterLinkServer(server, &carrier{server: &Server{Workers: w, Timer: timer.System{}, Payload: func(_ context.Context, task citron.TaskRef) (string, bool) {
+	link.RegisterLinkServer(server, &carrier{server: &Server{Workers: w, Timer: timer.System{}, Payload: func(task citron.TaskRef) (string, bool) {
 		return "payload of " + string(task), vm != r.unknown
 	}}})
 	ended := make(chan error, 1)
@@ -188,6 +188,21 @@
 	}
 }
 
+// The members of a gang wait for one another, so that a start must not wait until a daemon has read the job.
+func TestStartCarriesThePayloadIfNoDaemonKnowsIt(t *testing.T) {
+	r := newRig(t, "a")
+	r.unknown = "a"
+	o := startOrder
+	o.Payload, o.PayloadOmitted = "p", false
+	outcome, _, err := r.holder.Start(t.Context(), toWorker, o)
+	if err != nil || outcome != citron.Started {
+		t.Errorf("outcome %d, error %v; want Started", outcome, err)
+	}
+	if want := []string{`a: start j.0.0.0 run 2 on w at 10.0.0.1:1, payload "p", epoch 7, deadline 9s`}; !slices.Equal(r.sent(), want) {
+		t.Errorf("orders %q, want %q", r.sent(), want)
+	}
+}
+
 // A start that was relayed and not answered may have been carried out. It must neither be reported as not sent nor be sent
 // by another daemon within the same try.
 func TestUnansweredStartIsInDoubtAndNotSentAgain(t *testing.T) {
--- a/citron/relay/server.go
+++ b/citron/relay/server.go
@@ -23,7 +23,7 @@
 	Workers citron.Workers
 	Timer   citron.Timer
 	// Payload returns the payload of a task. Ok is false if its job is not known here.
-	Payload func(context.Context, citron.TaskRef) (payload string, ok bool)
+	Payload func(citron.TaskRef) (payload string, ok bool)
 }
 
 // serverStream is one stream of orders.
@@ -134,7 +134,10 @@
 
 func (t *serverStream) start(ctx context.Context, to *citron.WorkerEntry, o *link.Order) *link.Answer {
 	task := citron.TaskRef(o.GetStart().GetTask())
-	payload, ok := t.server.Payload(ctx, task)
+	payload, ok := o.GetStart().GetPayload(), o.GetStart().GetHasPayload()
+	if !ok {
+		payload, ok = t.server.Payload(task)
+	}
 	if !ok {
 		return &link.Answer{Number: o.GetNumber(), Result: link.OrderResult_ORDER_RESULT_NOT_SENT, Error: fmt.Sprintf("the job of %s is not known", task)}
 	}
