--- a/citron/intake/writer_test.go
+++ b/citron/intake/writer_test.go
@@ -224,3 +224,28 @@
 		t.Fatal(err)
 	}
 }
+
+// A caller may be told that its job was not taken only if no append can have stored it.
+func TestUnansweredHomePartitionIsNotARefusal(t *testing.T) {
+	for name, c := range map[string]struct {
+		errs []error
+		want error
+	}{
+		"first rejected, home unanswered": {[]error{citron.ErrRejected, citron.ErrUnavailable}, citron.ErrUnavailable},
+		"first unanswered, home rejected": {[]error{citron.ErrUnavailable, citron.ErrRejected}, citron.ErrUnavailable},
+		"both rejected":                   {[]error{citron.ErrRejected, citron.ErrRejected}, citron.ErrRejected},
+		"both and an answering one":       {[]error{citron.ErrRejected, citron.ErrRejected, citron.ErrUnavailable}, citron.ErrUnavailable},
+	} {
+		w, scripted := newWriter(c.errs...)
+		silent := []int{0, 1, 2}
+		if len(c.errs) > 2 {
+			silent = []int{0, 2}
+		}
+		w.Store = &readableStore{scriptedStore: scripted, silent: silent}
+		w.Home = func() int { return 2 }
+		err := w.AppendDirect(t.Context(), []citron.KeyedRecord{{Key: "k"}})
+		if !errors.Is(err, c.want) || c.want != citron.ErrRejected && errors.Is(err, citron.ErrRejected) {
+			t.Errorf("%s: error %v, want %v", name, err, c.want)
+		}
+	}
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -28,3 +28,4 @@
 fuzz FuzzDecodeConfig ./platform
 fuzz FuzzDecodeRecords ./platform
 fuzz FuzzDecodeWave ./platform
+fuzz FuzzOrdersAndAnswers ./citron/relay
