--- a/citron/relay/relay_test.go
+++ b/citron/relay/relay_test.go
@@ -231,7 +231,7 @@
 	r := newRig(t, "a", "b")
 	paused := make(chan struct{})
 	defer close(paused)
-	r.workers["a"].start = func(ctx context.Context, _ citron.StartOrder) (citron.StartOutcome, error) {
+	r.workers["a"].start = func(context.Context, citron.StartOrder) (citron.StartOutcome, error) {
 		<-paused
 		return citron.Started, nil
 	}
