--- a/citron/entry/relay.go
+++ b/citron/entry/relay.go
@@ -48,7 +48,7 @@
 const wideJob = 8
 
 // startVia returns the daemons that can relay the start of a task, in order of preference.
-func (d *Daemon) startVia(task citron.TaskRef, worker citron.Worker) (via []citron.VMName) {
+func (d *Daemon) startVia(task citron.TaskRef, worker citron.Worker) (via []relay.Hop) {
 	if !d.relaysOrders() {
 		return nil
 	}
@@ -57,14 +57,15 @@
 		return nil
 	}
 	via = d.nearest(worker)
-	if by := citron.VMName(e.Spec.GetAcceptedBy()); d.peers.IsLive(by) {
-		at := 0
-		if countTasks(e.Spec) > wideJob {
-			at = min(1, len(via))
-		}
-		via = slices.Insert(via, at, by)
+	by := citron.VMName(e.Spec.GetAcceptedBy())
+	if len(via) == 0 || !d.peers.IsLive(by) || slices.Contains(via, relay.Hop{VM: by}) {
+		return via
 	}
-	return via
+	at := 0
+	if countTasks(e.Spec) > wideJob {
+		at = 1
+	}
+	return slices.Insert(via, at, relay.Hop{VM: by, Via: via[0].VM})
 }
 
 // countTasks returns the number of tasks of a job.
@@ -76,14 +77,15 @@
 }
 
 // renewVia returns the daemons that can relay the renewals of a worker, in order of preference.
-func (d *Daemon) renewVia(worker citron.Worker) []citron.VMName {
+func (d *Daemon) renewVia(worker citron.Worker) []relay.Hop {
 	if !d.relaysOrders() {
 		return nil
 	}
 	return d.nearest(worker)
 }
 
-// relayChoices is the number of daemons among which an order to a worker can choose.
+// relayChoices is the number of daemons among which an order to a worker can choose. Only these, and the holder, connect to
+// the worker, which accepts 64 connections in all.
 const relayChoices = 3
 
 // workersPerRelay is the number of workers for which one daemon relays orders. The fewer daemons do so, the more orders
@@ -92,7 +94,7 @@
 
 // nearest returns the live daemons that relay the orders to a worker, in order of preference. The daemons with the most
 // processor time each relay those of an equal share of the workers; most workers keep their daemon when one comes or goes.
-func (d *Daemon) nearest(worker citron.Worker) []citron.VMName {
+func (d *Daemon) nearest(worker citron.Worker) (hops []relay.Hop) {
 	d.mu.Lock()
 	relays := len(d.workerEntries)/workersPerRelay + 1
 	d.mu.Unlock()
@@ -103,7 +105,10 @@
 		weights[vm] = xxhash.Sum64String(string(vm) + "/" + string(worker))
 	}
 	slices.SortFunc(live, func(a, b citron.VMName) int { return cmp.Compare(weights[b], weights[a]) })
-	return live[:min(len(live), relayChoices)]
+	for _, vm := range live[:min(len(live), relayChoices)] {
+		hops = append(hops, relay.Hop{VM: vm})
+	}
+	return hops
 }
 
 // jobOf returns the job of a task.
@@ -120,6 +125,6 @@
 
 // CarryOrders carries out orders of the holder.
 func (s *server) CarryOrders(stream link.Link_CarryOrdersServer) error {
-	carrier := relay.Server{Workers: s.d.Workers, Timer: s.d.Timer, Payload: s.d.payloadOf}
+	carrier := relay.Server{Workers: s.d.Workers, Timer: s.d.Timer, Payload: s.d.payloadOf, Forward: s.d.orders.Forward}
 	return carrier.Serve(stream)
 }
--- a/citron/entry/relay_test.go
+++ b/citron/entry/relay_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/pool"
+	"github.com/citroncross/citroncross/citron/relay"
 	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/schema/work"
 )
@@ -50,10 +51,10 @@
 	count := map[citron.VMName]int{}
 	for _, w := range d.workerEntries {
 		via := d.renewVia(w.ID)
-		if len(via) != relayChoices || via[0] == via[1] {
+		if len(via) != relayChoices || via[0] == via[1] || via[0].Via != "" {
 			t.Fatalf("relays %v of worker %s, want %d different ones", via, w.ID, relayChoices)
 		}
-		count[via[0]]++
+		count[via[0].VM]++
 	}
 	relays := workers/workersPerRelay + 1
 	strongest := d.peers.Live()[:relays]
@@ -79,10 +80,12 @@
 	accept("narrow", 3, "d07")
 	accept("wide", wideJob+1, "d07")
 	accept("orphan", 3, "gone")
-	if via := d.startVia("narrow.0.0.0", "w001"); via[0] != "d07" {
+	nearest := d.renewVia("w001")
+	byAcceptor := relay.Hop{VM: "d07", Via: nearest[0].VM}
+	if via := d.startVia("narrow.0.0.0", "w001"); via[0] != byAcceptor {
 		t.Errorf("relays %v of a narrow job, want d07 first", via)
 	}
-	if via := d.startVia("wide.0.0.0", "w001"); via[0] != d.renewVia("w001")[0] || via[1] != "d07" {
+	if via := d.startVia("wide.0.0.0", "w001"); via[0] != nearest[0] || via[1] != byAcceptor {
 		t.Errorf("relays %v of a wide job, want that of the worker, then d07", via)
 	}
 	if via := d.startVia("orphan.0.0.0", "w001"); !slices.Equal(via, d.renewVia("w001")) {
@@ -93,6 +96,30 @@
 	}
 }
 
+// A worker resets connections beyond its limit of 64. With starts from every daemon that had accepted a job it did, which left
+// gangs incomplete (rule GANG, ballyhoura-jobs-grown trouble-1).
+func TestFewDaemonsConnectToOneWorker(t *testing.T) {
+	d := newRelayDaemon(t, 46, 370)
+	connected := map[citron.VMName]bool{}
+	for n := range 46 {
+		id := fmt.Sprintf("j%02d", n)
+		value, err := proto.Marshal(&work.Job{ID: id, AcceptedBy: fmt.Sprintf("d%02d", n), Steps: []*work.Step{{Tasks: int32(1 + n)}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.view.Apply(citron.KeyedRecord{Key: pool.JobKey + id, Value: value})
+		for _, hop := range append(d.startVia(citron.TaskRef(id+".0.0.0"), "w001"), d.renewVia("w001")...) {
+			if hop.Via != "" {
+				hop.VM = hop.Via
+			}
+			connected[hop.VM] = true
+		}
+	}
+	if len(connected) > relayChoices {
+		t.Errorf("%d daemons connect to one worker, want at most %d", len(connected), relayChoices)
+	}
+}
+
 func TestStatesReachEveryDaemonThroughGroups(t *testing.T) {
 	for _, n := range []int{0, 1, 5, maxPublishTargets, 17, 46} {
 		live := newRelayDaemon(t, n, 0).peers.Live()
--- a/citron/relay/relay.go
+++ b/citron/relay/relay.go
@@ -15,6 +15,7 @@
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/spawn"
@@ -48,8 +49,8 @@
 	Open func(ctx context.Context, vm citron.VMName) (Stream, error)
 	// StartVia returns the daemons that can relay the start of a task on a worker, RenewVia those for the renewals of a
 	// worker, in order of preference. An order for which there is none is sent directly.
-	StartVia func(citron.TaskRef, citron.Worker) []citron.VMName
-	RenewVia func(citron.Worker) []citron.VMName
+	StartVia func(citron.TaskRef, citron.Worker) []Hop
+	RenewVia func(citron.Worker) []Hop
 	// Exchanges runs the streams.
 	Exchanges *spawn.Group
 
@@ -60,9 +61,17 @@
 	avoidRelay  map[path]time.Duration
 }
 
+// Hop is a daemon that can relay an order.
+type Hop struct {
+	VM citron.VMName
+	// Via, if set, is another daemon to which VM passes the order on. A worker accepts a limited number of connections, so
+	// that only few daemons may send it orders; the daemon that knows the payload is often none of them.
+	Via citron.VMName
+}
+
 // path is the way of an order through a daemon to a worker.
 type path struct {
-	via citron.VMName
+	hop Hop
 	to  citron.Worker
 }
 
@@ -111,21 +120,22 @@
 }
 
 // relay sends an order through the first of several daemons that can send it. The answer is nil if none can.
-func (w *Workers) relay(ctx context.Context, to *citron.WorkerEntry, via []citron.VMName, o *link.Order) (a *link.Answer, err error) {
+func (w *Workers) relay(ctx context.Context, to *citron.WorkerEntry, via []Hop, o *link.Order) (a *link.Answer, err error) {
 	o.Worker, o.Address = string(to.ID), to.Address
-	for _, vm := range via {
-		if !w.usable(path{vm, to.ID}) {
+	for _, hop := range via {
+		if !w.usable(path{hop, to.ID}) || o.GetStart().GetHasPayload() && hop.Via != "" {
 			continue
 		}
-		if a, err = w.exchange(ctx, vm, o); err != nil {
-			return nil, eris.Wrapf(err, "relay through %s", vm)
+		o.Via = string(hop.Via)
+		if a, err = w.exchange(ctx, hop.VM, o); err != nil {
+			return nil, eris.Wrapf(err, "relay through %s", hop.VM)
 		}
 		switch a.GetResult() {
 		case link.OrderResult_ORDER_RESULT_NOT_SENT:
 		case link.OrderResult_ORDER_RESULT_ANSWERED:
 			return a, nil
 		default:
-			return nil, eris.Wrapf(w.workerError(path{vm, to.ID}, a), "relay through %s", vm)
+			return nil, eris.Wrapf(w.workerError(path{hop, to.ID}, a), "relay through %s", hop.VM)
 		}
 	}
 	return nil, nil
@@ -151,7 +161,7 @@
 	now := w.Timer.Now().Boot
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return now >= w.avoidDaemon[p.via] && now >= w.avoidRelay[p]
+	return now >= w.avoidDaemon[p.hop.VM] && now >= w.avoidDaemon[p.hop.Via] && now >= w.avoidRelay[p]
 }
 
 // exchange sends an order through a daemon and returns the answer.
@@ -171,6 +181,13 @@
 	return nil, errors.Join(citron.ErrUnavailable, err)
 }
 
+// Forward passes an order that another daemon has sent on to a daemon, with the payload of its task.
+func (w *Workers) Forward(ctx context.Context, vm citron.VMName, o *link.Order, payload string) (*link.Answer, error) {
+	forwarded := proto.CloneOf(o)
+	forwarded.Via, forwarded.Start.HasPayload, forwarded.Start.Payload = "", true, payload
+	return w.exchange(ctx, vm, forwarded)
+}
+
 // session returns the stream to a daemon and opens one if there is none.
 func (w *Workers) session(vm citron.VMName) *session {
 	w.mu.Lock()
--- a/citron/relay/relay_test.go
+++ b/citron/relay/relay_test.go
@@ -63,7 +63,7 @@
 	log     []string
 	workers map[citron.VMName]*fakeWorkers
 	streams map[citron.VMName]link.LinkClient
-	via     []citron.VMName
+	via     []Hop
 	holder  *Workers
 	// unknown is the name of a daemon that does not know the payload.
 	unknown citron.VMName
@@ -82,7 +82,10 @@
 
 func newRig(t *testing.T, daemons ...citron.VMName) *rig {
 	t.Helper()
-	r := &rig{t: t, workers: map[citron.VMName]*fakeWorkers{}, streams: map[citron.VMName]link.LinkClient{}, via: daemons}
+	r := &rig{t: t, workers: map[citron.VMName]*fakeWorkers{}, streams: map[citron.VMName]link.LinkClient{}}
+	for _, vm := range daemons {
+		r.via = append(r.via, Hop{VM: vm})
+	}
 	direct := &fakeWorkers{name: "holder", mu: &r.mu, log: &r.log}
 	r.workers["holder"] = direct
 	exchanges := &spawn.Group{}
@@ -100,8 +103,8 @@
 			}
 			return r.streams[vm].CarryOrders(ctx)
 		},
-		StartVia: func(citron.TaskRef, citron.Worker) []citron.VMName { return r.via },
-		RenewVia: func(citron.Worker) []citron.VMName { return r.via },
+		StartVia: func(citron.TaskRef, citron.Worker) []Hop { return r.via },
+		RenewVia: func(citron.Worker) []Hop { return r.via },
 	}
 	t.Cleanup(func() {
 		cancel()
@@ -121,6 +124,8 @@
 	server := grpc.NewServer()
 	link.RegisterLinkServer(server, &carrier{server: &Server{Workers: w, Timer: timer.System{}, Payload: func(task citron.TaskRef) (string, bool) {
 		return "payload of " + string(task), vm != r.unknown
+	}, Forward: func(ctx context.Context, via citron.VMName, o *link.Order, payload string) (*link.Answer, error) {
+		return r.holder.Forward(ctx, via, o, payload)
 	}}})
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(listener) }()
@@ -188,6 +193,29 @@
 	}
 }
 
+// Only few daemons may connect to a worker, so that one that knows the payload passes the start on to one of them.
+func TestStartIsPassedOnWithItsPayload(t *testing.T) {
+	r := newRig(t, "a", "b")
+	r.via = []Hop{{VM: "a", Via: "b"}, {VM: "b"}}
+	r.unknown = "b"
+	if outcome, err := r.start(orderTimeout); err != nil || outcome != citron.Started {
+		t.Errorf("outcome %d, error %v; want Started", outcome, err)
+	}
+	if want := []string{`b: start j.0.0.0 run 2 on w at 10.0.0.1:1, payload "payload of j.0.0.0", epoch 7, deadline 9s`}; !slices.Equal(r.sent(), want) {
+		t.Errorf("orders %q, want %q", r.sent(), want)
+	}
+	// The worker does not answer daemon b: the outcome is unknown, and the next try takes another path.
+	r.workers["b"].start = func(context.Context, citron.StartOrder) (citron.StartOutcome, error) {
+		return citron.StartUnknown, citron.ErrUnavailable
+	}
+	if outcome, err := r.start(orderTimeout); outcome != citron.StartUnknown || !errors.Is(err, citron.ErrUnavailable) || errors.Is(err, citron.ErrRejected) {
+		t.Errorf("outcome %d, error %v; want StartUnknown and citron.ErrUnavailable", outcome, err)
+	}
+	if r.holder.usable(path{r.via[0], "w"}) || !r.holder.usable(path{r.via[1], "w"}) {
+		t.Error("the next try takes the same path")
+	}
+}
+
 // The members of a gang wait for one another, so that a start must not wait until a daemon has read the job.
 func TestStartCarriesThePayloadIfNoDaemonKnowsIt(t *testing.T) {
 	r := newRig(t, "a")
--- a/citron/relay/server.go
+++ b/citron/relay/server.go
@@ -24,6 +24,8 @@
 	Timer   citron.Timer
 	// Payload returns the payload of a task. Ok is false if its job is not known here.
 	Payload func(citron.TaskRef) (payload string, ok bool)
+	// Forward passes an order on to another daemon.
+	Forward func(ctx context.Context, vm citron.VMName, o *link.Order, payload string) (*link.Answer, error)
 }
 
 // serverStream is one stream of orders.
@@ -141,6 +143,14 @@
 	if !ok {
 		return &link.Answer{Number: o.GetNumber(), Result: link.OrderResult_ORDER_RESULT_NOT_SENT, Error: fmt.Sprintf("the job of %s is not known", task)}
 	}
+	if via := citron.VMName(o.GetVia()); via != "" {
+		a, err := t.server.Forward(ctx, via, o, payload)
+		if err != nil {
+			return failure(o, err)
+		}
+		a.Number = o.GetNumber()
+		return a
+	}
 	outcome, clock, err := t.server.Workers.Start(ctx, to, citron.StartOrder{
 		Task: task, Run: o.GetStart().GetRun(), Payload: payload, Checkpoint: o.GetStart().GetCheckpoint(), Ticket: o.GetStart().GetTicket(),
 		Epoch: citron.Epoch(o.GetEpoch()), Deadline: millis(o.GetDeadlineMs()),
