--- a/citron/entry/notify.go
+++ b/citron/entry/notify.go
@@ -22,7 +22,7 @@
 const (
 	// notifyDelay is how long records are collected for one message to a daemon.
 	notifyDelay = 25 * time.Millisecond
-	// groupNotifyDelay replaces it for messages to a group of daemons.
+	// groupNotifyDelay is how long records are collected for one message to a group of daemons.
 	groupNotifyDelay = 40 * time.Millisecond
 	// notifyTimeout bounds one message; a daemon that misses it reads the records from the store.
 	notifyTimeout = 500 * time.Millisecond
--- a/citron/pool/advice.go
+++ b/citron/pool/advice.go
@@ -30,10 +30,12 @@
 	// priorPermitShare is the expected share of permitted workers before any answer; it counts like priorDecisions decisions.
 	priorPermitShare = 0.4
 	priorDecisions   = 50
-	// minAdvisedSteps is the number of waiting steps of one queue that may have tickets or a pending request in any pool;
-	// large pools may have one for each workersPerAdvisedStep workers.
+	// minAdvisedSteps is the number of waiting steps of one queue that may have tickets or a pending request in any pool.
+	// Large pools may have one for each workersPerAdvisedStep workers, provided that renewing the tickets of all of them takes
+	// no more than the time of one daemon for each workersPerAdviser workers.
 	minAdvisedSteps       = 16
 	workersPerAdvisedStep = 3
+	workersPerAdviser     = 60
 	// ticketRenewMargin is added to the cost of a request to get how long before expiry the tickets of a waiting step are
 	// requested again.
 	ticketRenewMargin = 150 * time.Millisecond
@@ -45,7 +47,7 @@
 	if s.advicePending || len(s.permits) > 0 {
 		wp.advisedSteps[queue]++
 	}
-	if s.advicePending || wp.now < s.adviceRetryAt || wp.advisedSteps[queue] > wp.maxAdvisedSteps() {
+	if s.advicePending || wp.now < s.adviceRetryAt || wp.advisedSteps[queue] > wp.maxAdvisedSteps(s) {
 		return
 	}
 	if s.coveredVersion == wp.pool.listVersion && wp.earliestExpiry(s) > wp.now+s.adviceCost+ticketRenewMargin || wp.now < s.adviceCheckAt {
@@ -69,10 +71,14 @@
 	wp.pool.observe(Decision{Kind: DecidedAdviceRequest, Job: s.job.id, Task: citron.TaskRef(s.ref), Outcome: string(vm), Age: wp.now - s.readyAt})
 }
 
-// maxAdvisedSteps returns the maximum number of waiting steps of one queue that have tickets or a pending request. It grows
-// with the pool, since the rate of jobs does, while the time for an answer does not.
-func (wp *waitingPass) maxAdvisedSteps() int {
-	return max(minAdvisedSteps, len(wp.pool.byID)/workersPerAdvisedStep)
+// maxAdvisedSteps returns the maximum number of waiting steps of the queue of s that have tickets or a pending request. It
+// grows with the pool, since the rate of jobs does, while the time for an answer does not. Steps whose tickets take long to
+// renew are fewer: in an overloaded pool they would take up all time of the policy service.
+func (wp *waitingPass) maxAdvisedSteps(s *step) int {
+	workers := len(wp.pool.byID)
+	valid := time.Duration(s.job.spec.GetTerms().GetAdvice().GetValidMs()) * time.Millisecond
+	renewable := int(valid * time.Duration(workers/workersPerAdviser) / max(adviceCost(s, 2*minAdviceWorkers), time.Millisecond))
+	return max(minAdvisedSteps, min(workers/workersPerAdvisedStep, renewable))
 }
 
 // adviceCost returns the time that the policy service takes to decide on a number of workers for a step.
--- a/citron/pool/pool_test.go
+++ b/citron/pool/pool_test.go
@@ -699,14 +699,20 @@
 	r.workers(370)
 	// The requests of the first wave are not answered yet when the second one comes.
 	const wave = 30
-	for n := range 2 {
-		for i := range wave {
-			j := newJob(fmt.Sprintf("j%d-%02d", n, i), newStep(3, 8))
-			j.Terms.Advice = &work.Advice{DecideUs: 10_000, PerWorkerUs: 150, ValidMs: 2500}
-			r.accept(j)
-		}
-		if got := len(r.plan().AdviceRequests); got != wave {
-			t.Errorf("wave %d: %d advice requests for %d steps, want one for each", n, got, wave)
+	for n, second := range map[string]struct {
+		decide int64
+		want   int
+	}{"quick": {10_000, wave}, "slow": {500_000, 0}} {
+		for i := range 2 {
+			for k := range wave {
+				j := newJob(fmt.Sprintf("%s%d-%02d", n, i, k), newStep(3, 8))
+				j.Queue = n
+				j.Terms.Advice = &work.Advice{DecideUs: second.decide, PerWorkerUs: second.decide / 70, ValidMs: 2500}
+				r.accept(j)
+			}
+			if got := len(r.plan().AdviceRequests); i == 1 && got != second.want {
+				t.Errorf("%s answers: %d advice requests for the second %d steps, want %d", n, got, wave, second.want)
+			}
 		}
 	}
 }
--- a/citron/relay/relay.go
+++ b/citron/relay/relay.go
@@ -1,6 +1,6 @@
 // Package relay passes the orders of a pool's holder to workers through other daemons, so that the holder's link and
-// processor do not limit the number of workers. The daemon that accepted a job sends the starts of its tasks, since it has
-// the payload; renewals are spread over all daemons.
+// processor do not limit the number of workers. Each worker gets its orders through a few daemons; the daemon that accepted
+// a job adds the payload to the starts of its tasks.
 //
 // A relayed order is as safe as one that is delayed by the network: the worker refuses it after its deadline or once a
 // higher epoch has been used.
