--- a/citron/entry/claims.go
+++ b/citron/entry/claims.go
@@ -132,6 +132,7 @@
 	}}
 	d.mu.Lock()
 	d.holding = h
+	d.applyTermsLocked()
 	for _, n := range d.partitions {
 		if int(n) < len(d.progress) {
 			h.holder.ClaimedPartitions = append(h.holder.ClaimedPartitions, int(n))
--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -274,9 +274,20 @@
 		return
 	}
 	d.config.Store(c)
+	d.mu.Lock()
+	d.applyTermsLocked()
+	d.mu.Unlock()
 	d.Log.Emit(event.ConfigInForce, event.Fields{"Version": c.Version, "Queues": len(c.Queues)})
 }
 
+// applyTermsLocked passes the newest terms of the teams to the pool if this daemon holds it. It requires d.mu, so that older
+// terms cannot replace newer ones.
+func (d *Daemon) applyTermsLocked() {
+	if c := d.config.Load(); c != nil && d.holding != nil {
+		d.holding.holder.Pool.SetTerms(c.Teams)
+	}
+}
+
 // Config returns the current configuration; nil if none has been read yet.
 func (d *Daemon) Config() *citron.Config {
 	return d.config.Load()
--- a/citron/platform.go
+++ b/citron/platform.go
@@ -105,6 +105,8 @@
 	Target  time.Duration
 	// Advice is set if the policy service decides which workers may run a step.
 	Advice *AdviceTiming
+	// Public is set if callers need no key.
+	Public bool
 }
 
 // Config is a version of the operator's configuration.
@@ -113,6 +115,11 @@
 	Queues  []Queue
 	// MaxBody is the maximum size of a request body in bytes.
 	MaxBody int64
+	// TeamsInForce is set if callers of queues that are not public need a team's key.
+	TeamsInForce bool
+	// Teams are sorted by name. Keys holds the team of each key.
+	Teams []TeamTerms
+	Keys  map[KeyDigest]Team
 }
 
 // FindQueue returns the queue of a host with the longest prefix of path, and the rest of path after the prefix.
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -65,6 +65,8 @@
 	stops    []Stop
 	ended    map[citron.JobID]endedJob
 	runTimes runTimes
+	// terms are the teams' terms in the newest configuration; nil if teams are not in force.
+	terms []citron.TeamTerms
 	// lastExpiry is when expired jobs were last removed.
 	lastExpiry time.Duration
 	fenced     bool
@@ -351,6 +353,13 @@
 	return p.fenced
 }
 
+// SetTerms replaces the terms of all teams; nil means that teams are not in force.
+func (p *Pool) SetTerms(terms []citron.TeamTerms) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.terms = terms
+}
+
 // ConfirmHeld records that this daemon held the pool at the given time. The store confirms it by accepting a record,
 // since it refuses the records of a holder that has been replaced.
 func (p *Pool) ConfirmHeld(at time.Duration) {
