Holder: limit the starts that are unanswered at the same time

Cause: a holder short of processor time sent starts faster than it could handle their answers. After a time-out it avoided a relaying daemon for 2 s, so that soon all starts went directly to the workers; leases lapsed and the pool changed hands without cause.

Ruled out: the link, of whose 250 KB/s the holder used 77 to 121 in the seconds before; the store, whose appends of 3 KB took 30 to 110 ms in them.

--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -227,7 +227,7 @@
 
 // placeStep starts the waiting tasks of a step as far as they fit.
 func (wp *waitingPass) placeStep(s *step) {
-	if wp.now < s.backoffUntil {
+	if wp.now < s.backoffUntil || wp.startsLimited() {
 		return
 	}
 	if s.job.spec.GetTerms().GetAdvice() != nil {
@@ -244,6 +244,9 @@
 		if t.state != taskWaiting {
 			continue
 		}
+		if wp.startsLimited() {
+			return
+		}
 		w := wp.bestWorker(s, t)
 		if w == nil {
 			return
@@ -252,6 +255,12 @@
 	}
 }
 
+// startsLimited reports whether the plan has as many starts as it may.
+func (wp *waitingPass) startsLimited() bool {
+	limit := wp.pool.maxStarts
+	return limit >= 0 && len(wp.effects.Starts) >= limit
+}
+
 // allowed reports whether a worker accepts tasks and may run those of a step now, whatever its free capacity.
 func (wp *waitingPass) allowed(s *step, w *worker) bool {
 	if !w.usable(wp.now) || w.entry.Service != citron.Service(s.job.spec.GetTerms().GetService()) || !w.entry.HasLabel(s.spec.GetRequires()) {
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -80,6 +80,8 @@
 	rewriteQueue []citron.JobID
 	rewriting    bool
 	lastPlan     PlanStats
+	// maxStarts limits the starts of one plan; negative for no limit.
+	maxStarts int
 }
 
 // DecisionKind is the kind of a Decision.
@@ -343,9 +345,17 @@
 		runTimes: runTimes{},
 
 		permitCounts: map[string]permitCount{},
+		maxStarts:    -1,
 	}
 }
 
+// LimitStarts limits the starts of the next plan. A gang may exceed the limit, since it starts whole.
+func (p *Pool) LimitStarts(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.maxStarts = limit
+}
+
 // Fenced reports whether a worker has seen a higher epoch.
 func (p *Pool) Fenced() bool {
 	p.mu.Lock()
