--- a/citron/teams.go
+++ b/citron/teams.go
@@ -40,12 +40,14 @@
 
 // Quota counts what the tasks of each team use on all workers together.
 type Quota interface {
-	// SetTerms replaces the terms of all teams. What is in use stays counted.
+	// SetTerms replaces the terms of all teams; nil means that teams are not in force. What is in use stays counted.
 	SetTerms(terms []TeamTerms)
 	// Take counts one more task on a worker, also beyond the maximum.
 	Take(team Team, need Capacity)
 	// Return counts one task less.
 	Return(team Team, need Capacity)
+	// SetUnknown sets the capacity that runs of unknown teams may use.
+	SetUnknown(c Capacity)
 	// Fits returns how many more tasks of a size the team may start, at most limit.
 	Fits(team Team, need Capacity, limit int) int
 	// Used returns what the team's tasks use.
