Pool: start no more tasks of a team than its maximum allows

The scheduler places the tasks of all teams as long as workers have capacity, so a team can exceed the maximum in its terms.

assign and unassign are now the only places where a run is put on a worker and taken off it, and count it for its team. A step starts as many tasks as the team's maximum leaves, a gang whole or not at all; without any left it asks the policy service for nothing and reserves nothing. Workers with runs that this holder does not know, or that have not reported while jobs may be unknown, count with their free capacity against each maximum until their leases have expired. The jobs of teams wait until the holder has been given terms. Jobs without a team and pools without terms are served as before.

--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -169,9 +169,8 @@
 	w := p.ensureWorker(now, id)
 	// The former holder may have renewed the lease until this epoch began.
 	w.leaseUntil = max(w.leaseUntil, now+p.maxLeaseTime(p.Options.MaxLease))
-	t.state, t.worker, t.stateSince, t.startedAt = state, w, now, now
-	w.tasks[t.ref] = t
-	w.used = w.used.Add(t.step.need)
+	t.state, t.stateSince, t.startedAt = state, now, now
+	p.assign(t, w)
 }
 
 // ensureWorker returns the worker with an id and adds it if it is unknown; the platform need not have listed it.
--- a/citron/pool/end.go
+++ b/citron/pool/end.go
@@ -234,17 +234,6 @@
 	}
 }
 
-// unassign releases the capacity of a run that is no longer on its worker.
-func (p *Pool) unassign(t *task) {
-	if t.worker == nil {
-		return
-	}
-	delete(t.worker.tasks, t.ref)
-	t.worker.used = t.worker.used.Sub(t.step.need)
-	t.worker = nil
-	p.dirty[t.step.job] = true
-}
-
 // requeue makes a task wait again after a run that did not complete it. A finished task only releases its capacity.
 func (p *Pool) requeue(now time.Duration, t *task, reason string) {
 	s := t.step
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -121,6 +121,7 @@
 	p.lastPlan = PlanStats{}
 	p.waiting = slices.DeleteFunc(p.waiting, func(s *step) bool { return s.job.terminal || s.waitingTasks() == 0 })
 	p.sortWaiting(now)
+	p.countUnknown(now)
 	wp := waitingPass{pool: p, now: now, effects: e, advisedSteps: map[string]int{}}
 	for _, s := range p.waiting {
 		p.lastPlan.WaitingSteps++
@@ -227,7 +228,8 @@
 
 // placeStep starts the waiting tasks of a step as far as they fit.
 func (wp *waitingPass) placeStep(s *step) {
-	if wp.now < s.backoffUntil {
+	room := wp.pool.quotaRoom(s)
+	if wp.now < s.backoffUntil || room == 0 {
 		return
 	}
 	if s.job.spec.GetTerms().GetAdvice() != nil {
@@ -245,10 +247,11 @@
 			continue
 		}
 		w := wp.bestWorker(s, t)
-		if w == nil {
+		if w == nil || room == 0 {
 			return
 		}
 		wp.startTask(t, w, t.run+1)
+		room--
 	}
 }
 
@@ -355,9 +358,8 @@
 // startTask assigns a run to a worker, takes the capacity and adds the start order.
 func (wp *waitingPass) startTask(t *task, w *worker, run int32) {
 	s, p := t.step, wp.pool
-	t.state, t.run, t.worker, t.stateSince, t.startedAt = taskOrdered, run, w, wp.now, wp.now
-	w.tasks[t.ref] = t
-	w.used = w.used.Add(s.need)
+	t.state, t.run, t.stateSince, t.startedAt = taskOrdered, run, wp.now, wp.now
+	p.assign(t, w)
 	w.leaseUntil = max(w.leaseUntil, wp.now+p.maxLeaseTime(p.Options.Lease))
 	j := s.job
 	p.dirty[j] = true
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -13,6 +13,7 @@
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/advice"
+	"github.com/citroncross/citroncross/citron/quota"
 	"github.com/citroncross/citroncross/schema/work"
 )
 
@@ -67,6 +68,12 @@
 	runTimes runTimes
 	// terms are the teams' terms in the newest configuration; nil if teams are not in force.
 	terms []citron.TeamTerms
+	// termsKnown is set once the terms, or that there are none, are known. Jobs of teams wait for that.
+	termsKnown bool
+	// quota counts what the runs of each team use.
+	quota quota.Counter
+	// unknownUntil is when every lease given by a former holder has expired; 0 before the first Plan with terms.
+	unknownUntil time.Duration
 	// lastExpiry is when expired jobs were last removed.
 	lastExpiry time.Duration
 	fenced     bool
@@ -357,7 +364,8 @@
 func (p *Pool) SetTerms(terms []citron.TeamTerms) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.terms = terms
+	p.terms, p.termsKnown = terms, true
+	p.quota.SetTerms(terms)
 }
 
 // ConfirmHeld records that this daemon held the pool at the given time. The store confirms it by accepting a record,
--- /dev/null
+++ b/citron/pool/quota.go
@@ -0,0 +1,90 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/quota"
+)
+
+// team returns the team of a step's job, empty if it has none.
+func (s *step) team() citron.Team {
+	return citron.Team(s.job.spec.GetTeam())
+}
+
+// assign puts a run on a worker and counts it against the worker's capacity and the team's maximum until unassign.
+func (p *Pool) assign(t *task, w *worker) {
+	p.unassign(t)
+	t.worker = w
+	w.tasks[t.ref] = t
+	w.used = w.used.Add(t.step.need)
+	if team := t.step.team(); team != "" {
+		p.quota.Take(team, quota.StepNeed(t.step.spec))
+	}
+}
+
+// unassign releases what a run that is no longer on its worker has used.
+func (p *Pool) unassign(t *task) {
+	if t.worker == nil {
+		return
+	}
+	delete(t.worker.tasks, t.ref)
+	t.worker.used = t.worker.used.Sub(t.step.need)
+	t.worker = nil
+	p.dirty[t.step.job] = true
+	if team := t.step.team(); team != "" {
+		p.quota.Return(team, quota.StepNeed(t.step.spec))
+	}
+}
+
+// quotaRoom returns how many waiting tasks of a step its team's maximum lets start now. It is 0 for a gang of which not all
+// tasks may start.
+func (p *Pool) quotaRoom(s *step) int {
+	tasks := len(s.tasks)
+	team := s.team()
+	switch {
+	case team == "":
+		return tasks
+	case !p.termsKnown:
+		return 0
+	}
+	room := p.quota.Fits(team, quota.StepNeed(s.spec), tasks)
+	if s.spec.GetGang() && room < tasks {
+		return 0
+	}
+	return room
+}
+
+// countUnknown passes to the quota what runs that this holder does not know may use. Their teams are unknown as well.
+func (p *Pool) countUnknown(now time.Duration) {
+	if p.terms == nil {
+		return
+	}
+	if p.unknownUntil == 0 {
+		p.unknownUntil = now + p.maxLeaseTime(p.Options.MaxLease)
+	}
+	unknown := citron.Capacity{}
+	for _, w := range p.byID {
+		if p.hidesRuns(now, w) {
+			unknown = unknown.Add(atLeastZero(w.free()))
+		}
+	}
+	p.quota.SetUnknown(unknown)
+}
+
+// hidesRuns reports whether a worker may have runs that are not assigned to it: it has reported some, or it has not reported
+// yet and a former holder may have started runs of jobs that are not known here. They end with their leases.
+func (p *Pool) hidesRuns(now time.Duration, w *worker) bool {
+	switch {
+	case w.gone:
+		return false
+	case w.unrecordedRuns:
+		return now <= max(w.leaseUntil, p.unknownUntil)
+	}
+	return !w.reported && !p.allJobsKnown && now <= p.unknownUntil
+}
+
+// atLeastZero replaces negative dimensions by 0.
+func atLeastZero(c citron.Capacity) citron.Capacity {
+	return citron.Capacity{MilliCores: max(c.MilliCores, 0), MemoryMb: max(c.MemoryMb, 0), Accelerators: max(c.Accelerators, 0)}
+}
