--- a/citron/event/catalog.go
+++ b/citron/event/catalog.go
@@ -76,6 +76,9 @@
 	StepWaiting        = register(614, logrus.InfoLevel, "step waiting")
 	ExchangeFailed     = register(613, logrus.WarnLevel, "exchange failed")
 	PendingJobsCounted = register(615, logrus.InfoLevel, "pending jobs counted")
+	TeamMalformed      = register(620, logrus.WarnLevel, "team in the configuration malformed")
+	KeyAmbiguous       = register(621, logrus.WarnLevel, "key of several teams in the configuration")
+	KeyRefused         = register(622, logrus.InfoLevel, "caller without a valid key refused")
 )
 
 // Events of machine upkeep.
