Front: require a team's key where teams are in force

Any caller could submit, read and cancel any job. Requests to queues that are not public now need one Authorization header with the Bearer scheme and a known key, else 401 (108). A job carries the team of the key. GET and DELETE of another team's job answer 410, a POST under its id 409 (303); a POST still costs one append. With revoke_strict, keys are refused with 503 (209) once the configuration's partition has not answered for revoke_ms. Without teams nothing changes.

--- a/citron/errors.go
+++ b/citron/errors.go
@@ -35,6 +35,7 @@
 	RefusalBadBody         RefusalNumber = 105
 	RefusalUnschedulable   RefusalNumber = 106
 	RefusalUnknownJob      RefusalNumber = 107
+	RefusalNoKey           RefusalNumber = 108
 	RefusalQueueFull       RefusalNumber = 201
 	RefusalDeadlineTooNear RefusalNumber = 202
 	RefusalDeadlinePassed  RefusalNumber = 203
@@ -42,8 +43,10 @@
 	RefusalLogUnavailable  RefusalNumber = 205
 	RefusalNoOwner         RefusalNumber = 207
 	RefusalNoSlot          RefusalNumber = 208
+	RefusalConfigStale     RefusalNumber = 209
 	RefusalAlreadyRan      RefusalNumber = 301
 	RefusalInProgress      RefusalNumber = 302
+	RefusalOtherTeamsJob   RefusalNumber = 303
 	RefusalOutcomeUnknown  RefusalNumber = 401
 )
 
@@ -73,7 +76,9 @@
 		return http.StatusBadRequest
 	case RefusalUnschedulable:
 		return http.StatusUnprocessableEntity
-	case RefusalAlreadyRan, RefusalInProgress:
+	case RefusalNoKey:
+		return http.StatusUnauthorized
+	case RefusalAlreadyRan, RefusalInProgress, RefusalOtherTeamsJob:
 		return http.StatusConflict
 	case RefusalQueueFull:
 		return http.StatusTooManyRequests
--- a/citron/intake/intake.go
+++ b/citron/intake/intake.go
@@ -42,18 +42,27 @@
 	CountElsewhere func(ctx context.Context, q citron.QueueName) (n int, ok bool)
 	// Stored, if set, is called with each record that the store has acknowledged.
 	Stored func(citron.KeyedRecord)
+	// Caller sends the requests; the zero value may use every job.
+	Caller Caller
 }
 
-// Submit stores a job. It is idempotent.
+// Submit stores a job. It is idempotent. The id of a job that the caller may not use is refused.
 func (s *Service) Submit(ctx context.Context, job *work.Job) *citron.Refusal {
-	if _, known := s.View.Get(citron.JobID(job.GetID())); known {
-		return nil
+	if e, known := s.View.Get(citron.JobID(job.GetID())); known {
+		return s.Caller.refuseID(e.Spec)
 	}
 	value, err := proto.Marshal(job)
 	if err != nil {
 		return citron.NewNotRunRefusal(citron.RefusalBadBody, 0, "the job cannot be stored: %v", err)
 	}
-	return s.write(ctx, citron.KeyedRecord{Key: pool.JobKey + job.GetID(), Value: value})
+	if refused := s.write(ctx, citron.KeyedRecord{Key: pool.JobKey + job.GetID(), Value: value}); refused != nil {
+		return refused
+	}
+	// The job of another team may have been read meanwhile. The first record counts.
+	if e, known := s.View.Get(citron.JobID(job.GetID())); known {
+		return s.Caller.refuseID(e.Spec)
+	}
+	return nil
 }
 
 // Cancel stores the cancellation of a job. Cancelling an ended job changes nothing.
@@ -68,6 +77,9 @@
 			}
 		}
 	}
+	if !s.Caller.MayUse(e.Spec) {
+		return refuseUnknown(id)
+	}
 	if pool.IsTerminal(e.State()) {
 		return nil
 	}
@@ -83,8 +95,8 @@
 		}
 		e, known = s.View.Get(id)
 	}
-	if !known {
-		return view.Entry{}, citron.NewNotRunRefusal(citron.RefusalUnknownJob, 0, "job %q is not known; ended jobs are forgotten after a time", id)
+	if !known || !s.Caller.MayUse(e.Spec) {
+		return view.Entry{}, refuseUnknown(id)
 	}
 	return e, nil
 }
--- a/citron/view/view.go
+++ b/citron/view/view.go
@@ -224,8 +224,9 @@
 	case jobRecord:
 		spec := &work.Job{}
 		return func(e *Entry) {
-			// Later specs with the same id are ignored, but for one that adds the payload.
-			if e.Spec == nil || e.Spec.GetPayloadOmitted() {
+			// Later specs with the same id are ignored, but for one that adds the payload. Another team's spec with the same
+			// id adds none.
+			if e.Spec == nil || e.Spec.GetPayloadOmitted() && e.Spec.GetTeam() == spec.GetTeam() {
 				e.Spec = spec
 			}
 		}, proto.Unmarshal(value, spec)
