Pool: hold a team's quota for a gang that waits for it

The first gang of a team that its maximum does not let start holds what it needs. Steps after it in the order use that part only if their tasks are expected to end before the gang can start, as with the capacity that gangs reserve on workers. Steps before it in the order are not affected. A gang that can never start holds nothing.

The simulation gets teams with changing maxima and checks each start against everything that is on workers.

--- /dev/null
+++ b/citron/pool/hold.go
@@ -0,0 +1,81 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/quota"
+)
+
+// quotaHold is the part of a team's maximum that a waiting gang needs. Steps that come later in the order may use it only if
+// their tasks are expected to end before until, when the gang is expected to start. Without a hold, small tasks of a team
+// that always has work waiting take what each ended task leaves, and a gang that needs much of the maximum never starts.
+type quotaHold struct {
+	need  citron.Capacity
+	until time.Duration
+}
+
+// teamRun is a run of a team and when it is expected to end.
+type teamRun struct {
+	need citron.Capacity
+	end  time.Duration
+}
+
+// heldBack reports whether the quota held for a gang of the team is closed to a step.
+func (wp *waitingPass) heldBack(s *step) bool {
+	hold, ok := wp.quotaHolds[s.team()]
+	return ok && wp.now+wp.pool.expectedRunTime(s.job, s.index) > hold.until
+}
+
+// holdQuota holds quota for a gang that does not fit below its team's maximum, unless it never will or a gang before it holds
+// some.
+func (wp *waitingPass) holdQuota(s *step) {
+	team, need := s.team(), quota.StepNeed(s.spec)
+	if _, held := wp.quotaHolds[team]; held || s.waitingTasks() < len(s.tasks) {
+		return
+	}
+	until, ok := wp.quotaFreeAt(s)
+	if !ok {
+		return
+	}
+	if wp.quotaHolds == nil {
+		wp.quotaHolds = map[citron.Team]quotaHold{}
+	}
+	hold := quotaHold{until: until}
+	for range s.tasks {
+		hold.need = hold.need.Add(need)
+	}
+	wp.quotaHolds[team] = hold
+}
+
+// quotaFreeAt returns when enough runs of the team are expected to have ended for the gang to start. Ok is false if that is
+// not known.
+func (wp *waitingPass) quotaFreeAt(s *step) (at time.Duration, ok bool) {
+	team, q := s.team(), &wp.pool.quota
+	for _, r := range wp.runsOf(team) {
+		q.Return(team, r.need)
+		defer q.Take(team, r.need)
+		if q.Fits(team, quota.StepNeed(s.spec), len(s.tasks)) == len(s.tasks) {
+			return max(r.end, wp.now), true
+		}
+	}
+	return 0, false
+}
+
+// runsOf returns the runs of a team, the first to end first. It is called for few teams, but often for none.
+func (wp *waitingPass) runsOf(team citron.Team) []teamRun {
+	if wp.teamRuns == nil {
+		wp.teamRuns = map[citron.Team][]teamRun{}
+		for _, w := range wp.pool.byID {
+			for _, t := range w.tasks {
+				r := teamRun{quota.StepNeed(t.step.spec), t.startedAt + wp.pool.expectedRunTime(t.step.job, t.step.index)}
+				wp.teamRuns[t.step.team()] = append(wp.teamRuns[t.step.team()], r)
+			}
+		}
+	}
+	runs := wp.teamRuns[team]
+	slices.SortFunc(runs, func(a, b teamRun) int { return cmp.Compare(a.end, b.end) })
+	return runs
+}
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -216,6 +216,9 @@
 	reservations map[*worker]reservation
 	// reservingGangs counts the gangs that tried to reserve capacity.
 	reservingGangs int
+	// quotaHolds is the part of a team's maximum kept for a waiting gang; teamRuns are the runs of each team.
+	quotaHolds map[citron.Team]quotaHold
+	teamRuns   map[citron.Team][]teamRun
 	// advisedSteps counts the waiting steps with tickets or a pending request, by queue.
 	advisedSteps map[string]int
 }
@@ -228,7 +231,7 @@
 
 // placeStep starts the waiting tasks of a step as far as they fit.
 func (wp *waitingPass) placeStep(s *step) {
-	room := wp.pool.quotaRoom(s)
+	room := wp.quotaRoom(s)
 	if wp.now < s.backoffUntil || room == 0 {
 		return
 	}
--- a/citron/pool/quota.go
+++ b/citron/pool/quota.go
@@ -38,18 +38,25 @@
 }
 
 // quotaRoom returns how many waiting tasks of a step its team's maximum lets start now. It is 0 for a gang of which not all
-// tasks may start.
-func (p *Pool) quotaRoom(s *step) int {
-	tasks := len(s.tasks)
-	team := s.team()
+// tasks may start; the first such gang of a team holds the team's quota.
+func (wp *waitingPass) quotaRoom(s *step) int {
+	tasks, team, p := len(s.tasks), s.team(), wp.pool
 	switch {
 	case team == "":
 		return tasks
 	case !p.termsKnown:
 		return 0
 	}
-	room := p.quota.Fits(team, quota.StepNeed(s.spec), tasks)
+	need := quota.StepNeed(s.spec)
+	room := p.quota.Fits(team, need, tasks)
+	if room > 0 && wp.heldBack(s) {
+		held := wp.quotaHolds[team].need
+		p.quota.Take(team, held)
+		room = p.quota.Fits(team, need, tasks)
+		p.quota.Return(team, held)
+	}
 	if s.spec.GetGang() && room < tasks {
+		wp.holdQuota(s)
 		return 0
 	}
 	return room
--- a/citron/pool/sim_test.go
+++ b/citron/pool/sim_test.go
@@ -41,6 +41,12 @@
 	ordersAsStarts
 	// stopsAsDone takes the end of a stopped run for one as done.
 	stopsAsDone
+	// countsAnsweredStarts counts a start for its team only once it is answered.
+	countsAnsweredStarts
+	// stopsAsEnds counts a run for its team only until its stop is ordered.
+	stopsAsEnds
+	// adoptsUncounted does not count the runs of former holders for their teams.
+	adoptsUncounted
 )
 
 const (
@@ -78,6 +84,8 @@
 	lastStart map[citron.TaskRef]time.Duration
 	// failures counts the acknowledged failures of each task.
 	failures map[citron.TaskRef]int
+	// teams is nil in simulations without teams.
+	teams *simTeams
 	// violation describes the first violation of an invariant, with its time and the rule of docs/PROOFS.md that it
 	// breaks, for example LIMIT; the bench's verdict on such a fault has the same name.
 	violation string
@@ -103,6 +111,8 @@
 	// knownCancels holds the cancelled jobs that the holder knows of.
 	knownCancels map[string]bool
 	polling      map[citron.Worker]bool
+	// ordered holds the newest run of each task that this holder has planned.
+	ordered map[citron.TaskRef]int32
 }
 
 type simWorker struct {
@@ -139,13 +149,18 @@
 	stopAt time.Duration
 }
 
-// simulate runs one simulation and returns the first violation of an invariant, empty if there is none.
+// simulate runs one simulation without teams and returns the first violation of an invariant, empty if there is none.
 func simulate(seed uint64, m mutant) (violation string) {
+	return simulateTeams(seed, m, nil)
+}
+
+// simulateTeams runs one simulation, in which the teams, if any, submit the jobs.
+func simulateTeams(seed uint64, m mutant, teams *simTeams) (violation string) {
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 7)), mutant: m, stored: map[string]*work.Progress{}, done: map[citron.TaskRef]bool{},
 		failures: map[citron.TaskRef]int{}, cancelled: map[string]bool{}, lastStart: map[citron.TaskRef]time.Duration{}, start: time.Hour,
 		now:   citron.Instant{Boot: time.Hour, Wall: time.UnixMilli(1_700_000_000_000)},
-		begun: map[citron.JobID]bool{}, finished: map[citron.TaskRef]bool{},
+		begun: map[citron.JobID]bool{}, finished: map[citron.TaskRef]bool{}, teams: teams,
 	}
 	for range 5 {
 		s := &simWorker{world: w, drift: 1 - 0.02*w.rng.Float64(), entry: citron.WorkerEntry{Service: "svc", Capacity: citron.Capacity{MilliCores: 8000, MemoryMb: 8000}}}
@@ -192,6 +207,7 @@
 	for _, s := range w.workers {
 		s.tick()
 	}
+	w.changeTerms()
 	if w.now.Boot < w.start+simSubmitTime && w.chance(0.05) {
 		w.submit()
 	}
@@ -218,6 +234,7 @@
 		j.Steps = append(j.Steps, second)
 	}
 	j.Terms.Attempts = 4
+	j.Team = w.nextTeam()
 	j.AcceptedMs = w.now.Wall.UnixMilli()
 	w.accepted = append(w.accepted, j)
 }
@@ -260,7 +277,7 @@
 	if w.mutant == leaseTooShort {
 		o.Lease, o.MaxLease, o.StopGrace, o.AnswerTimeout = time.Second, time.Second, 0, 500*time.Millisecond
 	}
-	h := &simHolder{world: w, pool: New(o, w.epoch, advisers), polling: map[citron.Worker]bool{}, knownCancels: map[string]bool{}}
+	h := &simHolder{world: w, pool: New(o, w.epoch, advisers), polling: map[citron.Worker]bool{}, knownCancels: map[string]bool{}, ordered: map[citron.TaskRef]int32{}}
 	h.pool.ConfirmHeld(w.now.Boot)
 	w.holders = append(w.holders, h)
 	h.updateWorkers()
@@ -314,7 +331,7 @@
 	if h.storing || h.pool.Fenced() {
 		return
 	}
-	e, err := h.pool.Plan(h.world.now)
+	e, err := h.plan()
 	if err != nil {
 		h.world.violation = err.Error()
 		return
@@ -551,6 +568,7 @@
 	if !s.entry.Capacity.Sub(used).Fits(need) {
 		w.fail("LIMIT: start of %s on %s exceeds its capacity", o.Task, s.entry.ID)
 	}
+	w.checkQuota(o.Task, need)
 	for _, other := range w.workers {
 		if run := other.runs[o.Task]; run != nil {
 			w.fail("TWICE: %s started as run %d on %s while run %d is on %s", o.Task, o.Run, s.entry.ID, run.run, other.entry.ID)
--- a/citron/quota/check.go
+++ b/citron/quota/check.go
@@ -16,14 +16,14 @@
 // Check returns an error if a step of the job can never start under the terms of its team: a gang that is larger than the
 // team's maximum, or a single task that is.
 func Check(job *work.Job, terms citron.TeamTerms) error {
-	var empty Counter
-	empty.SetTerms([]citron.TeamTerms{terms})
+	var c Counter
+	c.SetTerms([]citron.TeamTerms{terms})
 	for n, s := range job.GetSteps() {
 		together := 1
 		if s.GetGang() {
 			together = int(s.GetTasks())
 		}
-		if empty.Fits(terms.Name, StepNeed(s), together) < together {
+		if !c.Suits(terms.Name, StepNeed(s), together) {
 			return fmt.Errorf("step %d starts %d tasks at once, which need more than team %s may use: %s", n, together, terms.Name, describe(terms.Max))
 		}
 	}
--- a/citron/quota/quota.go
+++ b/citron/quota/quota.go
@@ -80,6 +80,12 @@
 	return min(limit, copies(maximum.Accelerators, used.Accelerators, c.unknown.Accelerators, need.Accelerators))
 }
 
+// Suits reports whether a team's maximum allows a number of tasks of a size together, if nothing else of the team runs.
+func (c *Counter) Suits(team citron.Team, need citron.Capacity, tasks int) bool {
+	empty := Counter{maxima: c.maxima}
+	return empty.Fits(team, need, tasks) >= tasks
+}
+
 // noLimit is more tasks than any step has.
 const noLimit = 1 << 30
 
