Share: rate, level and refusals of the teams

A team that sends 7.5 times its usual load delays every other team, since waiting steps are ordered by deadline alone. Package share decides who gets scarce capacity: a token bucket of weight jobs per second for each team, the weighted max-min level of the dominant resource above which a team is over its share, and the teams whose backlog is worthless. While the demand of all teams fits into the cluster, the level is infinite and nobody is over the share.

The interface gets Update, which takes the use of all teams once a plan, instead of passing the use with each Rank; the level is known here, so Backlog no longer names the cores that a team is expected to get.

--- a/citron/teams.go
+++ b/citron/teams.go
@@ -71,12 +71,20 @@
 	SetTerms(terms []TeamTerms)
 	// Arrived records an accepted job and reports whether it is within the team's rate.
 	Arrived(team Team, at time.Duration) (within bool)
-	// Rank returns the rank of a team's jobs. Used is what each team uses now and capacity what the cluster has.
-	Rank(team Team, within bool, used map[Team]Capacity, capacity Capacity) ShareRank
+	// Update applies what the teams use and need at the moment. It is called once before Rank and Refusals.
+	Update(uses []TeamUse, capacity Capacity)
+	// Rank returns the rank of a team's job.
+	Rank(team Team, within bool) ShareRank
 	// Refusals returns the teams whose new jobs are to be refused and how long these would wait.
 	Refusals(backlogs []Backlog) map[Team]time.Duration
 }
 
+// TeamUse is what a team's tasks use on workers and what its waiting tasks need. The team is empty for jobs without one.
+type TeamUse struct {
+	Team          Team
+	Used, Waiting Capacity
+}
+
 // Backlog is the waiting work of one team.
 type Backlog struct {
 	Team Team
@@ -84,8 +92,6 @@
 	Jobs, OverRate int
 	// Work is the processor time that the waiting tasks need, in thousandths of a core times the run time.
 	Work time.Duration
-	// MilliCores is what the team is expected to get while all teams have waiting work.
-	MilliCores int64
 	// Objective is the shortest latency objective of the waiting jobs.
 	Objective time.Duration
 }
