Pool: order waiting steps by the share of their team

The order of waiting steps moves from plan.go to order.go and takes the rank of the team's share in: steps that can be of no use stay last, then come jobs beyond the rate of their team after all others and teams over their share after those within it; inside that the order is as before. The rates of new jobs are checked in order of acceptance, because a new holder is passed all jobs at once. What the teams use is added up from the tasks on workers once a plan.

Without teams the order is the same: TestOrderWithoutTeams compares it with the former code over 4,000 random steps. TestOrderOfTeams and TestJobsAreClassifiedInOrderOfAcceptance were seen to fail without the rank and without the sorting.

--- a/citron/platform.go
+++ b/citron/platform.go
@@ -61,6 +61,11 @@
 	return Capacity{c.MilliCores - o.MilliCores, c.MemoryMb - o.MemoryMb, c.Accelerators - o.Accelerators}
 }
 
+// Times returns n times c.
+func (c Capacity) Times(n int) Capacity {
+	return Capacity{c.MilliCores * int64(n), c.MemoryMb * int64(n), c.Accelerators * int64(n)}
+}
+
 // Fits reports whether need fits into c.
 func (c Capacity) Fits(need Capacity) bool {
 	return c.MilliCores >= need.MilliCores && c.MemoryMb >= need.MemoryMb && c.Accelerators >= need.Accelerators
--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -30,6 +30,7 @@
 	waited := max(now.Wall.Sub(time.UnixMilli(spec.GetAcceptedMs())), 0)
 	j := &job{id: id, spec: spec, accepted: now.Boot - waited, state: progress.GetState(), recorded: progress.GetState(), nextOccurrence: progress.GetNextOccurrence()}
 	p.jobs[id] = j
+	p.arrivals = append(p.arrivals, j)
 	if spec.GetSchedule().GetRepeats() > 0 {
 		p.scheduled = append(p.scheduled, j)
 	}
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -120,6 +119,8 @@
 func (p *Pool) place(now time.Duration, e *Effects) {
 	p.lastPlan = PlanStats{}
 	p.waiting = slices.DeleteFunc(p.waiting, func(s *step) bool { return s.job.terminal || s.waitingTasks() == 0 })
+	p.classifyArrivals()
+	p.updateShares(now)
 	p.sortWaiting(now)
 	wp := waitingPass{pool: p, now: now, effects: e, advisedSteps: map[string]int{}}
 	for _, s := range p.waiting {
@@ -167,45 +168,6 @@
 	return n
 }
 
-// rank orders waiting steps: by band of lateness, then priority (0 first), then deadline.
-type rank struct {
-	band     int
-	priority int32
-	deadline time.Duration
-}
-
-// Bands of lateness. Steps that can no longer meet their objective come after those that can.
-const (
-	bandInTime = iota
-	bandLate
-	bandTooLate
-)
-
-// tooLateFactor is the multiple of a job's objective after which its result is worth nothing to the caller.
-const tooLateFactor = 3
-
-// sortWaiting sorts the waiting steps by rank.
-func (p *Pool) sortWaiting(now time.Duration) {
-	ranks := make(map[*step]rank, len(p.waiting))
-	for _, s := range p.waiting {
-		r := rank{priority: s.job.spec.GetTerms().GetPriority(), deadline: s.deadline}
-		end := now + p.expectedRunTime(s.job, s.index)
-		switch objective := s.deadline - s.job.accepted; {
-		case end <= s.deadline:
-		case end <= s.job.accepted+tooLateFactor*objective:
-			r.band = bandLate
-		default:
-			r.band = bandTooLate
-		}
-		ranks[s] = r
-	}
-	slices.SortStableFunc(p.waiting, func(a, b *step) int {
-		ra, rb := ranks[a], ranks[b]
-		return cmp.Or(cmp.Compare(ra.band, rb.band), cmp.Compare(ra.priority, rb.priority),
-			cmp.Compare(ra.deadline, rb.deadline), cmp.Compare(a.ref, b.ref))
-	})
-}
-
 // waitingPass is the state of one pass of Plan over the waiting steps.
 type waitingPass struct {
 	pool    *Pool
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -13,6 +13,7 @@
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/advice"
+	"github.com/citroncross/citroncross/citron/share"
 	"github.com/citroncross/citroncross/schema/work"
 )
 
@@ -67,6 +68,11 @@
 	runTimes runTimes
 	// terms are the teams' terms in the newest configuration; nil if teams are not in force.
 	terms []citron.TeamTerms
+	// share ranks the teams; nil if teams are not in force.
+	share citron.Share
+	// teams holds the use of capacity by each team with jobs in the pool, arrivals the jobs whose rate is not checked yet.
+	teams    map[citron.Team]*teamUse
+	arrivals []*job
 	// lastExpiry is when expired jobs were last removed.
 	lastExpiry time.Duration
 	fenced     bool
@@ -181,6 +187,10 @@
 	open           []*occurrence
 	// terminal is set once the final state of the job is decided.
 	terminal bool
+	// team is the use of capacity by the job's team, nil until its rate is checked.
+	team *teamUse
+	// overRate is set if the job arrived beyond the rate of its team.
+	overRate bool
 }
 
 // occurrence is one execution of all steps of a job.
@@ -343,6 +353,7 @@
 		runTimes: runTimes{},
 
 		permitCounts: map[string]permitCount{},
+		teams:        map[citron.Team]*teamUse{},
 	}
 }
 
@@ -358,6 +369,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.terms = terms
+	switch {
+	case terms == nil:
+		p.share = nil
+		return
+	case p.share == nil:
+		p.share = &share.Share{}
+	}
+	p.share.SetTerms(terms)
 }
 
 // ConfirmHeld records that this daemon held the pool at the given time. The store confirms it by accepting a record,
