Pool: headroom for the arrivals of priority 0

A quick job has a slack of about half a second, so it is late once it waits for a rebuild of 4 s to end. With HeadroomPercent set, tasks of priority 1 and above leave free what recent arrivals of priority 0 are expected to use (rate times run time over 2 s plus three standard deviations) beyond what they use, at most that percentage of the cluster, and only while the step can still meet its objective a second later.

--- a/citron/platform.go
+++ b/citron/platform.go
@@ -66,6 +66,11 @@
 	return Capacity{c.MilliCores * int64(n), c.MemoryMb * int64(n), c.Accelerators * int64(n)}
 }
 
+// AtLeastZero returns c with 0 in place of negative amounts.
+func (c Capacity) AtLeastZero() Capacity {
+	return Capacity{max(c.MilliCores, 0), max(c.MemoryMb, 0), max(c.Accelerators, 0)}
+}
+
 // Fits reports whether need fits into c.
 func (c Capacity) Fits(need Capacity) bool {
 	return c.MilliCores >= need.MilliCores && c.MemoryMb >= need.MemoryMb && c.Accelerators >= need.Accelerators
--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -124,6 +124,7 @@
 			continue
 		}
 		s.ready, s.readyAt = true, now
+		p.recordHeadroom(now, s)
 		p.waiting = append(p.waiting, s)
 	}
 }
--- a/citron/pool/gang.go
+++ b/citron/pool/gang.go
@@ -23,6 +23,9 @@
 			return
 		}
 	}
+	if wp.mustLeaveHeadroom(s, len(s.tasks)) {
+		return
+	}
 	free := wp.gangSlots(s, func(w *worker) citron.Capacity { return wp.capacityFor(s, w) })
 	chosen := chooseWorkers(s, free)
 	if chosen == nil {
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -122,7 +122,7 @@
 	p.classifyArrivals()
 	p.updateShares(now)
 	p.sortWaiting(now)
-	wp := waitingPass{pool: p, now: now, effects: e, advisedSteps: map[string]int{}}
+	wp := waitingPass{pool: p, now: now, effects: e, advisedSteps: map[string]int{}, headrooms: p.findHeadroom(now)}
 	for _, s := range p.waiting {
 		p.lastPlan.WaitingSteps++
 		wp.placeStep(s)
@@ -179,6 +179,8 @@
 	reservingGangs int
 	// advisedSteps counts the waiting steps with tickets or a pending request, by queue.
 	advisedSteps map[string]int
+	// headrooms is the capacity left to priority 0 by service; nil if there is none.
+	headrooms map[citron.Service]*serviceHeadroom
 }
 
 // reservation is capacity kept free for waiting gangs. Tasks that are expected to end before until may use it.
@@ -206,6 +208,9 @@
 		if t.state != taskWaiting {
 			continue
 		}
+		if wp.mustLeaveHeadroom(s, 1) {
+			return
+		}
 		w := wp.bestWorker(s, t)
 		if w == nil {
 			return
@@ -320,6 +325,7 @@
 	t.state, t.run, t.worker, t.stateSince, t.startedAt = taskOrdered, run, w, wp.now, wp.now
 	w.tasks[t.ref] = t
 	w.used = w.used.Add(s.need)
+	wp.useHeadroom(s)
 	w.leaseUntil = max(w.leaseUntil, wp.now+p.maxLeaseTime(p.Options.Lease))
 	j := s.job
 	p.dirty[j] = true
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -34,6 +34,9 @@
 	AnswerTimeout time.Duration
 	// Retention is how long the state of an ended job is retained for callers.
 	Retention time.Duration
+	// HeadroomPercent is the largest part of the capacity that tasks of priority 1 and above leave free for the expected
+	// arrivals of priority 0; 0 means none.
+	HeadroomPercent int
 }
 
 // Pool is the scheduling state of one worker pool during one epoch.
@@ -73,6 +76,8 @@
 	// teams holds the use of capacity by each team with jobs in the pool, arrivals the jobs whose rate is not checked yet.
 	teams    map[citron.Team]*teamUse
 	arrivals []*job
+	// headrooms estimates the need of priority 0 on the workers of each service. It is empty without HeadroomPercent.
+	headrooms map[citron.Service]*headroom
 	// lastExpiry is when expired jobs were last removed.
 	lastExpiry time.Duration
 	fenced     bool
@@ -354,6 +359,7 @@
 
 		permitCounts: map[string]permitCount{},
 		teams:        map[citron.Team]*teamUse{},
+		headrooms:    map[citron.Service]*headroom{},
 	}
 }
 
