--- a/citron/platform.go
+++ b/citron/platform.go
@@ -61,6 +61,16 @@
 	return Capacity{c.MilliCores - o.MilliCores, c.MemoryMb - o.MemoryMb, c.Accelerators - o.Accelerators}
 }
 
+// Times returns n times c.
+func (c Capacity) Times(n int) Capacity {
+	return Capacity{c.MilliCores * int64(n), c.MemoryMb * int64(n), c.Accelerators * int64(n)}
+}
+
+// AtLeastZero returns c with 0 in place of negative amounts.
+func (c Capacity) AtLeastZero() Capacity {
+	return Capacity{max(c.MilliCores, 0), max(c.MemoryMb, 0), max(c.Accelerators, 0)}
+}
+
 // Fits reports whether need fits into c.
 func (c Capacity) Fits(need Capacity) bool {
 	return c.MilliCores >= need.MilliCores && c.MemoryMb >= need.MemoryMb && c.Accelerators >= need.Accelerators
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -14,6 +14,7 @@
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/advice"
 	"github.com/citroncross/citroncross/citron/quota"
+	"github.com/citroncross/citroncross/citron/share"
 	"github.com/citroncross/citroncross/schema/work"
 )
 
@@ -34,6 +35,9 @@
 	AnswerTimeout time.Duration
 	// Retention is how long the state of an ended job is retained for callers.
 	Retention time.Duration
+	// HeadroomPercent is the largest part of the capacity that tasks of priority 1 and above leave free for the expected
+	// arrivals of priority 0; 0 means none.
+	HeadroomPercent int
 }
 
 // Pool is the scheduling state of one worker pool during one epoch.
@@ -74,6 +78,13 @@
 	quota quota.Counter
 	// unknownUntil is when every lease given by a former holder has expired; 0 before the first Plan with terms.
 	unknownUntil time.Duration
+	// share ranks the teams; nil if teams are not in force.
+	share citron.Share
+	// teams holds the use of capacity by each team with jobs in the pool, arrivals the jobs whose rate is not checked yet.
+	teams    map[citron.Team]*teamUse
+	arrivals []*job
+	// headrooms estimates the need of priority 0 on the workers of each service. It is empty without HeadroomPercent.
+	headrooms map[citron.Service]*headroom
 	// lastExpiry is when expired jobs were last removed.
 	lastExpiry time.Duration
 	fenced     bool
@@ -190,6 +201,10 @@
 	open           []*occurrence
 	// terminal is set once the final state of the job is decided.
 	terminal bool
+	// team is the use of capacity by the job's team, nil until its rate is checked.
+	team *teamUse
+	// overRate is set if the job arrived beyond the rate of its team.
+	overRate bool
 }
 
 // occurrence is one execution of all steps of a job.
@@ -353,6 +368,8 @@
 
 		permitCounts: map[string]permitCount{},
 		maxStarts:    -1,
+		teams:        map[citron.Team]*teamUse{},
+		headrooms:    map[citron.Service]*headroom{},
 	}
 }
 
@@ -376,6 +393,14 @@
 	defer p.mu.Unlock()
 	p.terms, p.termsKnown = terms, true
 	p.quota.SetTerms(terms)
+	switch {
+	case terms == nil:
+		p.share = nil
+		return
+	case p.share == nil:
+		p.share = &share.Share{}
+	}
+	p.share.SetTerms(terms)
 }
 
 // ConfirmHeld records that this daemon held the pool at the given time. The store confirms it by accepting a record,
