--- a/citron/pool/sim_quota_test.go
+++ b/citron/pool/sim_quota_test.go
@@ -19,6 +19,9 @@
 	simMaximum = 12_000
 	// simTermsAge is how long a start may follow older terms: the deadline of its order on the slowest clock and network.
 	simTermsAge = 2 * time.Second
+	// simQuotaDrain is added to simDuration: team a submits most jobs and may use 12 of 40 cores, so its backlog takes longer
+	// to end than that of a simulation without quotas.
+	simQuotaDrain = 10 * time.Second
 )
 
 // simTeams are the teams of a simulation.
--- a/citron/pool/sim_test.go
+++ b/citron/pool/sim_test.go
@@ -168,7 +168,11 @@
 		w.workers = append(w.workers, s)
 	}
 	w.claim()
-	for w.now.Boot < w.start+simDuration && w.violation == "" {
+	duration := simDuration
+	if teams != nil {
+		duration += simQuotaDrain
+	}
+	for w.now.Boot < w.start+duration && w.violation == "" {
 		w.step()
 	}
 	if w.violation == "" && m == noMutant {
@@ -681,6 +685,8 @@
 	if len(members) < run.gang {
 		return
 	}
+	// Runs of a worker are in a map; without an order a seed would not repeat.
+	slices.SortFunc(members, func(a, b member) int { return cmp.Compare(a.ref, b.ref) })
 	for _, m := range members {
 		m.s.endRun(m.ref, citron.EndDone)
 	}
