--- a/citron/event/catalog.go
+++ b/citron/event/catalog.go
@@ -79,6 +79,7 @@
 	TeamMalformed      = register(620, logrus.WarnLevel, "team in the configuration malformed")
 	KeyAmbiguous       = register(621, logrus.WarnLevel, "key of several teams in the configuration")
 	KeyRefused         = register(622, logrus.InfoLevel, "caller without a valid key refused")
+	KeysOutdated       = register(623, logrus.WarnLevel, "keys refused while the configuration may be outdated")
 )
 
 // Events of machine upkeep.
--- a/citron/stats/stats.go
+++ b/citron/stats/stats.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,6 +15,10 @@
 // Set is the metrics of one daemon. Team and class labels come from current templates only, so their number is bounded.
 type Set struct {
 	set *metrics.Set
+
+	mu sync.Mutex
+	// teamLabels are the teams that have a label of their own in the counters of jobs by team.
+	teamLabels map[citron.Team]bool
 }
 
 // New returns a set without metrics.
@@ -99,6 +104,35 @@
 	s.queueHistogram("citron_job_accept_seconds", queue).Update(took.Seconds())
 }
 
+// maxTeamLabels limits the series by team, since a configuration may list any number of teams over time: ten times the
+// teams of the largest deployment.
+const maxTeamLabels = 200
+
+// otherTeams is the label of the teams beyond maxTeamLabels.
+const otherTeams citron.Team = "other"
+
+// CountTeamJob counts a job that a team submitted, by whether it was accepted.
+func (s *Set) CountTeamJob(team citron.Team, accepted bool) {
+	s.counter(`citron_team_jobs_total{Team=%q,Accepted="%t"}`, s.teamLabel(team), accepted).Inc()
+}
+
+// teamLabel returns the label of a team. A team keeps its label until the daemon ends.
+func (s *Set) teamLabel(team citron.Team) citron.Team {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.teamLabels[team] {
+		return team
+	}
+	if len(s.teamLabels) >= maxTeamLabels {
+		return otherTeams
+	}
+	if s.teamLabels == nil {
+		s.teamLabels = map[citron.Team]bool{}
+	}
+	s.teamLabels[team] = true
+	return team
+}
+
 // ObserveStart records how long a task waited for its start since it became ready or its last run ended.
 func (s *Set) ObserveStart(queue citron.QueueName, waited time.Duration) {
 	s.queueHistogram("citron_task_wait_seconds", queue).Update(waited.Seconds())
