--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -26,6 +26,7 @@
 fuzz FuzzDecodeJob ./platform
 fuzz FuzzDecodeServer ./platform
 fuzz FuzzDecodeConfig ./platform
+fuzz FuzzAuthorization ./platform
 fuzz FuzzDecodeRecords ./platform
 fuzz FuzzDecodeWave ./platform
 fuzz FuzzOrdersAndAnswers ./citron/relay
