--- a/citron/view/view_test.go
+++ b/citron/view/view_test.go
@@ -23,6 +23,20 @@
 	v.Apply(records...)
 }
 
+// Guards against a job whose payload has been removed and that another team takes over by submitting its id again.
+func TestSpecOfAnotherTeamAddsNoPayload(t *testing.T) {
+	v := &View{}
+	apply(v, newRecord(t, pool.JobKey+"j", &work.Job{ID: "j", Queue: "q", Team: "a", PayloadOmitted: true}))
+	apply(v, newRecord(t, pool.JobKey+"j", &work.Job{ID: "j", Queue: "q", Team: "b", Payload: "other"}))
+	if e, _ := v.Get("j"); e.Spec.GetTeam() != "a" || e.Spec.GetPayload() != "" {
+		t.Errorf("job %v after another team's record, want the first one", e.Spec)
+	}
+	apply(v, newRecord(t, pool.JobKey+"j", &work.Job{ID: "j", Queue: "q", Team: "a", Payload: "own"}))
+	if e, _ := v.Get("j"); e.Spec.GetPayload() != "own" {
+		t.Errorf("job %v, want the payload of its team's record", e.Spec)
+	}
+}
+
 func TestProgressOnlyGoesForward(t *testing.T) {
 	v := &View{}
 	apply(v, newRecord(t, pool.JobKey+"j", &work.Job{ID: "j", Queue: "q"}))
--- a/citronlab/site/client.go
+++ b/citronlab/site/client.go
@@ -15,6 +15,8 @@
 // Client sends requests as callers do. The zero value has no timeout.
 type Client struct {
 	HTTP http.Client
+	// Key is sent with each request unless it is empty.
+	Key string
 }
 
 // Call sends a request to the front address of a daemon and returns status and body. Status 0 means that there was no
@@ -25,6 +27,9 @@
 		panic(err)
 	}
 	request.Host = clientHost
+	if c.Key != "" {
+		request.Header.Set("Authorization", "Bearer "+c.Key)
+	}
 	response, err := c.HTTP.Do(request)
 	if err != nil {
 		return 0, ""
--- a/citronlab/site/site.go
+++ b/citronlab/site/site.go
@@ -204,8 +204,26 @@
 	return errors.Join(errs...)
 }
 
+// TeamEntry is a team in the configuration.
+type TeamEntry struct {
+	Name   string   `json:"name"`
+	Keys   []string `json:"api_keys"`
+	Weight float64  `json:"weight"`
+	// Max is the maximum of processor time, memory and accelerators; 0 means no limit.
+	Max struct {
+		MilliCores   int64 `json:"cpu"`
+		MemoryMb     int64 `json:"mem_mb"`
+		Accelerators int64 `json:"gpu"`
+	} `json:"max_count"`
+}
+
 // PublishConfig writes a configuration with one queue for each prefix to the store, as the operator does.
 func (s *Site) PublishConfig(version int, prefixes ...string) {
+	s.PublishTeams(version, nil, prefixes...)
+}
+
+// PublishTeams is PublishConfig with teams.
+func (s *Site) PublishTeams(version int, teams []TeamEntry, prefixes ...string) {
 	type advice struct {
 		DecideMs    float64 `json:"decide_ms"`
 		PerWorkerMs float64 `json:"per_worker_ms"`
@@ -222,9 +240,10 @@
 		Advice          *advice `json:"advice,omitempty"`
 	}
 	config := struct {
-		Version int     `json:"version"`
-		Routes  []route `json:"routes"`
-	}{Version: version}
+		Version int         `json:"version"`
+		Routes  []route     `json:"routes"`
+		Teams   []TeamEntry `json:"tenants,omitempty"`
+	}{Version: version, Teams: teams}
 	for _, p := range prefixes {
 		config.Routes = append(config.Routes, route{p, clientHost, "/" + p + "/", "svc", 3, 2, 1000, &advice{2, 0.1, 2500}})
 	}
--- a/citronlab/site/site_test.go
+++ b/citronlab/site/site_test.go
@@ -44,6 +44,8 @@
 	log       logBuffer
 	// directWorkers is the setting direct_workers of daemons that are launched later.
 	directWorkers int
+	// strict is the setting revoke_strict of daemons that are launched later.
+	strict bool
 }
 
 // logBuffer collects the daemons' logs, which are printed if the test fails.
@@ -95,6 +97,9 @@
 	return c
 }
 
+// strictRevokeMs is short, so that the keys are outdated soon.
+const strictRevokeMs = 1000
+
 // holderExtraTimeout keeps a holder from being replaced because the test machine is busy. A holder that a test ends is
 // still replaced at once, because its ports refuse connections.
 const holderExtraTimeout = time.Minute
@@ -130,6 +135,7 @@
 		c.t.Fatal(err)
 	}
 	settings.HolderExtraTimeoutMs = holderExtraTimeout.Milliseconds()
+	settings.Bounds.RevokeStrict, settings.Bounds.RevokeMs = c.strict, strictRevokeMs
 	d := platform.New(settings, &c.log)
 	if err := d.Start(); err != nil {
 		c.t.Fatal(err)
