Show what teams use and why their tasks wait

A task that waits for its team's quota looks like one that waits for capacity.

explain and the reports of long waits name the quota, what the team uses of it, a gang that never fits, or a gang that holds it. The holder's status lists the teams with weight, use, maximum, waiting and running tasks; citronctl estate status shows them. Gauges give used and maximum cores of at most 200 teams. Events 624 to 626 report a team above its new maximum, a team that waits for its quota and unknown runs that count, the latter two at most once in 10 s.

--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -128,6 +128,8 @@
 	partitions []int32
 	// workerEntries is nil until the list of workers has been read.
 	workerEntries []citron.WorkerEntry
+	// gaugedTeams holds the teams whose gauges are registered.
+	gaugedTeams map[citron.Team]bool
 	// waves are the operator's upkeep waves; waveProgress is the progress that holders have recorded.
 	waves        map[int64]citron.Wave
 	waveProgress map[int64]*work.WaveProgress
@@ -280,10 +282,15 @@
 	d.Log.Emit(event.ConfigInForce, event.Fields{"Version": c.Version, "Queues": len(c.Queues)})
 }
 
-// applyTermsLocked passes the newest terms of the teams to the pool if this daemon holds it. It requires d.mu, so that older
-// terms cannot replace newer ones.
+// applyTermsLocked adds gauges for new teams and passes the newest terms of the teams to the pool if this daemon holds it. It
+// requires d.mu, so that older terms cannot replace newer ones.
 func (d *Daemon) applyTermsLocked() {
-	if c := d.config.Load(); c != nil && d.holding != nil {
+	c := d.config.Load()
+	if c == nil {
+		return
+	}
+	d.registerTeamGauges(c.Teams)
+	if d.holding != nil {
 		d.holding.holder.Pool.SetTerms(c.Teams)
 	}
 }
--- a/citron/entry/inspect.go
+++ b/citron/entry/inspect.go
@@ -35,6 +35,7 @@
 			Queue: string(q.Queue), OpenJobs: int32(q.OpenJobs), WaitingTasks: int32(q.WaitingTasks), RunningTasks: int32(q.Running),
 		})
 	}
+	reply.Teams = teamStatuses(p.Teams())
 	for _, w := range p.WorkerStatuses(d.Timer.Now()) {
 		reply.Workers = append(reply.Workers, &link.WorkerStatus{
 			Worker: string(w.Entry.ID), Rack: string(w.Entry.Rack), Service: string(w.Entry.Service), State: w.State, Tasks: int32(w.Tasks),
@@ -45,6 +46,20 @@
 	return reply, nil
 }
 
+// teamStatuses returns the teams as shown to operators.
+func teamStatuses(loads []pool.TeamLoad) (list []*link.TeamStatus) {
+	for _, t := range loads {
+		list = append(list, &link.TeamStatus{
+			Team: string(t.Terms.Name), Weight: t.Terms.Weight,
+			UsedMilliCores: t.Used.MilliCores, MaxMilliCores: t.Terms.Max.MilliCores,
+			UsedMemoryMb: t.Used.MemoryMb, MaxMemoryMb: t.Terms.Max.MemoryMb,
+			UsedAccelerators: t.Used.Accelerators, MaxAccelerators: t.Terms.Max.Accelerators,
+			WaitingTasks: int32(t.Waiting), RunningTasks: int32(t.Running),
+		})
+	}
+	return list
+}
+
 // heldPool returns the pool if this daemon is its holder and has loaded its state, otherwise nil.
 func (d *Daemon) heldPool() *pool.Pool {
 	d.mu.Lock()
--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -177,7 +178,7 @@
 	fields := event.Fields{"AgeMs": c.Age.Milliseconds()}
 	for key, value := range map[string]string{
 		"Queue": string(c.Queue), "Job": string(c.Job), "Task": string(c.Task), "Worker": string(c.Worker),
-		"Outcome": c.Outcome, "Reason": c.Reason,
+		"Team": string(c.Team), "Outcome": c.Outcome, "Reason": c.Reason,
 	} {
 		if value != "" {
 			fields[key] = value
@@ -199,6 +200,9 @@
 	pool.DecidedQuarantine:    event.WorkerQuarantined,
 	pool.DecidedWorkerLost:    event.WorkerLost,
 	pool.DecidedWait:          event.StepWaiting,
+	pool.DecidedAboveQuota:    event.TeamAboveQuota,
+	pool.DecidedQuotaWait:     event.TeamWaitsForQuota,
+	pool.DecidedUnknownRuns:   event.UnknownRunsCounted,
 }
 
 // exchangeFailed logs and counts a failed exchange of the given kind.
@@ -236,3 +240,34 @@
 		return 0
 	})
 }
+
+// registerTeamGauges registers the gauges of new teams; they are 0 unless this daemon holds the pool. It requires d.mu.
+func (d *Daemon) registerTeamGauges(teams []citron.TeamTerms) {
+	for _, t := range teams {
+		if d.gaugedTeams[t.Name] || len(d.gaugedTeams) >= maxGaugedTeams {
+			continue
+		}
+		if d.gaugedTeams == nil {
+			d.gaugedTeams = map[citron.Team]bool{}
+		}
+		d.gaugedTeams[t.Name] = true
+		used := func() (used, maximum citron.Capacity) {
+			if p := d.heldPool(); p != nil {
+				used, maximum = p.TeamUse(t.Name)
+			}
+			return used, maximum
+		}
+		d.Stats.RegisterGauge(fmt.Sprintf(`citron_team_used_cores{Team=%q}`, t.Name), func() float64 {
+			u, _ := used()
+			return float64(u.MilliCores) / 1000
+		})
+		d.Stats.RegisterGauge(fmt.Sprintf(`citron_team_maximum_cores{Team=%q}`, t.Name), func() float64 {
+			_, m := used()
+			return float64(m.MilliCores) / 1000
+		})
+	}
+}
+
+// maxGaugedTeams is the maximum number of teams with gauges. It is the limit of team labels that docs/design/OVERVIEW.md sets;
+// further teams are in the daemon's status only.
+const maxGaugedTeams = 200
--- a/citron/event/catalog.go
+++ b/citron/event/catalog.go
@@ -76,6 +76,9 @@
 	StepWaiting        = register(614, logrus.InfoLevel, "step waiting")
 	ExchangeFailed     = register(613, logrus.WarnLevel, "exchange failed")
 	PendingJobsCounted = register(615, logrus.InfoLevel, "pending jobs counted")
+	TeamAboveQuota     = register(624, logrus.WarnLevel, "team uses more than its new maximum")
+	TeamWaitsForQuota  = register(625, logrus.InfoLevel, "team waits for its quota")
+	UnknownRunsCounted = register(626, logrus.WarnLevel, "runs of unknown teams count against each maximum")
 )
 
 // Events of machine upkeep.
--- a/citron/pool/inspect.go
+++ b/citron/pool/inspect.go
@@ -163,6 +163,6 @@
 			slots += wp.capacityFor(s, w).MaxCopies(s.need)
 		}
 	}
-	return fmt.Sprintf("%d of %d tasks wait; workers usable %d, allowed now %d with room for %d; policy answers %d, tickets %d, asking %t",
-		s.waitingTasks(), len(s.tasks), usable, allowed, slots, len(s.eligible), len(s.permits), s.advicePending)
+	return fmt.Sprintf("%d of %d tasks wait; workers usable %d, allowed now %d with room for %d; policy answers %d, tickets %d, asking %t%s",
+		s.waitingTasks(), len(s.tasks), usable, allowed, slots, len(s.eligible), len(s.permits), s.advicePending, wp.quotaReason(s))
 }
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -74,6 +74,10 @@
 	quota quota.Counter
 	// unknownUntil is when every lease given by a former holder has expired; 0 before the first Plan with terms.
 	unknownUntil time.Duration
+	// quotaWaitAt is when a step of each team was last reported to wait for quota; unknownRunsAt is when unknown runs last
+	// counted.
+	quotaWaitAt   map[citron.Team]time.Duration
+	unknownRunsAt time.Duration
 	// lastExpiry is when expired jobs were last removed.
 	lastExpiry time.Duration
 	fenced     bool
@@ -104,6 +108,12 @@
 	DecidedWorkerLost
 	// DecidedWait reports why a step has been waiting for long.
 	DecidedWait
+	// DecidedAboveQuota means that new terms lower a team's maximum below what it uses.
+	DecidedAboveQuota
+	// DecidedQuotaWait means that a step waits because its team uses what it may.
+	DecidedQuotaWait
+	// DecidedUnknownRuns means that runs of unknown teams begin to count against each maximum.
+	DecidedUnknownRuns
 )
 
 // Decision is a scheduling decision with its cause, for logs and metrics.
@@ -114,6 +124,7 @@
 	Task   citron.TaskRef
 	Run    int32
 	Worker citron.Worker
+	Team   citron.Team
 	// Outcome is the result and Reason the cause of the decision. Both are written to logs; the Outcome of an end and the
 	// Reason of a requeue are also values of metric labels.
 	Outcome string
@@ -366,6 +377,7 @@
 	defer p.mu.Unlock()
 	p.terms, p.termsKnown = terms, true
 	p.quota.SetTerms(terms)
+	p.reportAboveQuota()
 }
 
 // ConfirmHeld records that this daemon held the pool at the given time. The store confirms it by accepting a record,
--- a/citron/pool/quota.go
+++ b/citron/pool/quota.go
@@ -57,7 +57,10 @@
 	}
 	if s.spec.GetGang() && room < tasks {
 		wp.holdQuota(s)
-		return 0
+		room = 0
+	}
+	if room == 0 {
+		wp.reportQuotaWait(s)
 	}
 	return room
 }
@@ -77,6 +80,7 @@
 		}
 	}
 	p.quota.SetUnknown(unknown)
+	p.reportUnknownRuns(now, unknown)
 }
 
 // hidesRuns reports whether a worker may have runs that are not assigned to it: it has reported some, or it has not reported
--- a/citron/quota/check.go
+++ b/citron/quota/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/schema/work"
@@ -24,25 +25,32 @@
 			together = int(s.GetTasks())
 		}
 		if !c.Suits(terms.Name, StepNeed(s), together) {
-			return fmt.Errorf("step %d starts %d tasks at once, which need more than team %s may use: %s", n, together, terms.Name, describe(terms.Max))
+			return fmt.Errorf("step %d starts %d tasks at once, which need %s that team %s may use", n, together, Describe(total(StepNeed(s), together), terms.Max), terms.Name)
 		}
 	}
 	return nil
 }
 
-// describe returns the limited dimensions of a maximum.
-func describe(maximum citron.Capacity) (text string) {
+// total returns what a number of tasks need together.
+func total(need citron.Capacity, tasks int) citron.Capacity {
+	n := int64(tasks)
+	return citron.Capacity{MilliCores: n * need.MilliCores, MemoryMb: n * need.MemoryMb, Accelerators: n * need.Accelerators}
+}
+
+// Describe returns what is used of the limited dimensions of a maximum, as text.
+func Describe(used, maximum citron.Capacity) string {
+	var parts []string
 	for _, d := range []struct {
-		name  string
-		limit int64
-	}{{"thousandths of a core", maximum.MilliCores}, {"MB of memory", maximum.MemoryMb}, {"accelerators", maximum.Accelerators}} {
-		if d.limit == 0 {
-			continue
-		}
-		if text != "" {
-			text += ", "
+		name       string
+		used, most int64
+	}{
+		{"thousandths of a core", used.MilliCores, maximum.MilliCores},
+		{"MB of memory", used.MemoryMb, maximum.MemoryMb},
+		{"accelerators", used.Accelerators, maximum.Accelerators},
+	} {
+		if d.most != 0 {
+			parts = append(parts, fmt.Sprintf("%d of %d %s", d.used, d.most, d.name))
 		}
-		text += fmt.Sprintf("%d %s", d.limit, d.name)
 	}
-	return text
+	return strings.Join(parts, ", ")
 }
--- a/citron/quota/quota.go
+++ b/citron/quota/quota.go
@@ -80,6 +80,12 @@
 	return min(limit, copies(maximum.Accelerators, used.Accelerators, c.unknown.Accelerators, need.Accelerators))
 }
 
+// Above reports whether a team uses more than its maximum.
+func (c *Counter) Above(team citron.Team) bool {
+	known := Counter{maxima: c.maxima, used: c.used}
+	return known.Fits(team, citron.Capacity{}, 1) == 0
+}
+
 // Suits reports whether a team's maximum allows a number of tasks of a size together, if nothing else of the team runs.
 func (c *Counter) Suits(team citron.Team, need citron.Capacity, tasks int) bool {
 	empty := Counter{maxima: c.maxima}
--- a/citronctl/estate.go
+++ b/citronctl/estate.go
@@ -117,7 +117,31 @@
 	for _, q := range holder.GetQueues() {
 		rows = append(rows, []string{q.GetQueue(), fmt.Sprint(q.GetOpenJobs()), fmt.Sprint(q.GetWaitingTasks()), fmt.Sprint(q.GetRunningTasks())})
 	}
-	return text + "\n" + table(rows)
+	return text + "\n" + table(rows) + teamsText(holder.GetTeams())
+}
+
+// teamsText returns the table of teams, empty if there are none. A maximum without limit is shown as "-".
+func teamsText(teams []*link.TeamStatus) string {
+	if len(teams) == 0 {
+		return ""
+	}
+	limit := func(used, most string, limited bool) string {
+		if !limited {
+			most = "-"
+		}
+		return used + "/" + most
+	}
+	rows := [][]string{{"TEAM", "WEIGHT", "CORES", "MEMORY MB", "ACCELERATORS", "WAITING TASKS", "RUNNING TASKS"}}
+	for _, t := range teams {
+		rows = append(rows, []string{
+			t.GetTeam(), fmt.Sprint(t.GetWeight()),
+			limit(fmt.Sprintf("%.1f", cores(t.GetUsedMilliCores())), fmt.Sprintf("%.1f", cores(t.GetMaxMilliCores())), t.GetMaxMilliCores() > 0),
+			limit(fmt.Sprint(t.GetUsedMemoryMb()), fmt.Sprint(t.GetMaxMemoryMb()), t.GetMaxMemoryMb() > 0),
+			limit(fmt.Sprint(t.GetUsedAccelerators()), fmt.Sprint(t.GetMaxAccelerators()), t.GetMaxAccelerators() > 0),
+			fmt.Sprint(t.GetWaitingTasks()), fmt.Sprint(t.GetRunningTasks()),
+		})
+	}
+	return "\n" + table(rows)
 }
 
 func estateWorkers(parent *kingpin.CmdClause, f flags, peers *[]string) command {
