--- a/citron/event/catalog.go
+++ b/citron/event/catalog.go
@@ -80,6 +80,9 @@
 	KeyAmbiguous       = register(621, logrus.WarnLevel, "key of several teams in the configuration")
 	KeyRefused         = register(622, logrus.InfoLevel, "caller without a valid key refused")
 	KeysOutdated       = register(623, logrus.WarnLevel, "keys refused while the configuration may be outdated")
+	TeamAboveQuota     = register(624, logrus.WarnLevel, "team uses more than its new maximum")
+	TeamWaitsForQuota  = register(625, logrus.InfoLevel, "team waits for its quota")
+	UnknownRunsCounted = register(626, logrus.WarnLevel, "runs of unknown teams count against each maximum")
 )
 
 // Events of machine upkeep.
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -85,6 +85,10 @@
 	arrivals []*job
 	// headrooms estimates the need of priority 0 on the workers of each service. It is empty without HeadroomPercent.
 	headrooms map[citron.Service]*headroom
+	// quotaWaitAt is when a step of each team was last reported to wait for quota; unknownRunsAt is when unknown runs last
+	// counted.
+	quotaWaitAt   map[citron.Team]time.Duration
+	unknownRunsAt time.Duration
 	// lastExpiry is when expired jobs were last removed.
 	lastExpiry time.Duration
 	fenced     bool
@@ -117,6 +121,12 @@
 	DecidedWorkerLost
 	// DecidedWait reports why a step has been waiting for long.
 	DecidedWait
+	// DecidedAboveQuota means that new terms lower a team's maximum below what it uses.
+	DecidedAboveQuota
+	// DecidedQuotaWait means that a step waits because its team uses what it may.
+	DecidedQuotaWait
+	// DecidedUnknownRuns means that runs of unknown teams begin to count against each maximum.
+	DecidedUnknownRuns
 )
 
 // Decision is a scheduling decision with its cause, for logs and metrics.
@@ -127,6 +137,7 @@
 	Task   citron.TaskRef
 	Run    int32
 	Worker citron.Worker
+	Team   citron.Team
 	// Outcome is the result and Reason the cause of the decision. Both are written to logs; the Outcome of an end and the
 	// Reason of a requeue are also values of metric labels.
 	Outcome string
@@ -393,6 +404,7 @@
 	defer p.mu.Unlock()
 	p.terms, p.termsKnown = terms, true
 	p.quota.SetTerms(terms)
+	p.reportAboveQuota()
 	switch {
 	case terms == nil:
 		p.share = nil
