Speed: estimate run times by kind of task and by worker

One moving average per kind mixes fast and slow workers and follows every run of the tail.

The interface also reports bounds, so that callers act on differences only once they are known, and takes runs that say nothing about a single worker.

--- a/citron/teams.go
+++ b/citron/teams.go
@@ -101,14 +101,27 @@
 type RunTimes interface {
 	// Observe records the run time of a completed task. Group names workers that are expected to be alike.
 	Observe(k TaskKind, w Worker, group string, ran time.Duration)
+	// ObserveKind records a run time that says nothing about a single worker, such as that of a gang on several workers.
+	// Speed is that of the worker that determined it.
+	ObserveKind(k TaskKind, speed float64, ran time.Duration)
 	// Estimate returns the expected run time of a kind on a worker of usual speed, or the declared one if none is known.
 	Estimate(k TaskKind, declared time.Duration) time.Duration
-	// Speed returns how much faster than usual a worker is; 1 if nothing is known.
-	Speed(w Worker, group string) float64
+	// Speed returns how fast a worker is, from its own runs or those of its group.
+	Speed(w Worker, group string) WorkerSpeed
 	// Forget removes what is known of a worker.
 	Forget(w Worker)
 }
 
+// WorkerSpeed is the estimated speed of a worker.
+type WorkerSpeed struct {
+	// Factor is how much faster than usual the worker is; 1 if nothing is known.
+	Factor float64
+	// Low and High bound the factor with the confidence that a decision needs.
+	Low, High float64
+	// Runs counts the ended runs of the worker on which the factor rests.
+	Runs int
+}
+
 // Interference estimates which kinds of task slow each other down on one worker.
 type Interference interface {
 	// Observe records a completed task, its run time relative to the expected one, and the kinds that ran beside it.
