Pool: place tasks by the speed of workers

The pool now learns run times with citron/speed. Workers known to be 15 % slower or faster than usual form classes. Urgent steps (priority 0, or a deadline that is met on fast workers only) prefer fast workers, the others slow ones on which they meet their deadline; best fit decides within a class, racks and failures outrank it, and a gang takes members of one class if these have room. Requests for advice follow the same order. Run times of gangs on several workers count for their kind only, those of adopted runs not at all.

--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -194,6 +194,7 @@
 // removeWorker removes a worker from the pool.
 func (p *Pool) removeWorker(w *worker) {
 	delete(p.workers, w.entry.ID)
+	p.runTimes.Forget(w.entry.ID)
 	if n, found := p.workerIndex(w.entry.ID); found {
 		p.byID = slices.Delete(p.byID, n, n+1)
 	}
@@ -230,7 +231,7 @@
 // expectedRunTime returns the expected run time of a task of step n.
 func (p *Pool) expectedRunTime(j *job, n int) time.Duration {
 	s := j.spec.GetSteps()[n]
-	return p.runTimes.estimate(kindOf(j, n), time.Duration(s.GetEstimateMs())*time.Millisecond)
+	return p.runTimes.Estimate(kindOf(j, n), time.Duration(s.GetEstimateMs())*time.Millisecond)
 }
 
 // endJob sets the final state of a job and stops its tasks.
--- a/citron/pool/advice.go
+++ b/citron/pool/advice.go
@@ -139,7 +139,9 @@
 		s.adviceCheckAt = wp.now + adviceCheckInterval
 		return workers[:min(len(workers), maxAdviceWorkers)], true
 	}
-	slices.SortFunc(withRoom, func(x, y *worker) int { return cmp.Compare(spread(s, x), spread(s, y)) })
+	slices.SortFunc(withRoom, func(x, y *worker) int {
+		return cmp.Or(wp.compareSpeed(s, x, y), cmp.Compare(spread(s, x), spread(s, y)))
+	})
 	share := wp.pool.permitShare(s.job.spec.GetQueue())
 	expected := float64(roomNow)
 	for _, w := range append(withRoom, full...) {
--- a/citron/pool/end.go
+++ b/citron/pool/end.go
@@ -58,7 +58,7 @@
 	switch end.Kind {
 	case citron.EndDone:
 		w.failures.reset()
-		p.runTimes.add(kindOf(s.job, s.index), ran)
+		p.observeRunTime(w, t, ran)
 		p.completeTask(now, t)
 	case citron.EndFailed:
 		p.applyFailure(now, w, t)
--- a/citron/pool/gang.go
+++ b/citron/pool/gang.go
@@ -24,7 +24,7 @@
 		}
 	}
 	free := wp.gangSlots(s, func(w *worker) citron.Capacity { return wp.capacityFor(s, w) })
-	chosen := chooseWorkers(s, free)
+	chosen := wp.chooseLike(s, free)
 	if chosen == nil {
 		wp.reserve(s)
 		return
@@ -162,7 +162,7 @@
 func (wp *waitingPass) capacityAt(s *step, w *worker, at time.Duration) citron.Capacity {
 	capacity := wp.capacityFor(s, w)
 	for _, t := range w.tasks {
-		if t.state == taskLeaving || t.state == taskStopping || t.startedAt+wp.pool.expectedRunTime(t.step.job, t.step.index) <= at {
+		if t.state == taskLeaving || t.state == taskStopping || t.startedAt+wp.pool.runTimeOn(w, t.step.job, t.step.index) <= at {
 			capacity = capacity.Add(t.step.need)
 		}
 	}
--- a/citron/pool/learn.go
+++ b/citron/pool/learn.go
@@ -6,42 +6,10 @@
 	"github.com/citroncross/citroncross/citron"
 )
 
-// runTimeWeight is the weight of a new sample in the moving average of run times.
-const runTimeWeight = 0.1
-
-// taskKind groups tasks that are expected to have similar run times.
-type taskKind struct {
-	queue string
-	image string
-	gang  bool
-}
-
 // kindOf returns the kind of the tasks of step n.
-func kindOf(j *job, n int) taskKind {
+func kindOf(j *job, n int) citron.TaskKind {
 	s := j.spec.GetSteps()[n]
-	return taskKind{queue: j.spec.GetQueue(), image: s.GetImage(), gang: s.GetGang()}
-}
-
-// runTimes holds the average run times of completed tasks by kind. Declared estimates are off by a factor of two and
-// more, so they are used only until the first task of a kind has completed.
-type runTimes map[taskKind]time.Duration
-
-// estimate returns the average run time of a kind, or the declared one if none has completed.
-func (r runTimes) estimate(k taskKind, declared time.Duration) time.Duration {
-	if average, ok := r[k]; ok {
-		return average
-	}
-	return declared
-}
-
-// add adds the run time of a completed task to the average of its kind.
-func (r runTimes) add(k taskKind, ran time.Duration) {
-	old, ok := r[k]
-	if !ok {
-		r[k] = ran
-		return
-	}
-	r[k] = old + time.Duration(runTimeWeight*float64(ran-old))
+	return citron.TaskKind{Queue: citron.QueueName(j.spec.GetQueue()), Image: s.GetImage(), Gang: s.GetGang()}
 }
 
 const (
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -121,6 +121,7 @@
 	p.lastPlan = PlanStats{}
 	p.waiting = slices.DeleteFunc(p.waiting, func(s *step) bool { return s.job.terminal || s.waitingTasks() == 0 })
 	p.sortWaiting(now)
+	p.readSpeeds(now)
 	wp := waitingPass{pool: p, now: now, effects: e, advisedSteps: map[string]int{}}
 	for _, s := range p.waiting {
 		p.lastPlan.WaitingSteps++
@@ -217,6 +218,8 @@
 	reservingGangs int
 	// advisedSteps counts the waiting steps with tickets or a pending request, by queue.
 	advisedSteps map[string]int
+	// lastNeed is the result of speedNeed for the step that was last looked at.
+	lastNeed speedNeed
 }
 
 // reservation is capacity kept free for waiting gangs. Tasks that are expected to end before until may use it.
@@ -286,7 +289,7 @@
 // is expected to end before the reserved capacity is needed.
 func (wp *waitingPass) capacityFor(s *step, w *worker) citron.Capacity {
 	free := w.free()
-	if r, ok := wp.reservations[w]; ok && wp.now+wp.pool.expectedRunTime(s.job, s.index) > r.until {
+	if r, ok := wp.reservations[w]; ok && wp.now+wp.pool.runTimeOn(w, s.job, s.index) > r.until {
 		free = free.Sub(r.capacity)
 	}
 	return free
@@ -325,6 +328,7 @@
 		if s.spec.GetSameRack() && wp.inOtherRack(s, w) {
 			score += otherRackPenalty
 		}
+		score += int64(wp.speedRank(s, w)) * speedPenalty
 		if w.failures.suspect() {
 			score += suspectPenalty
 		}
@@ -355,7 +359,7 @@
 // startTask assigns a run to a worker, takes the capacity and adds the start order.
 func (wp *waitingPass) startTask(t *task, w *worker, run int32) {
 	s, p := t.step, wp.pool
-	t.state, t.run, t.worker, t.stateSince, t.startedAt = taskOrdered, run, w, wp.now, wp.now
+	t.state, t.run, t.worker, t.stateSince, t.startedAt, t.startSeen = taskOrdered, run, w, wp.now, wp.now, false
 	w.tasks[t.ref] = t
 	w.used = w.used.Add(s.need)
 	w.leaseUntil = max(w.leaseUntil, wp.now+p.maxLeaseTime(p.Options.Lease))
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -13,6 +13,7 @@
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/advice"
+	"github.com/citroncross/citroncross/citron/speed"
 	"github.com/citroncross/citroncross/schema/work"
 )
 
@@ -64,7 +65,8 @@
 	// stops are the orders to be sent with the next Effects.
 	stops    []Stop
 	ended    map[citron.JobID]endedJob
-	runTimes runTimes
+	runTimes citron.RunTimes
+	speeds   speeds
 	// terms are the teams' terms in the newest configuration; nil if teams are not in force.
 	terms []citron.TeamTerms
 	// lastExpiry is when expired jobs were last removed.
@@ -265,7 +267,9 @@
 	checkpoint       string
 	stateSince       time.Duration
 	startedAt        time.Duration
-	waitingSince     time.Duration
+	// startSeen is set if the worker answered the start of the newest run to this holder, which makes startedAt precise.
+	startSeen    bool
+	waitingSince time.Duration
 	// stopSentAt is when the stop order was last sent, stopAckedAt when the worker answered it; 0 if not yet.
 	stopSentAt  time.Duration
 	stopAckedAt time.Duration
@@ -307,6 +311,7 @@
 	// leavesAt is the earliest time at which a draining worker leaves.
 	leavesAt time.Duration
 	failures failureStreak
+	speed    workerSpeed
 }
 
 // free returns the capacity that no task uses.
@@ -340,7 +345,7 @@
 		steps:    map[citron.StepRef]*step{},
 		dirty:    map[*job]bool{},
 		ended:    map[citron.JobID]endedJob{},
-		runTimes: runTimes{},
+		runTimes: &speed.Model{},
 
 		permitCounts: map[string]permitCount{},
 	}
--- a/citron/pool/report.go
+++ b/citron/pool/report.go
@@ -34,7 +34,7 @@
 		if e.Draining && (!w.entry.Draining || e.Remaining != w.entry.Remaining) {
 			w.leavesAt = now.Boot + e.Remaining
 		}
-		w.entry, w.listed = e, true
+		w.entry, w.listed, w.speed.group = e, true, speedGroup(&e)
 	}
 	for _, w := range slices.Clone(p.byID) {
 		id := w.entry.ID
@@ -65,7 +65,7 @@
 	}
 	switch outcome {
 	case citron.Started:
-		t.state, t.startedAt = taskRunning, now.Boot
+		t.state, t.startedAt, t.startSeen = taskRunning, now.Boot, true
 		p.markRunning(t.step.job)
 	case citron.StartUnknown:
 		t.state, t.stateSince = taskInDoubt, now.Boot
