--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -123,6 +123,7 @@
 	p.updateShares(now)
 	p.sortWaiting(now)
 	p.countUnknown(now)
+	p.readSpeeds(now)
 	wp := waitingPass{pool: p, now: now, effects: e, advisedSteps: map[string]int{}, headrooms: p.findHeadroom(now)}
 	for _, s := range p.waiting {
 		p.lastPlan.WaitingSteps++
@@ -185,6 +186,8 @@
 	advisedSteps map[string]int
 	// headrooms is the capacity left to priority 0 by service; nil if there is none.
 	headrooms map[citron.Service]*serviceHeadroom
+	// lastNeed is the result of speedNeed for the step that was last looked at.
+	lastNeed speedNeed
 }
 
 // reservation is capacity kept free for waiting gangs. Tasks that are expected to end before until may use it.
@@ -265,7 +268,7 @@
 // is expected to end before the reserved capacity is needed.
 func (wp *waitingPass) capacityFor(s *step, w *worker) citron.Capacity {
 	free := w.free()
-	if r, ok := wp.reservations[w]; ok && wp.now+wp.pool.expectedRunTime(s.job, s.index) > r.until {
+	if r, ok := wp.reservations[w]; ok && wp.now+wp.pool.runTimeOn(w, s.job, s.index) > r.until {
 		free = free.Sub(r.capacity)
 	}
 	return free
@@ -304,6 +307,7 @@
 		if s.spec.GetSameRack() && wp.inOtherRack(s, w) {
 			score += otherRackPenalty
 		}
+		score += int64(wp.speedRank(s, w)) * speedPenalty
 		if w.failures.suspect() {
 			score += suspectPenalty
 		}
@@ -334,7 +338,7 @@
 // startTask assigns a run to a worker, takes the capacity and adds the start order.
 func (wp *waitingPass) startTask(t *task, w *worker, run int32) {
 	s, p := t.step, wp.pool
-	t.state, t.run, t.stateSince, t.startedAt = taskOrdered, run, wp.now, wp.now
+	t.state, t.run, t.stateSince, t.startedAt, t.startSeen = taskOrdered, run, wp.now, wp.now, false
 	p.assign(t, w)
 	wp.useHeadroom(s)
 	w.leaseUntil = max(w.leaseUntil, wp.now+p.maxLeaseTime(p.Options.Lease))
