Pool: restart ended service tasks before other waiting work

Cause: a service task that ends was ranked by the objective of its job's start, which is long past, so it came after everything that could still meet an objective.

Change: steps with a service task that has run before come first. The new test fails without it.

--- a/citron/pool/order.go
+++ b/citron/pool/order.go
@@ -21,7 +21,10 @@
 
 // Bands of lateness. Steps that can no longer meet their objective come after those that can.
 const (
-	bandInTime = iota
+	// bandRestart holds the service steps with a task that has run before. Its callers are without it since that run ended,
+	// whatever became of the objective of the job's first start, and such tasks are few.
+	bandRestart = iota
+	bandInTime
 	bandLate
 	bandTooLate
 )
@@ -44,9 +47,14 @@
 // rank returns the rank of a waiting step.
 func (p *Pool) rank(now time.Duration, s *step) rank {
 	r := rank{step: s, priority: s.job.spec.GetTerms().GetPriority(), deadline: s.deadline}
+	if s.restartsService() {
+		r.band = bandRestart
+		return r
+	}
 	end := now + p.expectedRunTime(s.job, s.index)
 	switch objective := s.deadline - s.job.accepted; {
 	case end <= s.deadline:
+		r.band = bandInTime
 	case end <= s.job.accepted+tooLateFactor*objective:
 		r.band = bandLate
 	default:
@@ -58,6 +66,11 @@
 	return r
 }
 
+// restartsService reports whether a service task of the step waits after a run.
+func (s *step) restartsService() bool {
+	return s.spec.GetService() && slices.ContainsFunc(s.tasks, func(t *task) bool { return t.state == taskWaiting && t.run > 0 })
+}
+
 // compare returns a negative number if r comes before o. No two steps are equal.
 func (r *rank) compare(o *rank) int {
 	if c := cmp.Or(compareBool(r.band == bandTooLate, o.band == bandTooLate), int(r.share-o.share), r.band-o.band); c != 0 {
--- a/citron/pool/order_test.go
+++ b/citron/pool/order_test.go
@@ -138,3 +138,27 @@
 		})
 	}
 }
+
+// Guards against a service task that stays down in a full cluster: the objective of its job's start is long past when a run
+// of it ends, so it came after all work that could still meet its own.
+func TestEndedServiceTaskRestartsBeforeOtherWork(t *testing.T) {
+	r := newRig(t)
+	r.workers(1)
+	service := newStep(1, 32)
+	service.Service = true
+	r.accept(newJob("s", service))
+	first := r.plan()
+	if len(first.Starts) != 1 {
+		t.Fatalf("%d starts, want the service task", len(first.Starts))
+	}
+	r.advance(time.Minute)
+	urgent := newJob("u", newStep(1, 32))
+	urgent.Terms.Priority = 0
+	r.accept(urgent)
+	r.end(first.Starts[0], citron.EndFailed)
+	r.advance(time.Millisecond)
+	e := r.plan()
+	if len(e.Starts) != 1 || e.Starts[0].Order.Task != first.Starts[0].Order.Task {
+		t.Errorf("starts %v, want the service task again", e.Starts)
+	}
+}
