View: of two teams' records with one id, the partition's first counts

A daemon that stored a team's job before it had read another team's record with the same id kept its own for good, so that the first team got 410 there. A record from a partition now replaces another team's that is known only from a message; without teams nothing changes. TestPartitionDecidesWhichTeamsRecordIsFirst fails without it, and without the change of the pending counts when the queue of a job changes.

--- a/citron/view/view.go
+++ b/citron/view/view.go
@@ -213,26 +213,30 @@
 		return
 	}
 	v.update(id, func(e *Entry) {
+		// The order of a partition is the same for all daemons, unlike that of records sent by other daemons.
+		outranks := source != 0 && e.sources[kind] == 0
 		e.sources[kind] |= source
-		set(e)
+		set(e, outranks)
 	})
 }
 
-// decode returns the change that a record with a value makes to the entry of its job.
-func decode(kind recordKind, value []byte) (set func(*Entry), err error) {
+// decode returns the change that a record with a value makes to the entry of its job. Outranks means that the record comes
+// from a partition and the known one, if any, only from other daemons.
+func decode(kind recordKind, value []byte) (set func(e *Entry, outranks bool), err error) {
 	switch kind {
 	case jobRecord:
 		spec := &work.Job{}
-		return func(e *Entry) {
-			// Later specs with the same id are ignored, but for one that adds the payload. Another team's spec with the same
-			// id adds none.
-			if e.Spec == nil || e.Spec.GetPayloadOmitted() && e.Spec.GetTeam() == spec.GetTeam() {
+		return func(e *Entry, outranks bool) {
+			// Later specs with the same id are ignored, but for one that adds the payload. Another team's spec adds none; it
+			// replaces one that no partition is known to hold.
+			sameTeam := e.Spec.GetTeam() == spec.GetTeam()
+			if e.Spec == nil || sameTeam && e.Spec.GetPayloadOmitted() || !sameTeam && outranks {
 				e.Spec = spec
 			}
 		}, proto.Unmarshal(value, spec)
 	case progressRecord:
 		progress := &work.Progress{}
-		return func(e *Entry) {
+		return func(e *Entry, _ bool) {
 			// The same record arrives from the holder and later from the store, and may be in several partitions.
 			if e.Progress == nil || newer(progress, e.Progress) {
 				e.Progress = progress
@@ -242,7 +246,7 @@
 			}
 		}, proto.Unmarshal(value, progress)
 	}
-	return func(e *Entry) { e.Cancelled = true }, nil
+	return func(e *Entry, _ bool) { e.Cancelled = true }, nil
 }
 
 // newer reports whether a has a higher epoch than b, or the same epoch and a higher number.
@@ -275,10 +279,12 @@
 	}
 	after := *e
 	s.mu.Unlock()
-	if queue == "" {
-		queue = after.Spec.GetQueue()
+	if now := after.Spec.GetQueue(); queue == "" || now == "" || now == queue {
+		v.countPending(citron.QueueName(cmp.Or(queue, now)), before, after.pending())
+	} else {
+		v.countPending(citron.QueueName(queue), before, false)
+		v.countPending(citron.QueueName(now), false, after.pending())
 	}
-	v.countPending(citron.QueueName(queue), before, after.pending())
 	v.mu.Lock()
 	listener := v.listener
 	v.mu.Unlock()
--- a/citron/view/view_test.go
+++ b/citron/view/view_test.go
@@ -37,6 +37,24 @@
 	}
 }
 
+// Guards against daemons that disagree for good about the team of a job whose id two teams have used at the same time.
+func TestPartitionDecidesWhichTeamsRecordIsFirst(t *testing.T) {
+	first := newRecord(t, pool.JobKey+"j", &work.Job{ID: "j", Queue: "qa", Team: "a", Payload: "first"})
+	second := newRecord(t, pool.JobKey+"j", &work.Job{ID: "j", Queue: "qb", Team: "b", Payload: "second"})
+	for name, sent := range map[string][]citron.KeyedRecord{"none": nil, "the first": {first}, "the second": {second}, "both": {second, first}} {
+		v := &View{}
+		apply(v, sent...)
+		s := v.NewSource()
+		for range 2 {
+			s.Apply(citron.KeyedBatch{Records: []citron.KeyedRecord{first, second}}, false)
+		}
+		apply(v, sent...)
+		if e, _ := v.Get("j"); e.Spec.GetTeam() != "a" || e.Spec.GetPayload() != "first" || v.Pending("qa") != 1 || v.Pending("qb") != 0 {
+			t.Errorf("%s sent before: job %v, %d and %d pending, want the partition's first record", name, e.Spec, v.Pending("qa"), v.Pending("qb"))
+		}
+	}
+}
+
 func TestProgressOnlyGoesForward(t *testing.T) {
 	v := &View{}
 	apply(v, newRecord(t, pool.JobKey+"j", &work.Job{ID: "j", Queue: "q"}))
