Share: rank jobs beyond the rate by their team's use, too

A job that comes beyond the rate of a small team, whose bucket is emptied by chance, competed with the thousands of a team at 7.5 times its load. Jobs beyond the rate of a team that also uses more than its share now come after all others.

--- a/citron/share/share.go
+++ b/citron/share/share.go
@@ -80,7 +80,9 @@
 	switch {
 	case name == "":
 		return citron.WithinShare
-	case !within || t == nil:
+	case t == nil || !within && t.over:
+		return citron.OverBoth
+	case !within:
 		return citron.OverRate
 	case t.over:
 		return citron.OverShare
--- a/citron/share/share_test.go
+++ b/citron/share/share_test.go
@@ -108,7 +108,7 @@
 	if got := s.Rank("", s.Arrived("", 0)); got != citron.WithinShare {
 		t.Errorf("a job without a team has rank %d", got)
 	}
-	if got := s.Rank("removed", s.Arrived("removed", 0)); got != citron.OverRate {
+	if got := s.Rank("removed", s.Arrived("removed", 0)); got != citron.OverBoth {
 		t.Errorf("a job of a removed team has rank %d", got)
 	}
 	if got := s.Rank("a", false); got != citron.OverRate {
--- a/citron/teams.go
+++ b/citron/teams.go
@@ -61,8 +61,10 @@
 	WithinShare ShareRank = iota
 	// OverShare means that the team uses more than its share.
 	OverShare
-	// OverRate means that the job arrived beyond the rate that the team is entitled to.
+	// OverRate means that the job arrived beyond the rate that the team is entitled to, OverBoth that the team uses more than
+	// its share, too.
 	OverRate
+	OverBoth
 )
 
 // Share decides which team gets scarce capacity.
