Refuse jobs beyond the rate of teams with a worthless backlog

A job that starts after three times its objective is worth nothing, but still uses capacity. The holder checks the teams' backlogs every 0.5 s and sends those that cannot be cleared in time with ping replies and notices; daemons pass the summary on like states. A daemon refuses what comes beyond its part of such a team's rate with 429 (number 209), Retry-After from the expected wait and up to a quarter more, for 1.5 s after the last summary; then it admits everything. The summary contains the number of live daemons, which the others don't know. A job that is stored already, or may be, is never refused. Refusals are kept outside the lock of the pool, since a ping must not wait for a plan.

Log events 627 to 629, metric citron_share_refusals_total.

--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -28,6 +28,7 @@
 	"github.com/citroncross/citroncross/citron/tail"
 	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/citron/view"
+	"github.com/citroncross/citroncross/schema/link"
 	"github.com/citroncross/citroncross/schema/work"
 )
 
@@ -103,6 +104,7 @@
 	jobSources []*view.Source
 	balancer   advice.Balancer
 	outbox     outbox
+	refusals   refusals
 	// orders sends the orders of the pool while this daemon is its holder.
 	orders *relay.Workers
 	// exchanges runs the messages to other daemons, the announcement of this one and the upkeep waves.
@@ -158,6 +160,7 @@
 	d.self = citron.Member{VM: d.Settings.VM, Incarnation: citron.Incarnation(d.Timer.Now().Wall.UnixMilli())}
 	d.peers.Self, d.peers.Timer, d.peers.MilliCores = d.self, d.Timer, d.Settings.MilliCores
 	d.peers.CountTraffic = func(call string, sent, received int) { d.Stats.CountTraffic("daemon", call, sent, received) }
+	d.peers.SharesReceived = func(s *link.ShareSummary) { d.applyShares(s) }
 	d.watch.ExtraTimeout = d.Settings.HolderExtraTimeout
 	d.wake = make(chan struct{}, 1)
 	d.exchanges.SetContext(d.run)
--- a/citron/entry/notify.go
+++ b/citron/entry/notify.go
@@ -30,10 +30,12 @@
 	maxNotifyBacklog = 2000
 )
 
-// notice tells another daemon of a stored record: either the record itself or the state of a job that it contains.
+// notice tells another daemon of a stored record, either the record itself or the state of a job that it contains, or of
+// the holder's summary of the teams' backlogs.
 type notice struct {
 	record citron.KeyedRecord
 	state  *link.JobState
+	shares *link.ShareSummary
 	// forward are the daemons to which the receiver passes the state on.
 	forward []citron.VMName
 }
@@ -164,8 +166,12 @@
 func notifyRequest(notices []notice) *link.NotifyRequest {
 	request := &link.NotifyRequest{}
 	for _, n := range notices {
-		if n.state != nil {
-			request.States = append(request.States, n.state)
+		if n.state != nil || n.shares != nil {
+			if n.state != nil {
+				request.States = append(request.States, n.state)
+			} else {
+				request.Shares = n.shares
+			}
 			for _, vm := range n.forward {
 				if !slices.Contains(request.GetForward(), string(vm)) {
 					request.Forward = append(request.Forward, string(vm))
@@ -187,4 +193,9 @@
 			d.notify(citron.VMName(vm), notice{state: s}, 0)
 		}
 	}
+	if d.applyShares(r.GetShares()) {
+		for _, vm := range r.GetForward() {
+			d.notify(citron.VMName(vm), notice{shares: r.GetShares()}, 0)
+		}
+	}
 }
--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -37,6 +37,7 @@
 		reply.StoreLostMs = d.holding.holder.StoreUnavailableFor().Milliseconds()
 	}
 	d.mu.Unlock()
+	reply.Shares = d.shareSummary()
 	return reply, nil
 }
 
--- a/citron/entry/watch.go
+++ b/citron/entry/watch.go
@@ -154,6 +154,7 @@
 				d.exchanges.Go(func(ctx context.Context) { d.peers.Ping(ctx, vm, d.stopping.Load()) })
 			}
 			d.balancer.SetDaemons(append(d.peers.Live(), d.self.VM))
+			d.publishShares()
 		}
 	}()
 	return ended
--- a/citron/errors.go
+++ b/citron/errors.go
@@ -42,6 +42,7 @@
 	RefusalLogUnavailable  RefusalNumber = 205
 	RefusalNoOwner         RefusalNumber = 207
 	RefusalNoSlot          RefusalNumber = 208
+	RefusalBacklog         RefusalNumber = 209
 	RefusalAlreadyRan      RefusalNumber = 301
 	RefusalInProgress      RefusalNumber = 302
 	RefusalOutcomeUnknown  RefusalNumber = 401
@@ -75,7 +76,7 @@
 		return http.StatusUnprocessableEntity
 	case RefusalAlreadyRan, RefusalInProgress:
 		return http.StatusConflict
-	case RefusalQueueFull:
+	case RefusalQueueFull, RefusalBacklog:
 		return http.StatusTooManyRequests
 	case RefusalOutcomeUnknown:
 		return http.StatusBadGateway
--- a/citron/event/catalog.go
+++ b/citron/event/catalog.go
@@ -76,6 +76,9 @@
 	StepWaiting        = register(614, logrus.InfoLevel, "step waiting")
 	ExchangeFailed     = register(613, logrus.WarnLevel, "exchange failed")
 	PendingJobsCounted = register(615, logrus.InfoLevel, "pending jobs counted")
+	TeamsRefused       = register(627, logrus.InfoLevel, "jobs of teams refused")
+	TeamRefusalsEnded  = register(628, logrus.InfoLevel, "jobs of all teams admitted")
+	TeamBacklogFound   = register(629, logrus.InfoLevel, "backlog of team too long")
 )
 
 // Events of machine upkeep.
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -61,6 +61,8 @@
 	Timer      citron.Timer
 	// CountTraffic, if set, counts the bytes of each message to and from other daemons.
 	CountTraffic func(call string, sent, received int)
+	// SharesReceived, if set, is called with each summary of the teams' backlogs that a holder sends.
+	SharesReceived func(*link.ShareSummary)
 
 	mu    sync.Mutex
 	known map[citron.VMName]*peer
@@ -245,6 +247,9 @@
 	if ctx.Err() != nil {
 		return
 	}
+	if s := reply.GetShares(); s != nil && p.SharesReceived != nil {
+		p.SharesReceived(s)
+	}
 	now := p.Timer.Now().Boot
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -9,6 +9,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/citroncross/citroncross/citron"
@@ -76,6 +77,9 @@
 	// teams holds the use of capacity by each team with jobs in the pool, arrivals the jobs whose rate is not checked yet.
 	teams    map[citron.Team]*teamUse
 	arrivals []*job
+	// refusals is the result of the last check of the teams' backlogs, backlogsDue the boot time of the next one.
+	refusals    atomic.Pointer[Refusals]
+	backlogsDue time.Duration
 	// headrooms estimates the need of priority 0 on the workers of each service. It is empty without HeadroomPercent.
 	headrooms map[citron.Service]*headroom
 	// lastExpiry is when expired jobs were last removed.
--- a/citron/share/bucket.go
+++ b/citron/share/bucket.go
@@ -17,6 +17,8 @@
 // Take takes a token and reports whether there was one. The bucket gains rate tokens per second up to burst. Times may go
 // back, which adds no tokens.
 func (b *Bucket) Take(rate, burst float64, at time.Duration) bool {
+	// The burst may have been larger before.
+	b.spent = min(b.spent, burst)
 	if at > b.at {
 		b.spent = max(b.spent-rate*(at-b.at).Seconds(), 0)
 		b.at = at
--- a/citron/stats/stats.go
+++ b/citron/stats/stats.go
@@ -99,6 +99,11 @@
 	s.queueHistogram("citron_job_accept_seconds", queue).Update(took.Seconds())
 }
 
+// CountShareRefusal counts a job that was refused because of its team's share, by reason.
+func (s *Set) CountShareRefusal(reason string) {
+	s.counter(`citron_share_refusals_total{Reason=%q}`, reason).Inc()
+}
+
 // ObserveStart records how long a task waited for its start since it became ready or its last run ended.
 func (s *Set) ObserveStart(queue citron.QueueName, waited time.Duration) {
 	s.queueHistogram("citron_task_wait_seconds", queue).Update(waited.Seconds())
