--- a/citron/errors.go
+++ b/citron/errors.go
@@ -44,6 +44,7 @@
 	RefusalNoOwner         RefusalNumber = 207
 	RefusalNoSlot          RefusalNumber = 208
 	RefusalConfigStale     RefusalNumber = 209
+	RefusalBacklog         RefusalNumber = 210
 	RefusalAlreadyRan      RefusalNumber = 301
 	RefusalInProgress      RefusalNumber = 302
 	RefusalOtherTeamsJob   RefusalNumber = 303
@@ -80,7 +81,7 @@
 		return http.StatusUnauthorized
 	case RefusalAlreadyRan, RefusalInProgress, RefusalOtherTeamsJob:
 		return http.StatusConflict
-	case RefusalQueueFull:
+	case RefusalQueueFull, RefusalBacklog:
 		return http.StatusTooManyRequests
 	case RefusalOutcomeUnknown:
 		return http.StatusBadGateway
--- a/citron/event/catalog.go
+++ b/citron/event/catalog.go
@@ -83,6 +83,9 @@
 	TeamAboveQuota     = register(624, logrus.WarnLevel, "team uses more than its new maximum")
 	TeamWaitsForQuota  = register(625, logrus.InfoLevel, "team waits for its quota")
 	UnknownRunsCounted = register(626, logrus.WarnLevel, "runs of unknown teams count against each maximum")
+	TeamsRefused       = register(627, logrus.InfoLevel, "jobs of teams refused")
+	TeamRefusalsEnded  = register(628, logrus.InfoLevel, "jobs of all teams admitted")
+	TeamBacklogFound   = register(629, logrus.InfoLevel, "backlog of team too long")
 )
 
 // Events of machine upkeep.
