Speed: show the speed of workers in logs, metrics and citronctl

An operator could not see why a task went to a worker, or that a machine had turned slow.

Event 630 reports a worker whose class changes; "task placed" has the expected run time there and the speed; gauges count slow and fast workers; `citronctl estate workers` has a column for the speed. link.WorkerStatus gets three optional fields. TestSpeedsAreReported checks that a change is reported once.

--- a/citron/entry/inspect.go
+++ b/citron/entry/inspect.go
@@ -40,6 +40,7 @@
 			Worker: string(w.Entry.ID), Rack: string(w.Entry.Rack), Service: string(w.Entry.Service), State: w.State, Tasks: int32(w.Tasks),
 			UsedMilliCores: w.Used.MilliCores, MilliCores: w.Entry.Capacity.MilliCores,
 			UsedMemoryMb: w.Used.MemoryMb, MemoryMb: w.Entry.Capacity.MemoryMb, SilentMs: w.SinceAnswer.Milliseconds(),
+			Speed: w.Speed.Factor, SpeedRuns: int32(w.Speed.Runs), SpeedClass: w.SpeedClass,
 		})
 	}
 	return reply, nil
--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -186,6 +187,15 @@
 	if c.Run > 0 {
 		fields["Run"] = c.Run
 	}
+	if c.Expected > 0 {
+		fields["ExpectedMs"] = c.Expected.Milliseconds()
+	}
+	if c.Speed > 0 {
+		fields["Speed"] = math.Round(100*c.Speed) / 100
+	}
+	if c.Runs > 0 {
+		fields["Runs"] = c.Runs
+	}
 	d.Log.Emit(e, fields)
 }
 
@@ -199,6 +209,7 @@
 	pool.DecidedQuarantine:    event.WorkerQuarantined,
 	pool.DecidedWorkerLost:    event.WorkerLost,
 	pool.DecidedWait:          event.StepWaiting,
+	pool.DecidedSpeed:         event.WorkerSpeedChanged,
 }
 
 // exchangeFailed logs and counts a failed exchange of the given kind.
@@ -224,6 +235,8 @@
 	d.Stats.RegisterGauge("citron_waiting_tasks", held(func(h *holding) float64 { return float64(h.holder.Pool.LastPlan().WaitingTasks) }))
 	d.Stats.RegisterGauge("citron_running_tasks", held(func(h *holding) float64 { return float64(h.holder.Pool.LastPlan().RunningTasks) }))
 	d.Stats.RegisterGauge("citron_usable_workers", held(func(h *holding) float64 { return float64(h.holder.Pool.LastPlan().UsableWorkers) }))
+	d.Stats.RegisterGauge("citron_slow_workers", held(func(h *holding) float64 { return float64(h.holder.Pool.LastPlan().SlowWorkers) }))
+	d.Stats.RegisterGauge("citron_fast_workers", held(func(h *holding) float64 { return float64(h.holder.Pool.LastPlan().FastWorkers) }))
 	d.Stats.RegisterGauge("citron_listed_workers", held(func(h *holding) float64 { return float64(h.holder.Pool.LastPlan().ListedWorkers) }))
 	d.Stats.RegisterGauge("citron_store_age_seconds", func() float64 { return d.storeAge().Seconds() })
 	d.Stats.RegisterGauge("citron_jobs_age_seconds", func() float64 { return d.Intake.Freshness().Age.Seconds() })
--- a/citron/event/catalog.go
+++ b/citron/event/catalog.go
@@ -75,6 +75,7 @@
 	WorkerLost         = register(612, logrus.WarnLevel, "worker lost")
 	StepWaiting        = register(614, logrus.InfoLevel, "step waiting")
 	ExchangeFailed     = register(613, logrus.WarnLevel, "exchange failed")
+	WorkerSpeedChanged = register(630, logrus.InfoLevel, "worker speed class changed")
 	PendingJobsCounted = register(615, logrus.InfoLevel, "pending jobs counted")
 )
 
--- a/citron/pool/inspect.go
+++ b/citron/pool/inspect.go
@@ -25,6 +25,9 @@
 	Used  citron.Capacity
 	// SinceAnswer is the time since its last answer.
 	SinceAnswer time.Duration
+	// Speed is its estimated speed, SpeedClass how placement treats it: slow, usual or fast.
+	Speed      citron.WorkerSpeed
+	SpeedClass string
 }
 
 // TaskStatus describes a task to operators.
@@ -92,6 +95,7 @@
 	for _, w := range p.byID {
 		list = append(list, WorkerStatus{
 			Entry: w.entry, State: w.state(now.Boot), Tasks: len(w.tasks), Used: w.used, SinceAnswer: now.Boot - w.lastAnswer,
+			Speed: p.runTimes.Speed(w.entry.ID, w.speed.group), SpeedClass: speedClassNames[w.speed.class],
 		})
 	}
 	return list
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -118,10 +118,10 @@
 
 // place starts the waiting tasks that fit, in the order of sortWaiting.
 func (p *Pool) place(now time.Duration, e *Effects) {
-	p.lastPlan = PlanStats{}
 	p.waiting = slices.DeleteFunc(p.waiting, func(s *step) bool { return s.job.terminal || s.waitingTasks() == 0 })
 	p.sortWaiting(now)
 	p.readSpeeds(now)
+	p.lastPlan = PlanStats{SlowWorkers: p.speeds.slow, FastWorkers: p.speeds.fast}
 	wp := waitingPass{pool: p, now: now, effects: e, advisedSteps: map[string]int{}}
 	for _, s := range p.waiting {
 		p.lastPlan.WaitingSteps++
@@ -375,5 +375,5 @@
 		Epoch:          p.Epoch,
 		Deadline:       wp.now + w.clockOffset + p.Options.StartTimeout,
 	}})
-	p.observe(Decision{Kind: DecidedStart, Job: j.id, Task: t.ref, Run: run, Worker: w.entry.ID, Age: wp.now - t.waitingSince})
+	p.observe(Decision{Kind: DecidedStart, Job: j.id, Task: t.ref, Run: run, Worker: w.entry.ID, Age: wp.now - t.waitingSince, Expected: p.runTimeOn(w, j, s.index), Speed: w.speed.factor})
 }
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -99,6 +99,8 @@
 	DecidedWorkerLost
 	// DecidedWait reports why a step has been waiting for long.
 	DecidedWait
+	// DecidedSpeed means that a worker is now treated as slow, usual or fast.
+	DecidedSpeed
 )
 
 // Decision is a scheduling decision with its cause, for logs and metrics.
@@ -116,6 +118,11 @@
 	// Age is how long the task, step or job had waited or run; for a lost worker the time since its last answer, and for
 	// a quarantine its length.
 	Age time.Duration
+	// Expected is the expected run time of a started task on its worker, and Speed the estimated speed of a worker that is
+	// not of usual speed or whose class has changed; Runs counts the ended runs on which that rests.
+	Expected time.Duration
+	Speed    float64
+	Runs     int
 }
 
 // Start is a start order and the worker that it goes to.
@@ -167,6 +174,8 @@
 	// UsableWorkers counts those of the ListedWorkers that accept new tasks.
 	UsableWorkers int
 	ListedWorkers int
+	// SlowWorkers and FastWorkers are known to differ from the usual speed.
+	SlowWorkers, FastWorkers int
 }
 
 // job is an accepted job that has not ended or whose runs are still being stopped.
--- a/citron/pool/speed.go
+++ b/citron/pool/speed.go
@@ -81,7 +81,10 @@
 	for _, w := range p.byID {
 		estimate := p.runTimes.Speed(w.entry.ID, w.speed.group)
 		class := classify(estimate)
-		w.speed.factor = estimate.Factor
+		if class != w.speed.class {
+			p.observe(Decision{Kind: DecidedSpeed, Worker: w.entry.ID, Outcome: speedClassNames[class], Speed: estimate.Factor, Runs: estimate.Runs})
+		}
+		w.speed.class, w.speed.factor = class, estimate.Factor
 		switch class {
 		case slowWorker:
 			known.slow++
@@ -92,7 +95,6 @@
 		default:
 			w.speed.factor = 0
 		}
-		w.speed.class = class
 	}
 	p.speeds = known
 }
--- a/citron/pool/speed_test.go
+++ b/citron/pool/speed_test.go
@@ -391,3 +391,35 @@
 		t.Errorf("estimate after an adopted run is %v, want the declared one", got)
 	}
 }
+
+// Guards against a change of class that is not logged, or logged with every plan, and against starts and statuses without
+// the speed.
+func TestSpeedsAreReported(t *testing.T) {
+	r := newSetSpeeds(t, 0.5, 1, 1.7)
+	var changes, starts []Decision
+	r.p.Observe = func(d Decision) {
+		switch d.Kind {
+		case DecidedSpeed:
+			changes = append(changes, d)
+		case DecidedStart:
+			starts = append(starts, d)
+		}
+	}
+	for n := range 3 {
+		r.accept(newJob(fmt.Sprint(n), newStep(1, 4)))
+		r.plan()
+		r.advance(speedsInterval)
+	}
+	if len(changes) != 2 || changes[0].Outcome != "slow" || changes[1].Outcome != "fast" || changes[1].Speed != 1.7 || changes[1].Runs != 10 {
+		t.Errorf("changes observed: %+v", changes)
+	}
+	if len(starts) != 3 || starts[0].Speed != 1.7 || starts[0].Expected.Milliseconds() != 588 {
+		t.Errorf("starts observed: %+v", starts)
+	}
+	if s := r.p.LastPlan(); s.SlowWorkers != 1 || s.FastWorkers != 1 {
+		t.Errorf("%d slow and %d fast workers, want 1 and 1", s.SlowWorkers, s.FastWorkers)
+	}
+	if s := r.p.WorkerStatuses(r.now); s[0].SpeedClass != "slow" || s[0].Speed.Factor != 0.5 || s[1].SpeedClass != "usual" {
+		t.Errorf("statuses: %+v", s)
+	}
+}
--- a/citronctl/estate.go
+++ b/citronctl/estate.go
@@ -128,12 +128,13 @@
 		if holder == nil {
 			return fail(exitFailed, "no daemon that answers holds the pool")
 		}
-		rows := [][]string{{"WORKER", "RACK", "SERVICE", "STATE", "TASKS", "CORES", "MEMORY MB", "ANSWERED"}}
+		rows := [][]string{{"WORKER", "RACK", "SERVICE", "STATE", "TASKS", "CORES", "MEMORY MB", "ANSWERED", "SPEED"}}
 		for _, w := range holder.GetWorkers() {
 			rows = append(rows, []string{
 				w.GetWorker(), w.GetRack(), w.GetService(), w.GetState(), fmt.Sprint(w.GetTasks()),
 				fmt.Sprintf("%.1f/%.1f", cores(w.GetUsedMilliCores()), cores(w.GetMilliCores())),
 				fmt.Sprintf("%d/%d", w.GetUsedMemoryMb(), w.GetMemoryMb()), fmt.Sprintf("%d ms ago", w.GetSilentMs()),
+				fmt.Sprintf("%.2f %s (%d runs)", w.GetSpeed(), w.GetSpeedClass(), w.GetSpeedRuns()),
 			})
 		}
 		return show(f, holder.GetWorkers(), table(rows))
