--- a/citron/pool/speed_test.go
+++ b/citron/pool/speed_test.go
@@ -368,12 +368,15 @@
 func TestRunTimesThatSayNothingOfAWorker(t *testing.T) {
 	r := newRig(t)
 	r.workers(2)
-	r.accept(newJob("gang", newGang(2, 20)))
-	starts := r.plan().Starts
-	r.advance(time.Second)
-	r.end(starts[0], citron.EndDone)
-	if s := r.p.runTimes.Speed(starts[0].Worker.ID, ""); s.Runs != 0 {
-		t.Errorf("the run of a gang counts for its worker: %+v", s)
+	for n := range 3 {
+		r.accept(newJob(fmt.Sprintf("gang%d", n), newGang(2, 20)))
+		starts := r.plan().Starts
+		r.advance(time.Second)
+		r.end(starts[0], citron.EndDone)
+		r.end(starts[1], citron.EndDone)
+		if s := r.p.runTimes.Speed(starts[0].Worker.ID, ""); s.Runs != 0 {
+			t.Errorf("the run of a gang counts for its worker: %+v", s)
+		}
 	}
 	if got := r.p.runTimes.Estimate(citron.TaskKind{Queue: "q", Gang: true}, 0); got < time.Second || got > 1100*time.Millisecond {
 		t.Errorf("estimate of the gang is %v, want 1 s", got)
