--- a/citron/pool/speed_test.go
+++ b/citron/pool/speed_test.go
@@ -368,12 +368,15 @@
 func TestRunTimesThatSayNothingOfAWorker(t *testing.T) {
 	r := newRig(t)
 	r.workers(2)
-	r.accept(newJob("gang", newGang(2, 20)))
-	starts := r.plan().Starts
-	r.advance(time.Second)
-	r.end(starts[0], citron.EndDone)
-	if s := r.p.runTimes.Speed(starts[0].Worker.ID, ""); s.Runs != 0 {
-		t.Errorf("the run of a gang counts for its worker: %+v", s)
+	for n := range 3 {
+		r.accept(newJob(fmt.Sprintf("gang%d", n), newGang(2, 20)))
+		starts := r.plan().Starts
+		r.advance(time.Second)
+		r.end(starts[0], citron.EndDone)
+		r.end(starts[1], citron.EndDone)
+		if s := r.p.runTimes.Speed(starts[0].Worker.ID, ""); s.Runs != 0 {
+			t.Errorf("the run of a gang counts for its worker: %+v", s)
+		}
 	}
 	if got := r.p.runTimes.Estimate(citron.TaskKind{Queue: "q", Gang: true}, 0); got < time.Second || got > 1100*time.Millisecond {
 		t.Errorf("estimate of the gang is %v, want 1 s", got)
@@ -391,3 +394,35 @@
 		t.Errorf("estimate after an adopted run is %v, want the declared one", got)
 	}
 }
+
+// Guards against a change of class that is not logged, or logged with every plan, and against starts and statuses without
+// the speed.
+func TestSpeedsAreReported(t *testing.T) {
+	r := newSetSpeeds(t, 0.5, 1, 1.7)
+	var changes, starts []Decision
+	r.p.Observe = func(d Decision) {
+		switch d.Kind {
+		case DecidedSpeed:
+			changes = append(changes, d)
+		case DecidedStart:
+			starts = append(starts, d)
+		}
+	}
+	for n := range 3 {
+		r.accept(newJob(fmt.Sprint(n), newStep(1, 4)))
+		r.plan()
+		r.advance(speedsInterval)
+	}
+	if len(changes) != 2 || changes[0].Outcome != "slow" || changes[1].Outcome != "fast" || changes[1].Speed != 1.7 || changes[1].Runs != 10 {
+		t.Errorf("changes observed: %+v", changes)
+	}
+	if len(starts) != 3 || starts[0].Speed != 1.7 || starts[0].Expected.Milliseconds() != 588 {
+		t.Errorf("starts observed: %+v", starts)
+	}
+	if s := r.p.LastPlan(); s.SlowWorkers != 1 || s.FastWorkers != 1 {
+		t.Errorf("%d slow and %d fast workers, want 1 and 1", s.SlowWorkers, s.FastWorkers)
+	}
+	if s := r.p.WorkerStatuses(r.now); s[0].SpeedClass != "slow" || s[0].Speed.Factor != 0.5 || s[1].SpeedClass != "usual" {
+		t.Errorf("statuses: %+v", s)
+	}
+}
