--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -314,6 +314,11 @@
 	}
 }
 
+// MayHoldSoon reports whether this daemon holds the pool or is one of those that claim it first.
+func (d *Daemon) MayHoldSoon() bool {
+	return d.newestClaim().Holder == d.self || d.peers.Rank() < claim.PreferredClaimants
+}
+
 // Ready reports whether this daemon should receive new callers.
 func (d *Daemon) Ready() bool {
 	return !d.stopping.Load() && d.config.Load() != nil && d.storeAge() < maxReadyStoreAge
--- a/citron/tail/tail.go
+++ b/citron/tail/tail.go
@@ -43,6 +43,8 @@
 	Wait time.Duration
 	// Pause is the pause between two reads, which limits their rate under load.
 	Pause time.Duration
+	// PauseNow, if set, returns the pause at the moment instead of Pause.
+	PauseNow func() time.Duration
 
 	// loading is the load in progress and pageTimeout its timeout; only the goroutine of Run uses them.
 	loading     load
@@ -84,7 +86,7 @@
 			if ctx.Err() != nil {
 				break
 			}
-			wait := t.Pause
+			wait := t.pause()
 			aborted := errors.Is(err, errAborted)
 			if !aborted {
 				t.recordResult(err)
@@ -105,6 +107,14 @@
 	return ended
 }
 
+// pause returns the pause before the next read.
+func (t *Tail) pause() time.Duration {
+	if t.PauseNow != nil {
+		return t.PauseNow()
+	}
+	return t.Pause
+}
+
 // wakeupChannel returns the channel that ends pauses, creating it on first use.
 func (t *Tail) wakeupChannel() chan struct{} {
 	t.mu.Lock()
--- a/citron/tail/tail_test.go
+++ b/citron/tail/tail_test.go
@@ -212,3 +212,18 @@
 func (neverFires) After(time.Duration) (c <-chan citron.Instant, stop func()) {
 	return nil, func() {}
 }
+
+// Guards against a pause that is read once: a daemon that takes the pool over must read more often from then on.
+func TestPauseFollowsTheMoment(t *testing.T) {
+	tail := &Tail{Pause: time.Second}
+	if tail.pause() != time.Second {
+		t.Errorf("pause %s, want the fixed one", tail.pause())
+	}
+	now := time.Minute
+	tail.PauseNow = func() time.Duration { return now }
+	for _, now = range []time.Duration{time.Minute, time.Millisecond} {
+		if tail.pause() != now {
+			t.Errorf("pause %s, want %s", tail.pause(), now)
+		}
+	}
+}
