Holder: store a contested job again, so that the first team's record stays the newest

Another team's POST under the id of a job, sent to a daemon that did not know the job yet, left its record as the newest of that key. A daemon that started later read only that one, and a new holder would have run the second team's job. The holder now stores the first record again when a partition shows one of another team; ended jobs are left alone. TestContestedJobIsStoredAgain fails without the call, without the check of the team and without the check for ended jobs.

--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -166,6 +166,7 @@
 	d.view.Unreadable = func(key string, err error) {
 		d.Log.Emit(event.RecordUnreadable, event.Fields{"Key": key, "Error": err})
 	}
+	d.view.Contested = d.restoreJob
 	d.cell = d.newTail(cellPartition, d.applyCell, 0)
 	writer := &intake.Writer{Store: d.Store, Timer: d.Timer, Relay: d.relay, Home: d.homePartition, AnsweredSince: func(n int, since time.Duration) bool {
 		return d.jobs[n].AnsweredSince(since)
@@ -194,6 +195,16 @@
 	return nil
 }
 
+// restoreJob stores a job again if this daemon holds the pool.
+func (d *Daemon) restoreJob(id citron.JobID) {
+	d.mu.Lock()
+	h := d.holding
+	d.mu.Unlock()
+	if h != nil && h.ready.Load() {
+		h.holder.RestoreJob(id)
+	}
+}
+
 // newTail returns a reader of a partition. When its reads succeed again, all other readers read again at once.
 func (d *Daemon) newTail(p citron.Partition, apply func(citron.KeyedBatch, bool), pause time.Duration) *tail.Tail {
 	return &tail.Tail{
--- a/citron/view/view.go
+++ b/citron/view/view.go
@@ -96,6 +96,8 @@
 type View struct {
 	// Unreadable, if set, is called for each record that cannot be decoded and is therefore ignored.
 	Unreadable func(key string, err error)
+	// Contested, if set, is called after a partition's record of a job that is known with another team.
+	Contested func(id citron.JobID)
 
 	shards [shards]shard
 
@@ -212,31 +214,36 @@
 		v.reportUnreadable(r.Key, err)
 		return
 	}
+	contested := false
 	v.update(id, func(e *Entry) {
 		// The order of a partition is the same for all daemons, unlike that of records sent by other daemons.
 		outranks := source != 0 && e.sources[kind] == 0
 		e.sources[kind] |= source
-		set(e, outranks)
+		contested = set(e, outranks)
 	})
+	if contested && source != 0 && v.Contested != nil {
+		v.Contested(id)
+	}
 }
 
 // decode returns the change that a record with a value makes to the entry of its job. Outranks means that the record comes
-// from a partition and the known one, if any, only from other daemons.
-func decode(kind recordKind, value []byte) (set func(e *Entry, outranks bool), err error) {
+// from a partition and the known one, if any, only from other daemons. Contested means that the known one is another team's.
+func decode(kind recordKind, value []byte) (set func(e *Entry, outranks bool) (contested bool), err error) {
 	switch kind {
 	case jobRecord:
 		spec := &work.Job{}
-		return func(e *Entry, outranks bool) {
+		return func(e *Entry, outranks bool) (contested bool) {
 			// Later specs with the same id are ignored, but for one that adds the payload. Another team's spec adds none; it
 			// replaces one that no partition is known to hold.
-			sameTeam := e.Spec.GetTeam() == spec.GetTeam()
-			if e.Spec == nil || sameTeam && e.Spec.GetPayloadOmitted() || !sameTeam && outranks {
+			contested = e.Spec != nil && e.Spec.GetTeam() != spec.GetTeam()
+			if e.Spec == nil || !contested && e.Spec.GetPayloadOmitted() || contested && outranks {
 				e.Spec = spec
 			}
+			return contested
 		}, proto.Unmarshal(value, spec)
 	case progressRecord:
 		progress := &work.Progress{}
-		return func(e *Entry, _ bool) {
+		return func(e *Entry, _ bool) bool {
 			// The same record arrives from the holder and later from the store, and may be in several partitions.
 			if e.Progress == nil || newer(progress, e.Progress) {
 				e.Progress = progress
@@ -244,9 +251,13 @@
 			if e.announced != nil && !newer(e.announced, e.Progress) {
 				e.announced = nil
 			}
+			return false
 		}, proto.Unmarshal(value, progress)
 	}
-	return func(e *Entry, _ bool) { e.Cancelled = true }, nil
+	return func(e *Entry, _ bool) bool {
+		e.Cancelled = true
+		return false
+	}, nil
 }
 
 // newer reports whether a has a higher epoch than b, or the same epoch and a higher number.
