Test: of two teams that submit one id the first keeps its job at every daemon

Three daemons whose reads of accepted jobs are silent while two teams submit one id; then each daemon, also one that is started after compaction, must show the job to the first team only.

--- a/citronlab/site/keys_test.go
+++ b/citronlab/site/keys_test.go
@@ -1,7 +1,9 @@
 package site
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -90,3 +92,52 @@
 	c.site.Store.SetFailures(nil)
 	c.waitForKeys(map[string]int{"a": http.StatusOK})
 }
+
+// Two teams submit one id to daemons that do not know of each other's job yet. The first record in the store must count at
+// every daemon, also at one that is started later.
+func TestFirstOfTwoTeamsKeepsItsJob(t *testing.T) {
+	c := startCell(t, "127.0.0.55", 3)
+	c.site.PublishTeams(2, teamsWithKeys("a"), "quick", "bulk")
+	c.waitForKeys(map[string]int{"a": http.StatusOK, "b": http.StatusOK})
+	holder := c.holder()
+	first, second := (holder+1)%3, (holder+2)%3
+	c.site.Store.SetFailures(func(call, topic, _ string) Failure {
+		if call == "log-read" && topic == jobsTopic {
+			return Unresponsive
+		}
+		return NoFailure
+	})
+	// No worker has room, so that the job does not end meanwhile.
+	const body = `{"spec":"x","steps":[{"count":1,"cpu":900000,"mem_mb":100}]}`
+	id, tries := "", 0
+	keyed := func(key string, front int, method string) int {
+		client := Client{Key: key}
+		status, _ := client.Call(c.fronts[front], method, "/quick/"+id, body)
+		return status
+	}
+	c.waitUntil(func() bool {
+		// A read that began before the failures may still show the first job to the second daemon; then another id is used.
+		tries++
+		id = fmt.Sprintf("%016x", 0xaa00+tries)
+		return keyed("a", first, http.MethodPost) == http.StatusOK && keyed("b", second, http.MethodPost) == http.StatusOK
+	})
+	c.site.Store.SetFailures(nil)
+	belongsToFirst := func(front int) bool {
+		return keyed("a", front, http.MethodGet) == http.StatusOK && keyed("b", front, http.MethodGet) == http.StatusGone
+	}
+	for front := range c.daemons {
+		c.waitUntil(func() bool { return belongsToFirst(front) })
+	}
+	// The holder has stored the first team's record (field 10 is "a") again.
+	c.waitUntil(func() bool { return strings.Contains(c.site.Store.Value(jobsTopic, "job/"+id), "R\x01a") })
+	c.site.Store.Compact()
+	c.daemons[second].Kill()
+	c.launch(second)
+	c.waitUntil(func() bool { return c.loaded(second) && c.pendingStatus(second, "a") == http.StatusOK })
+	if !belongsToFirst(second) || keyed("b", second, http.MethodPost) != http.StatusConflict {
+		t.Error("a daemon that was started later takes the job for the second team's")
+	}
+	if status := keyed("a", second, http.MethodDelete); status != http.StatusOK {
+		t.Errorf("the first team's cancellation is answered with %d", status)
+	}
+}
