Pool: share after band and priority, and aging of steps

While teams are in force, a step that has waited for 30 s comes first until one of its tasks starts, one step in 5 s.

--- a/citron/pool/order.go
+++ b/citron/pool/order.go
@@ -9,10 +9,15 @@
 	"github.com/citroncross/citroncross/citron"
 )
 
-// rank orders waiting steps: those that can no longer be of use last, then by the rank of their team's share, band of
-// lateness, priority (0 first) and deadline.
+// rank orders waiting steps: those that can no longer be of use last, then jobs beyond the rate of their team after all
+// others, then by band of lateness, priority (0 first), the share of their team and deadline.
+//
+// The share comes after the priority because a small team is over its share with a single gang: placed before the priority,
+// it made the quick jobs of small teams wait for the long ones of others (docs/design/share.md).
 type rank struct {
-	step     *step
+	step *step
+	// aged is set for the step that has waited for too long.
+	aged     bool
 	share    citron.ShareRank
 	band     int
 	priority int32
@@ -31,9 +36,15 @@
 
 // sortWaiting sorts the waiting steps by rank.
 func (p *Pool) sortWaiting(now time.Duration) {
+	var aged *step
+	if p.share != nil {
+		aged = p.aging.next(now, p.waiting)
+	}
 	ranks := make([]rank, 0, len(p.waiting))
 	for _, s := range p.waiting {
-		ranks = append(ranks, p.rank(now, s))
+		r := p.rank(now, s)
+		r.aged = s == aged
+		ranks = append(ranks, r)
 	}
 	slices.SortFunc(ranks, func(a, b rank) int { return a.compare(&b) })
 	for n := range ranks {
@@ -60,15 +71,61 @@
 
 // compare returns a negative number if r comes before o. No two steps are equal.
 func (r *rank) compare(o *rank) int {
-	if c := cmp.Or(compareBool(r.band == bandTooLate, o.band == bandTooLate), int(r.share-o.share), r.band-o.band); c != 0 {
+	if c := cmp.Or(compareBool(o.aged, r.aged), compareBool(r.band == bandTooLate, o.band == bandTooLate), r.beyondRate()-o.beyondRate(), r.band-o.band); c != 0 {
 		return c
 	}
-	if c := cmp.Or(cmp.Compare(r.priority, o.priority), cmp.Compare(r.deadline, o.deadline)); c != 0 {
+	if c := cmp.Or(cmp.Compare(r.priority, o.priority), int(r.share-o.share), cmp.Compare(r.deadline, o.deadline)); c != 0 {
 		return c
 	}
 	return cmp.Compare(r.step.ref, o.step.ref)
 }
 
+// beyondRate returns 0 for steps of jobs within the rate of their team.
+func (r *rank) beyondRate() int {
+	return max(int(r.share-citron.OverShare), 0)
+}
+
+const (
+	// agedAfter is the time after which a step may come before all others: much longer than any objective of the load that
+	// the order is made for.
+	agedAfter = 30 * time.Second
+	// agedInterval is the time between two such steps. The largest gangs of that load take 1.5 % of the capacity at this rate.
+	agedInterval = 5 * time.Second
+)
+
+// aging lets steps that have waited for long come first, one at a time, until a task of theirs has started. Without it a gang
+// that is too late waits for as long as smaller tasks pass. It applies only while teams are in force.
+type aging struct {
+	step    *step
+	waiting int
+	due     time.Duration
+}
+
+// next returns the step that comes first now, nil if there is none.
+func (a *aging) next(now time.Duration, waiting []*step) *step {
+	if a.step != nil && a.step.waitingTasks() < a.waiting {
+		a.step = nil
+	}
+	if now < a.due {
+		return a.step
+	}
+	a.step, a.due = nil, now+agedInterval
+	for _, s := range waiting {
+		if now-s.waitsSince() > agedAfter && (a.step == nil || s.waitsSince() < a.step.waitsSince()) {
+			a.step = s
+		}
+	}
+	if a.step != nil {
+		a.step.agedAt, a.waiting = now, a.step.waitingTasks()
+	}
+	return a.step
+}
+
+// waitsSince returns when the step became ready or last came first.
+func (s *step) waitsSince() time.Duration {
+	return max(s.readyAt, s.agedAt)
+}
+
 // teamUse is what the tasks of one team use and need.
 type teamUse struct {
 	used, waiting citron.Capacity
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -77,6 +77,7 @@
 	// teams holds the use of capacity by each team with jobs in the pool, arrivals the jobs whose rate is not checked yet.
 	teams    map[citron.Team]*teamUse
 	arrivals []*job
+	aging    aging
 	// refusals is the result of the last check of the teams' backlogs, backlogsDue the boot time of the next one.
 	refusals    atomic.Pointer[Refusals]
 	backlogsDue time.Duration
@@ -239,6 +240,8 @@
 	adviceCheckAt time.Duration
 	// backoffUntil is when the step may be placed again after a worker refused a start.
 	backoffUntil time.Duration
+	// agedAt is when the step last came before all others because of its wait.
+	agedAt time.Duration
 	// explainedAt is when the reason for waiting was last reported.
 	explainedAt time.Duration
 	// gangRun is the run number shared by all members of a gang.
