--- a/citron/pool/quota.go
+++ b/citron/pool/quota.go
@@ -90,13 +90,14 @@
 // hidesRuns reports whether a worker may have runs that are not assigned to it: it has reported some, or it has not reported
 // yet and a former holder may have started runs of jobs that are not known here. They end with their leases.
 func (p *Pool) hidesRuns(now time.Duration, w *worker) bool {
+	leased := p.unknownUntil == 0 || now <= p.unknownUntil
 	switch {
 	case w.gone:
 		return false
 	case w.unrecordedRuns:
-		return now <= max(w.leaseUntil, p.unknownUntil)
+		return leased || now <= w.leaseUntil
 	}
-	return !w.reported && !p.allJobsKnown && now <= p.unknownUntil
+	return !w.reported && !p.allJobsKnown && leased
 }
 
 // atLeastZero replaces negative dimensions by 0.
--- a/citron/pool/quota_test.go
+++ b/citron/pool/quota_test.go
@@ -202,6 +202,24 @@
 	r.wantStarts(1, "the unknown run has ended")
 }
 
+// A worker with an unknown run must count also once the platform no longer lists it, since the run may go on.
+func TestUnlistedWorkerWithUnknownRunCounts(t *testing.T) {
+	r := newRig(t)
+	r.takeOver()
+	ids := r.workers(2)
+	r.limit(8)
+	r.report(ids[0], citron.WorkerReport{Running: []citron.RunningTask{{Task: "unread.0.0.0", Run: 1}}})
+	r.p.UpdateWorkers(r.now, []citron.WorkerEntry{r.p.workers[ids[1]].entry})
+	r.accept(teamJob("a", "j1", newStep(1, 2)))
+	r.wantStarts(0, "an unlisted worker has an unknown run")
+	r.p.Gone(r.now, ids[0])
+	r.wantStarts(1, "the worker has restarted")
+	r.p.UpdateWorkers(r.now, []citron.WorkerEntry{r.p.workers[ids[1]].entry})
+	if r.p.workers[ids[0]] != nil {
+		t.Error("the worker is still known, want it removed")
+	}
+}
+
 // A worker that does not report may have runs of unknown jobs only until the leases of the former holder have expired.
 func TestUnreportedWorkerCountsUntilFormerLeasesExpire(t *testing.T) {
 	r := newRig(t)
--- a/citron/pool/report.go
+++ b/citron/pool/report.go
@@ -42,7 +42,7 @@
 			w.listed = false
 			p.observe(Decision{Kind: DecidedWorkerLost, Worker: id, Outcome: "unlisted", Reason: "the platform no longer lists it"})
 		}
-		if !w.listed && len(w.tasks) == 0 {
+		if !w.listed && len(w.tasks) == 0 && (p.terms == nil || !p.hidesRuns(now.Boot, w)) {
 			p.removeWorker(w)
 		}
 	}
