--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -92,6 +92,8 @@
 	backlogsDue time.Duration
 	// headrooms estimates the need of priority 0 on the workers of each service. It is empty without HeadroomPercent.
 	headrooms map[citron.Service]*headroom
+	// withoutHolds makes gangs hold no quota; the baseline of the test that plays them.
+	withoutHolds bool
 	// quotaWaitAt is when a step of each team was last reported to wait for quota; unknownRunsAt is when unknown runs last
 	// counted.
 	quotaWaitAt   map[citron.Team]time.Duration
