Pool: restart stragglers of steps that allow duplicates

A run that takes longer than 2.5 times what is expected on its worker is stopped and its task runs elsewhere: once per task, at most 2 % of the running tasks, only where another worker has room, and only where teams are in force or workers differ in speed. It uses the stop and requeue of evictions, so records and recovery do not change; a copy beside the first run would need both. If restarted tasks turn out as stragglers again, because the tail belongs to the task, no more are restarted.

The drawn load did not renew leases, so gangs ended after 4 s; it does now.

--- a/citron/pool/end.go
+++ b/citron/pool/end.go
@@ -59,6 +59,7 @@
 	case citron.EndDone:
 		w.failures.reset()
 		p.observeRunTime(w, t, ran)
+		p.recordRestartEnd(t)
 		p.completeTask(now, t)
 	case citron.EndFailed:
 		p.applyFailure(now, w, t)
@@ -205,10 +206,7 @@
 		w.blockedUntil = now + pause
 		p.observe(Decision{Kind: DecidedQuarantine, Worker: w.entry.ID, Reason: "tasks of several jobs failed in a row", Age: pause})
 	}
-	if t.failedOn == nil {
-		t.failedOn = map[citron.Worker]bool{}
-	}
-	t.failedOn[w.entry.ID] = true
+	t.avoid(w)
 	p.requeue(now, t, "failed")
 	p.countFailure(now, t, t.run)
 }
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -129,6 +129,7 @@
 		wp.observeWait(s)
 		p.lastPlan.WaitingTasks += s.waitingTasks()
 	}
+	wp.restartStragglers()
 	for _, w := range p.byID {
 		p.lastPlan.RunningTasks += len(w.tasks)
 		if w.listed {
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -67,6 +67,8 @@
 	ended    map[citron.JobID]endedJob
 	runTimes citron.RunTimes
 	speeds   speeds
+	// stragglers is what is known of restarted tasks.
+	stragglers stragglers
 	// terms are the teams' terms in the newest configuration; nil if teams are not in force.
 	terms []citron.TeamTerms
 	// lastExpiry is when expired jobs were last removed.
@@ -284,7 +286,9 @@
 	stopAckedAt time.Duration
 	// percent is the progress that the worker last reported.
 	percent int
-	// failedOn holds the workers on which the task failed.
+	// restarted is set once a run was stopped as a straggler; restartCounted once the result of the next one is counted.
+	restarted, restartCounted bool
+	// failedOn holds the workers on which the task failed, or was a straggler.
 	failedOn map[citron.Worker]bool
 }
 
--- a/citron/pool/speed_test.go
+++ b/citron/pool/speed_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/speed"
 	"github.com/citroncross/citroncross/schema/work"
@@ -72,6 +74,11 @@
 	jobs    map[string]float64
 	// quickOnFast counts the tasks of the quick queue on fast workers, quickTasks all of them.
 	quickOnFast, quickTasks int
+	// copies lets the tasks of sweeps run duplicates; stopped counts the stopped runs.
+	copies  bool
+	stopped int
+	// tailOfTask draws the tail once for each task instead of each run.
+	tailOfTask bool
 }
 
 type pendingEnd struct {
@@ -105,7 +112,7 @@
 // play plays the load for a time. Value is counted after the first 10 s, in which the speeds are learned.
 func (l *speedLoad) play(length time.Duration) {
 	const warmUp = 10 * time.Second
-	begin := l.now.Boot
+	begin, renewed := l.now.Boot, l.now.Boot
 	next := make([]time.Duration, len(speedQueues))
 	jobs := 0
 	for l.now.Boot < begin+length {
@@ -121,16 +128,22 @@
 			l.pending = l.pending[1:]
 			l.finish(due.start, l.now.Boot-begin > warmUp)
 		}
-		for _, s := range l.plan().Starts {
+		if l.now.Boot-renewed > time.Second {
+			renewed = l.now.Boot
+			l.renew()
+		}
+		e := l.plan()
+		for _, s := range e.Starts {
 			l.begin(s)
 		}
+		l.stop(e.Stops)
 	}
 }
 
 func (l *speedLoad) submit(q *speedQueue, id string) {
 	// Declared estimates are off by up to 0.9 of their size.
 	declared := float64(q.run.Milliseconds()) * (0.1 + 1.8*l.random.Float64())
-	s := &work.Step{Tasks: q.tasks, MilliCores: q.milliCores, MemoryMb: 100, EstimateMs: int64(declared), Gang: q.gang}
+	s := &work.Step{Tasks: q.tasks, MilliCores: q.milliCores, MemoryMb: 100, EstimateMs: int64(declared), Gang: q.gang, Copies: l.copies && q.name == "sweep"}
 	j := newJob(id, s)
 	j.Queue, j.Terms.Priority = q.name, q.priority
 	j.Terms.StretchPercent, j.Terms.TargetMs = q.stretch, int64(q.targetMs)
@@ -143,7 +156,11 @@
 	id := jobOf(s.Order.Task)
 	j := l.open[id]
 	ran := float64(j.queue.run) * math.Exp(0.15*l.random.NormFloat64()) / l.speeds[s.Worker.ID]
-	if l.random.Float64() < 0.03 && !j.queue.gang {
+	drawn := l.random.Float64()
+	if l.tailOfTask {
+		drawn = float64(xxhash.Sum64String(string(s.Order.Task))%1000) / 1000
+	}
+	if drawn < 0.03 && !j.queue.gang {
 		ran *= 7
 	}
 	at := l.now.Boot + time.Duration(ran)
@@ -166,6 +183,33 @@
 	slices.SortStableFunc(l.pending, func(a, b pendingEnd) int { return cmp.Compare(a.at, b.at) })
 }
 
+// renew renews the leases on all workers, which report their runs.
+func (l *speedLoad) renew() {
+	running := map[citron.Worker][]citron.RunningTask{}
+	for _, e := range l.pending {
+		id := e.start.Worker.ID
+		running[id] = append(running[id], citron.RunningTask{Task: e.start.Order.Task, Run: e.start.Order.Run})
+	}
+	for _, id := range l.p.Workers() {
+		l.p.NextRenewal(l.now, id)
+		l.p.Renewed(l.now, id, l.now.Boot, citron.WorkerReport{Running: running[id]}, l.now.Boot)
+	}
+}
+
+// stop ends the runs that the pool stops.
+func (l *speedLoad) stop(stops []Stop) {
+	for _, o := range stops {
+		n := slices.IndexFunc(l.pending, func(e pendingEnd) bool { return e.start.Order.Task == o.Order.Task && e.start.Order.Run == o.Order.Run })
+		if n < 0 {
+			continue
+		}
+		s := l.pending[n].start
+		l.pending = slices.Delete(l.pending, n, n+1)
+		l.stopped++
+		l.end(s, citron.EndStopped)
+	}
+}
+
 // finish reports the end of a run and counts the value of its job.
 func (l *speedLoad) finish(s Start, counts bool) {
 	id := jobOf(s.Order.Task)
