--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -132,6 +132,7 @@
 		p.lastPlan.WaitingTasks += s.waitingTasks()
 	}
 	p.checkBacklogs(now)
+	wp.restartStragglers()
 	for _, w := range p.byID {
 		p.lastPlan.RunningTasks += len(w.tasks)
 		if w.listed {
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -40,6 +40,9 @@
 	// HeadroomPercent is the largest part of the capacity that tasks of priority 1 and above leave free for the expected
 	// arrivals of priority 0; 0 means none.
 	HeadroomPercent int
+	// RestartStragglers makes the pool restart tasks that may run twice and take much longer than expected. Off by default: on
+	// drawn loads the sweeps that it restarts gain, but over all queues no gain is shown (docs/design/speed.md).
+	RestartStragglers bool
 }
 
 // Pool is the scheduling state of one worker pool during one epoch.
@@ -73,6 +76,8 @@
 	ended    map[citron.JobID]endedJob
 	runTimes citron.RunTimes
 	speeds   speeds
+	// stragglers is what is known of restarted tasks.
+	stragglers stragglers
 	// terms are the teams' terms in the newest configuration; nil if teams are not in force.
 	terms []citron.TeamTerms
 	// termsKnown is set once the terms, or that there are none, are known. Jobs of teams wait for that.
@@ -330,7 +335,9 @@
 	stopAckedAt time.Duration
 	// percent is the progress that the worker last reported.
 	percent int
-	// failedOn holds the workers on which the task failed.
+	// restarted is set once a run was stopped as a straggler; restartCounted once the result of the next one is counted.
+	restarted, restartCounted bool
+	// failedOn holds the workers on which the task failed, or was a straggler.
 	failedOn map[citron.Worker]bool
 }
 
