Refuse jobs of the priority whose backlog is worthless

The summary now names the priority, and only the work that comes before a new job of it counts: nothing is refused in that load.

--- a/citron/entry/shares.go
+++ b/citron/entry/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -35,7 +36,7 @@
 		return nil
 	}
 	d.refusals.mu.Lock()
-	wait, ok := d.refusals.admission.Admit(d.Timer.Now().Boot, terms)
+	wait, ok := d.refusals.admission.Admit(d.Timer.Now().Boot, terms, job.GetTerms().GetPriority())
 	d.logRefusalsLocked("no summary of the holder has been received")
 	d.refusals.mu.Unlock()
 	if ok {
@@ -66,7 +67,7 @@
 	s := d.refusals.admission.Current(d.Timer.Now().Boot)
 	var names []string
 	for _, t := range s.GetTeams() {
-		names = append(names, t.GetTeam())
+		names = append(names, fmt.Sprintf("%s/%d", t.GetTeam(), t.GetPriority()))
 	}
 	listed := strings.Join(names, ",")
 	if listed == d.refusals.listed {
@@ -93,7 +94,7 @@
 	}
 	s := &link.ShareSummary{Epoch: uint64(p.Epoch), Number: r.Number, Daemons: int32(len(d.peers.Live()) + 1)}
 	for _, t := range r.Teams {
-		s.Teams = append(s.Teams, &link.TeamBacklog{Team: string(t.Team), WaitMs: t.Wait.Milliseconds(), Waiting: int32(t.Waiting)})
+		s.Teams = append(s.Teams, &link.TeamBacklog{Team: string(t.Team), WaitMs: t.Wait.Milliseconds(), Waiting: int32(t.Jobs), Priority: t.Priority})
 	}
 	return s
 }
@@ -112,7 +113,7 @@
 		return
 	}
 	for _, t := range s.GetTeams() {
-		d.Log.Emit(event.TeamBacklogFound, event.Fields{"Team": t.GetTeam(), "Waiting": t.GetWaiting(), "WaitMs": t.GetWaitMs()})
+		d.Log.Emit(event.TeamBacklogFound, event.Fields{"Team": t.GetTeam(), "Priority": t.GetPriority(), "Waiting": t.GetWaiting(), "WaitMs": t.GetWaitMs()})
 	}
 	for _, vms := range publishGroups(d.peers.Live()) {
 		d.notify(vms[0], notice{shares: s, forward: vms[1:]}, 0)
--- a/citron/pool/backlog.go
+++ b/citron/pool/backlog.go
@@ -13,22 +13,13 @@
 // may go by before it admits jobs again.
 const refusalInterval = 500 * time.Millisecond
 
-// Refusals lists the teams whose new jobs would be worthless.
+// Refusals lists the teams and priorities whose new jobs would be worthless.
 type Refusals struct {
 	// Number counts the checks of this epoch.
 	Number uint64
 	// Listed counts the checks that found any team.
 	Listed uint64
-	Teams  []RefusedTeam
-}
-
-// RefusedTeam is the backlog of a team whose new jobs are to be refused.
-type RefusedTeam struct {
-	Team citron.Team
-	// Wait is the expected wait of a new job beyond the rate.
-	Wait time.Duration
-	// Waiting counts the jobs that have not started, OverRate those of them beyond the rate.
-	Waiting, OverRate int
+	Teams  []citron.BacklogWait
 }
 
 // Refusals returns the result of the last check of the backlogs. It does not wait for a plan in progress, since the answers
@@ -50,7 +41,7 @@
 	r.Number++
 	r.Teams = nil
 	if p.share != nil {
-		r.Teams = p.refusedTeams()
+		r.Teams = p.share.Refusals(p.backlogs())
 	}
 	if len(r.Teams) > 0 {
 		r.Listed++
@@ -58,45 +49,51 @@
 	p.refusals.Store(&r)
 }
 
-// refusedTeams returns the teams whose new jobs are to be refused, sorted by team.
-func (p *Pool) refusedTeams() (list []RefusedTeam) {
-	backlogs := p.backlogs()
-	waits := p.share.Refusals(backlogs)
-	for _, b := range backlogs {
-		if wait, ok := waits[b.Team]; ok {
-			list = append(list, RefusedTeam{Team: b.Team, Wait: wait, Waiting: b.Jobs, OverRate: b.OverRate})
-		}
-	}
-	return list
+// backlogKey names the backlog of a team for a priority.
+type backlogKey struct {
+	team     citron.Team
+	priority int32
 }
 
-// backlogs returns the waiting work of each team, sorted by team.
+// backlogs returns the waiting work of each team that comes before a new job of each priority, sorted by team and priority.
 func (p *Pool) backlogs() (list []citron.Backlog) {
-	byTeam := map[citron.Team]*citron.Backlog{}
+	byKey := map[backlogKey]*citron.Backlog{}
 	seen := map[*job]bool{}
 	for _, s := range p.waiting {
-		name := citron.Team(s.job.spec.GetTeam())
-		b := byTeam[name]
+		k := backlogKey{citron.Team(s.job.spec.GetTeam()), s.priority()}
+		b := byKey[k]
 		if b == nil {
-			b = &citron.Backlog{Team: name}
-			byTeam[name] = b
+			b = &citron.Backlog{Team: k.team, Priority: k.priority}
+			byKey[k] = b
 		}
 		b.Work += time.Duration(s.need.MilliCores*int64(s.waitingTasks())) * p.expectedRunTime(s.job, s.index)
 		if s.job.state != work.State_STATE_QUEUED || seen[s.job] {
 			continue
 		}
 		seen[s.job] = true
-		b.Jobs++
-		if s.job.overRate {
-			b.OverRate++
-		}
-		if objective := p.objective(s.job); b.Objective == 0 || objective < b.Objective {
-			b.Objective = objective
-		}
+		p.countWaiting(b, s.job)
 	}
-	for _, b := range byTeam {
+	for _, b := range byKey {
 		list = append(list, *b)
 	}
-	slices.SortFunc(list, func(a, b citron.Backlog) int { return cmp.Compare(a.Team, b.Team) })
+	slices.SortFunc(list, func(a, b citron.Backlog) int {
+		return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Priority, b.Priority))
+	})
+	for n := 1; n < len(list); n++ {
+		if list[n].Team == list[n-1].Team {
+			list[n].Work += list[n-1].Work
+		}
+	}
 	return list
 }
+
+// countWaiting adds a job that has not started to a backlog.
+func (p *Pool) countWaiting(b *citron.Backlog, j *job) {
+	b.Jobs++
+	if j.overRate {
+		b.OverRate++
+	}
+	if objective := p.objective(j); b.Objective == 0 || objective < b.Objective {
+		b.Objective = objective
+	}
+}
--- a/citron/pool/backlog_test.go
+++ b/citron/pool/backlog_test.go
@@ -37,7 +37,7 @@
 	r.plan()
 	got := r.p.Refusals()
 	// 40 tasks of 16 cores for a second wait, and half of 64 cores is the team's.
-	if len(got.Teams) != 1 || got.Teams[0].Team != "flood" || got.Teams[0].Waiting != 40 || got.Teams[0].OverRate != 38 || got.Teams[0].Wait < 15*time.Second || got.Teams[0].Wait > 25*time.Second {
+	if len(got.Teams) != 1 || got.Teams[0].Team != "flood" || got.Teams[0].Jobs != 40 || got.Teams[0].OverRate != 38 || got.Teams[0].Wait < 15*time.Second || got.Teams[0].Wait > 25*time.Second {
 		t.Fatalf("a backlog of 20 s: %+v", got)
 	}
 	r.advance(refusalInterval / 2)
--- a/citron/pool/play_test.go
+++ b/citron/pool/play_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/share"
+	"github.com/citroncross/citroncross/schema/link"
 	"github.com/citroncross/citroncross/schema/work"
 )
 
@@ -26,6 +28,8 @@
 	// noisyTeam sends noisyFactor times its usual load in noisyBurst.
 	noisyTeam   = 4
 	noisyFactor = 7.5
+	// floodFactor is that of a team whose backlog becomes worthless.
+	floodFactor = 40
 	// entitledFactor is the number of jobs that a team is entitled to, relative to its usual load.
 	entitledFactor = 1.25
 )
@@ -73,6 +77,7 @@
 	runTimes  [][]time.Duration
 	chain     time.Duration
 	fails     bool
+	refused   bool
 	started   time.Duration
 	ended     time.Duration
 	objective time.Duration
@@ -102,14 +107,14 @@
 	return loads
 }
 
-// makeLoad returns the jobs of a load by time.
-func makeLoad(seed uint64, bursts []queueBurst, noisy bool) (jobs []*playJob) {
+// makeLoad returns the jobs of a load by time. The noisy team sends factor times its usual load for a time.
+func makeLoad(seed uint64, bursts []queueBurst, factor float64) (jobs []*playJob) {
 	for n, load := range teamLoads() {
 		for q := range playQueues {
 			random := rand.New(rand.NewPCG(seed, uint64(n*len(playQueues)+q)))
 			jobs = append(jobs, makeStream(random, n, &playQueues[q], load, bursts, span{0, playLength})...)
-			if noisy && n == noisyTeam {
-				jobs = append(jobs, makeStream(random, n, &playQueues[q], load*(noisyFactor-1), nil, noisyBurst)...)
+			if factor > 1 && n == noisyTeam {
+				jobs = append(jobs, makeStream(random, n, &playQueues[q], load*(factor-1), nil, noisyBurst)...)
 			}
 		}
 	}
@@ -179,6 +184,8 @@
 type playOptions struct {
 	teams    bool
 	headroom int
+	// daemons is the number of daemons that refuse jobs; 0 means that none does.
+	daemons int
 }
 
 // playLoad plays jobs and records what their callers get.
@@ -187,19 +194,23 @@
 	p.p.Options.HeadroomPercent = o.headroom
 	if o.teams {
 		var terms []citron.TeamTerms
-		for n, load := range teamLoads() {
-			terms = append(terms, citron.TeamTerms{Name: citron.Team(playTeamName(n)), Weight: load * 120 * entitledFactor})
+		for n := range playTeams {
+			terms = append(terms, playTerms(n))
 		}
 		p.p.SetTerms(terms)
 	}
 	p.playWorkers()
 	p.p.Observe = p.observe
 	p.began = p.now.Boot
+	admission := newPlayAdmission(o.daemons)
 	next := 0
 	for at := time.Duration(0); at < playLength+playDrain; at += playStep {
 		p.now = p.now.Add(p.began + at - p.now.Boot)
 		for ; next < len(jobs) && jobs[next].at <= at; next++ {
 			j := jobs[next]
+			if !admission.admit(p, j) {
+				continue
+			}
 			p.byID[citron.JobID(j.spec.GetID())] = j
 			j.spec.AcceptedMs = p.now.Wall.UnixMilli()
 			p.p.Accept(p.now, j.spec, nil)
@@ -218,6 +229,38 @@
 	return p
 }
 
+// playAdmission is the admission of jobs on several daemons, each of which gets a part of the jobs by chance.
+type playAdmission struct {
+	random  *rand.Rand
+	daemons []share.Admission
+}
+
+func newPlayAdmission(daemons int) *playAdmission {
+	return &playAdmission{rand.New(rand.NewPCG(1, 1)), make([]share.Admission, daemons)}
+}
+
+// admit passes the newest summary of the pool to a daemon and lets it decide on a job.
+func (a *playAdmission) admit(p *play, j *playJob) bool {
+	if len(a.daemons) == 0 {
+		return true
+	}
+	d := &a.daemons[a.random.IntN(len(a.daemons))]
+	r := p.p.Refusals()
+	s := &link.ShareSummary{Epoch: 1, Number: r.Number, Daemons: int32(len(a.daemons))}
+	for _, t := range r.Teams {
+		s.Teams = append(s.Teams, &link.TeamBacklog{Team: string(t.Team), WaitMs: t.Wait.Milliseconds(), Priority: t.Priority})
+	}
+	d.Apply(p.now.Boot, s)
+	_, ok := d.Admit(p.now.Boot, playTerms(j.team), j.queue.priority)
+	j.refused = !ok
+	return ok
+}
+
+// playTerms returns the terms of a team.
+func playTerms(n int) citron.TeamTerms {
+	return citron.TeamTerms{Name: citron.Team(playTeamName(n)), Weight: teamLoads()[n] * 120 * entitledFactor}
+}
+
 // playWorkers adds 350 workers of 64 cores, of which the usual load uses 85 %.
 func (p *play) playWorkers() {
 	var entries []citron.WorkerEntry
@@ -298,13 +341,13 @@
 
 // outcome sums up what callers get.
 type outcome struct {
-	jobs                int
+	jobs, refused       int
 	value               float64
 	wait50, wait95, w99 time.Duration
 }
 
 func (o outcome) String() string {
-	return fmt.Sprintf("%5d jobs, value %.3f, wait 50%% %4d 95%% %5d 99%% %5d ms", o.jobs, o.value, o.wait50.Milliseconds(), o.wait95.Milliseconds(), o.w99.Milliseconds())
+	return fmt.Sprintf("%5d jobs, %3d refused, value %.3f, wait 50%% %4d 95%% %5d 99%% %5d ms", o.jobs, o.refused, o.value, o.wait50.Milliseconds(), o.wait95.Milliseconds(), o.w99.Milliseconds())
 }
 
 // summarize sums up the jobs that never fail for which a condition holds.
@@ -316,9 +359,13 @@
 		}
 		o.jobs++
 		o.value += j.value()
+		if j.refused {
+			o.refused++
+			continue
+		}
 		waits = append(waits, j.wait())
 	}
-	if o.jobs == 0 {
+	if len(waits) == 0 {
 		return o
 	}
 	slices.Sort(waits)
@@ -365,9 +412,9 @@
 // comparison with the former order under the same load and with the same load without that team's excess.
 func TestPlayedNoisyTeam(t *testing.T) {
 	const seed = 1
-	former := playLoad(t, makeLoad(seed, nil, true), playOptions{}).jobs
-	shared := playLoad(t, makeLoad(seed, nil, true), playOptions{teams: true, headroom: 15}).jobs
-	quiet := playLoad(t, makeLoad(seed, nil, false), playOptions{teams: true, headroom: 15}).jobs
+	former := playLoad(t, makeLoad(seed, nil, noisyFactor), playOptions{}).jobs
+	shared := playLoad(t, makeLoad(seed, nil, noisyFactor), playOptions{teams: true, headroom: 15}).jobs
+	quiet := playLoad(t, makeLoad(seed, nil, 1), playOptions{teams: true, headroom: 15}).jobs
 	logPlay(t, "former order", former)
 	logPlay(t, "shares", shared)
 	logPlay(t, "shares, no noise", quiet)
@@ -394,6 +441,28 @@
 	}
 }
 
+// TestPlayedFlood plays a team at 40 times its usual load, whose long jobs become worthless. It guards against worthless jobs
+// that use the capacity of others, and against refusing jobs of others.
+func TestPlayedFlood(t *testing.T) {
+	const seed = 1
+	former := playLoad(t, makeLoad(seed, nil, floodFactor), playOptions{}).jobs
+	shared := playLoad(t, makeLoad(seed, nil, floodFactor), playOptions{teams: true, headroom: 15, daemons: 33}).jobs
+	logPlay(t, "former order", former)
+	logPlay(t, "shares, refusals", shared)
+	for _, q := range playQueues {
+		was, is := summarize(former, othersOf(q.name)), summarize(shared, othersOf(q.name))
+		if is.value < was.value-0.02 || q.name == "rebuild" && is.value < was.value+0.1 {
+			t.Errorf("%s jobs of others earn %.3f, %.3f with the former order", q.name, is.value, was.value)
+		}
+		if is.refused > 0 {
+			t.Errorf("%d %s jobs of others were refused", is.refused, q.name)
+		}
+	}
+	if got := summarize(shared, noisy); got.refused == 0 {
+		t.Error("no job of the noisy team was refused")
+	}
+}
+
 // TestPlayedBursts plays bursts of one queue of all teams. It guards against shares that cost more than they give where no
 // team is to blame.
 func TestPlayedBursts(t *testing.T) {
@@ -401,8 +470,8 @@
 		"quick": {span{6 * time.Second, 12 * time.Second}, "quick", 2.5},
 		"sweep": {span{6 * time.Second, 12 * time.Second}, "sweep", 2.5},
 	} {
-		former := playLoad(t, makeLoad(2, []queueBurst{burst}, false), playOptions{}).jobs
-		shared := playLoad(t, makeLoad(2, []queueBurst{burst}, false), playOptions{teams: true, headroom: 15}).jobs
+		former := playLoad(t, makeLoad(2, []queueBurst{burst}, 1), playOptions{}).jobs
+		shared := playLoad(t, makeLoad(2, []queueBurst{burst}, 1), playOptions{teams: true, headroom: 15}).jobs
 		logPlay(t, name+", former", former)
 		logPlay(t, name+", shares", shared)
 		all := func(*playJob) bool { return true }
--- a/citron/share/admission.go
+++ b/citron/share/admission.go
@@ -37,10 +37,10 @@
 	return a.newest
 }
 
-// Admit decides on a new job of a team. A job is refused if the summary lists its team and it comes beyond the part of the
+// Admit decides on a new job of a team. A job is refused if the summary lists its team and priority and it comes beyond the part of the
 // team's rate that falls to this daemon; then wait is how long the job would wait. The rate is counted while no team is
 // listed, too.
-func (a *Admission) Admit(now time.Duration, team citron.TeamTerms) (wait time.Duration, ok bool) {
+func (a *Admission) Admit(now time.Duration, team citron.TeamTerms, priority int32) (wait time.Duration, ok bool) {
 	s := a.Current(now)
 	if a.buckets == nil {
 		a.buckets = map[citron.Team]*Bucket{}
@@ -55,7 +55,7 @@
 		return 0, true
 	}
 	for _, t := range s.GetTeams() {
-		if t.GetTeam() == string(team.Name) {
+		if t.GetTeam() == string(team.Name) && t.GetPriority() == priority {
 			return time.Duration(t.GetWaitMs()) * time.Millisecond, false
 		}
 	}
--- a/citron/share/admission_test.go
+++ b/citron/share/admission_test.go
@@ -11,7 +11,7 @@
 func summary(epoch, number uint64, teams ...string) *link.ShareSummary {
 	s := &link.ShareSummary{Epoch: epoch, Number: number, Daemons: 10}
 	for _, t := range teams {
-		s.Teams = append(s.Teams, &link.TeamBacklog{Team: t, WaitMs: 4000})
+		s.Teams = append(s.Teams, &link.TeamBacklog{Team: t, WaitMs: 4000, Priority: 2})
 	}
 	return s
 }
@@ -19,7 +19,7 @@
 // admitted counts the admitted jobs of 100 that arrive at once.
 func admitted(a *Admission, now time.Duration, team citron.Team) (n int) {
 	for range 100 {
-		if _, ok := a.Admit(now, citron.TeamTerms{Name: team, Weight: 20}); ok {
+		if _, ok := a.Admit(now, citron.TeamTerms{Name: team, Weight: 20}, 2); ok {
 			n++
 		}
 	}
@@ -40,9 +40,12 @@
 	if got := admitted(&a, time.Hour+time.Second, "flood"); got != 2 {
 		t.Errorf("%d of 100 jobs of a listed team admitted a second later, want 2 of the daemon's part of 20 a second", got)
 	}
-	if wait, ok := a.Admit(time.Hour+time.Second, citron.TeamTerms{Name: "flood", Weight: 20}); ok || wait != 4*time.Second {
+	if wait, ok := a.Admit(time.Hour+time.Second, citron.TeamTerms{Name: "flood", Weight: 20}, 2); ok || wait != 4*time.Second {
 		t.Errorf("admitted %t, wait %v", ok, wait)
 	}
+	if _, ok := a.Admit(time.Hour+time.Second, citron.TeamTerms{Name: "flood", Weight: 20}, 0); !ok {
+		t.Error("a job was refused though another priority is listed")
+	}
 }
 
 // TestSummaryExpires guards against refusing jobs after the holder is lost or cut off.
@@ -53,7 +56,7 @@
 		b := Admission{newest: a.newest, receivedAt: a.receivedAt}
 		got := 0
 		for range 100 {
-			if _, ok := b.Admit(time.Hour+after, citron.TeamTerms{Name: "flood", Weight: 0.1}); ok {
+			if _, ok := b.Admit(time.Hour+after, citron.TeamTerms{Name: "flood", Weight: 0.1}, 2); ok {
 				got++
 			}
 		}
--- a/citron/share/share.go
+++ b/citron/share/share.go
@@ -90,9 +90,9 @@
 	return citron.WithinShare
 }
 
-// Refusals returns the teams whose new jobs would start too late to be worth anything, with their expected wait. The work
+// Refusals returns the backlogs after which a new job would start too late to be worth anything. The work
 // of a team is done at the rate of its share, so the wait is exact only while all of its share goes to it.
-func (s *Share) Refusals(backlogs []citron.Backlog) (waits map[citron.Team]time.Duration) {
+func (s *Share) Refusals(backlogs []citron.Backlog) (refused []citron.BacklogWait) {
 	if math.IsInf(s.level, 1) {
 		return nil
 	}
@@ -108,12 +108,9 @@
 		if wait <= worthlessFactor*b.Objective {
 			continue
 		}
-		if waits == nil {
-			waits = map[citron.Team]time.Duration{}
-		}
-		waits[b.Team] = wait
+		refused = append(refused, citron.BacklogWait{Backlog: b, Wait: wait})
 	}
-	return waits
+	return refused
 }
 
 // maxWait bounds the wait that callers are told, since the load of a minute ahead is not known.
--- a/citron/share/share_test.go
+++ b/citron/share/share_test.go
@@ -125,7 +125,7 @@
 		{Team: "b", Jobs: 100, OverRate: 0, Work: work(10), Objective: 2 * time.Second},
 	}
 	s.Update([]citron.TeamUse{{Team: "a", Used: cores(500), Waiting: cores(900)}, {Team: "b", Used: cores(500), Waiting: cores(900)}}, cluster)
-	if got := s.Refusals(backlogs); len(got) != 1 || got["a"] != 10*time.Second {
+	if got := s.Refusals(backlogs); len(got) != 1 || got[0].Team != "a" || got[0].Wait != 10*time.Second {
 		t.Errorf("refusals %v, want a for 10 s", got)
 	}
 	backlogs[0].Work = work(5)
--- a/citron/teams.go
+++ b/citron/teams.go
@@ -77,8 +77,8 @@
 	Update(uses []TeamUse, capacity Capacity)
 	// Rank returns the rank of a team's job.
 	Rank(team Team, within bool) ShareRank
-	// Refusals returns the teams whose new jobs are to be refused and how long these would wait.
-	Refusals(backlogs []Backlog) map[Team]time.Duration
+	// Refusals returns the backlogs for which new jobs are to be refused, with their expected wait.
+	Refusals(backlogs []Backlog) []BacklogWait
 }
 
 // TeamUse is what a team's tasks use on workers and what its waiting tasks need. The team is empty for jobs without one.
@@ -87,17 +87,24 @@
 	Used, Waiting Capacity
 }
 
-// Backlog is the waiting work of one team.
+// Backlog is the waiting work of one team that comes before a new job of a priority.
 type Backlog struct {
-	Team Team
-	// Jobs counts the jobs that have not started, OverRate those of them beyond the team's rate.
+	Team     Team
+	Priority int32
+	// Jobs counts the jobs of that priority that have not started, OverRate those of them beyond the team's rate.
 	Jobs, OverRate int
 	// Work is the processor time that the waiting tasks need, in thousandths of a core times the run time.
 	Work time.Duration
-	// Objective is the shortest latency objective of the waiting jobs.
+	// Objective is the shortest latency objective of the waiting jobs of that priority.
 	Objective time.Duration
 }
 
+// BacklogWait is a backlog with the time that a new job beyond the rate is expected to wait.
+type BacklogWait struct {
+	Backlog
+	Wait time.Duration
+}
+
 // TaskKind groups tasks that are expected to behave alike.
 type TaskKind struct {
 	Queue QueueName
