Share: count a team's rate over five seconds; only teams beyond rate and share come last

The rate was counted over one second, so the jobs of small teams, which come several at a time, and all teams' jobs in a burst came after every other job. The platform counts over 5 s and allows 20 jobs more (quota_window_s, quota_slack).

Change: the bucket holds five seconds' jobs and 20 more.

--- a/citron/pool/order.go
+++ b/citron/pool/order.go
@@ -9,8 +9,8 @@
 	"github.com/citroncross/citroncross/citron"
 )
 
-// rank orders waiting steps: those that can no longer be of use last, then jobs beyond the rate of their team after all
-// others, then by band of lateness, priority (0 first), the share of their team and deadline.
+// rank orders waiting steps: those that can no longer be of use last, then jobs beyond the rate of a team over its share after
+// all others, then by band of lateness, priority (0 first), the share of their team and deadline.
 //
 // The share comes after the priority because a small team is over its share with a single gang: placed before the priority,
 // it made the quick jobs of small teams wait for the long ones of others (docs/design/share.md).
@@ -93,9 +93,14 @@
 	return cmp.Compare(r.step.ref, o.step.ref)
 }
 
-// beyondRate returns 0 for steps of jobs within the rate of their team.
+// beyondRate returns 1 for steps of jobs beyond the rate of a team that also uses more than its share, otherwise 0. Those
+// of other teams beyond their rate come after others of their band and priority only: on played loads with a burst of one
+// queue of all teams that earned callers more (docs/design/share.md).
 func (r *rank) beyondRate() int {
-	return max(int(r.share-citron.OverShare), 0)
+	if r.share == citron.OverBoth {
+		return 1
+	}
+	return 0
 }
 
 const (
--- a/citron/share/share.go
+++ b/citron/share/share.go
@@ -10,9 +10,11 @@
 )
 
 const (
-	// minBurst is the smallest burst of a team in jobs, as the overview page sets it: teams of small weight send several
-	// jobs at a time, too.
-	minBurst = 4
+	// rateWindow is the time over which the platform counts the jobs of a team (quota_window_s), rateSlack the number of jobs
+	// beyond that which it allows (quota_slack). With a window of one second the jobs of small teams, which come several at a
+	// time, and all teams' jobs in a burst of one queue came last although their callers were entitled to them.
+	rateWindow = 5 * time.Second
+	rateSlack  = 20
 	// worthlessFactor is the multiple of its objective after which a job is worth nothing to its caller.
 	worthlessFactor = 3
 )
@@ -57,7 +59,12 @@
 		return true
 	}
 	t := s.teams[name]
-	return t != nil && t.bucket.Take(t.weight, max(t.weight, minBurst), at)
+	return t != nil && t.bucket.Take(t.weight, burst(t.weight), at)
+}
+
+// burst returns the number of jobs that a team may send at once.
+func burst(weight float64) float64 {
+	return weight*rateWindow.Seconds() + rateSlack
 }
 
 // Update applies what the teams use and need at the moment.
