--- a/citron/teams.go
+++ b/citron/teams.go
@@ -109,10 +109,17 @@
 	Forget(w Worker)
 }
 
+// Exposure is the share of a run during which tasks of a kind ran on the same worker, from 0 to 1.
+type Exposure struct {
+	Kind  TaskKind
+	Share float64
+}
+
 // Interference estimates which kinds of task slow each other down on one worker.
 type Interference interface {
-	// Observe records a completed task, its run time relative to the expected one, and the kinds that ran beside it.
-	Observe(k TaskKind, beside []TaskKind, ratio float64)
+	// Observe records a completed task, its run time relative to the expected one, and the kinds that ran beside it. It
+	// reports whether the accepted pairs have changed.
+	Observe(k TaskKind, beside []Exposure, ratio float64) (changed bool)
 	// Factor returns the expected run time of a kind beside other kinds, relative to its run time without them.
 	Factor(k TaskKind, beside []TaskKind) float64
 	// Pairs returns the accepted pairs, the strongest first.
