Pool: keep kinds apart that slow each other down

Placement filled up workers without regard to what slows down what. With Options.KeepApart the pool passes each completed run with the share of its expected run time that other kinds spent beside it to package apart; of workers that are equal in rack and failures, those with the least expected loss come first, counting the new task's loss and that of the tasks on the worker. No worker is excluded, and without an accepted pair decisions are as before.

--- a/citron/apart/apart.go
+++ b/citron/apart/apart.go
@@ -2,7 +2,7 @@
 // clocks.
 //
 // For each kind, a ridge regression of the logarithm of the run time relative to its expectation on the shares of the
-// run that other kinds spent beside it separates kinds that often occur together; residuals are clipped around the
+// run that other kinds spent beside it separates kinds that often occur together; values are clipped around the
 // running median, so that a run that takes seven times as long counts no more than one that takes e times as long. Old
 // runs decay by the number of runs. A pair is accepted if enough runs with and without the other kind support a factor
 // that is both clearly above 1 and many standard errors from it, and is withdrawn at lower limits of both.
@@ -87,7 +87,9 @@
 	if s.evidence == nil {
 		s.evidence = &evidence{}
 	}
-	s.evidence.add(&shares, clamp(y-s.median, maxResidual))
+	// The value is not relative to the median: the median follows the load, and would hide a difference between a time
+	// with and a time without the other kind.
+	s.evidence.add(&shares, s.median+clamp(y-s.median, maxResidual))
 	if s.runs%checkInterval != 0 {
 		return changed
 	}
--- a/citron/apart/evidence.go
+++ b/citron/apart/evidence.go
@@ -24,7 +24,7 @@
 	ridge = 1.0
 )
 
-// evidence holds the decayed sums of a regression of one kind's residuals on its exposures.
+// evidence holds the decayed sums of a regression of one kind's values on its exposures.
 type evidence struct {
 	// xx and xy are the normal equations. Index 0 is the constant, index b+1 the exposure to kind b.
 	xx    [maxKinds + 1][maxKinds + 1]float64
--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -170,6 +170,7 @@
 	// The former holder may have renewed the lease until this epoch began.
 	w.leaseUntil = max(w.leaseUntil, now+p.maxLeaseTime(p.Options.MaxLease))
 	t.state, t.worker, t.stateSince, t.startedAt = state, w, now, now
+	p.joinWorker(now, t, w, false)
 	w.tasks[t.ref] = t
 	w.used = w.used.Add(t.step.need)
 }
--- a/citron/pool/end.go
+++ b/citron/pool/end.go
@@ -58,6 +58,7 @@
 	switch end.Kind {
 	case citron.EndDone:
 		w.failures.reset()
+		p.observeRun(now, t, ran)
 		p.runTimes.add(kindOf(s.job, s.index), ran)
 		p.completeTask(now, t)
 	case citron.EndFailed:
@@ -132,6 +133,7 @@
 		p.requeue(now, t, "service task ended")
 		return
 	}
+	p.leaveWorker(now, t)
 	p.unassign(t)
 	p.markDone(t)
 	if s.spec.GetGang() {
@@ -249,6 +251,7 @@
 func (p *Pool) requeue(now time.Duration, t *task, reason string) {
 	s := t.step
 	finished := t.finished()
+	p.leaveWorker(now, t)
 	p.unassign(t)
 	if finished {
 		t.state = taskDone
--- a/citron/pool/gang.go
+++ b/citron/pool/gang.go
@@ -14,6 +14,8 @@
 	count  int
 	// suspect is set if a member of the gang, or the worker's last task, has failed on the worker.
 	suspect bool
+	// loss is the expected loss by interference of the first member and of the tasks on the worker.
+	loss int64
 }
 
 // placeGang starts all members of a gang or none. A gang that does not fit reserves capacity.
@@ -50,8 +52,8 @@
 	return latest
 }
 
-// gangSlots returns how many members each allowed worker can run: workers without failures first, then most slots
-// first.
+// gangSlots returns how many members each allowed worker can run: workers without failures first, then those with the
+// least expected loss by interference, then most slots first.
 func (wp *waitingPass) gangSlots(s *step, capacity func(*worker) citron.Capacity) (list []workerSlots) {
 	for _, w := range wp.pool.byID {
 		n := capacity(w).MaxCopies(s.need)
@@ -61,10 +63,10 @@
 		if limit := int(s.spec.GetPerWorker()); limit > 0 {
 			n = min(n, limit)
 		}
-		list = append(list, workerSlots{w, n, w.failures.suspect() || failedOn(s, w)})
+		list = append(list, workerSlots{w, n, w.failures.suspect() || failedOn(s, w), wp.expectedLoss(s, w)})
 	}
 	slices.SortFunc(list, func(x, y workerSlots) int {
-		return cmp.Or(compareBool(x.suspect, y.suspect), cmp.Compare(y.count, x.count), cmp.Compare(x.worker.free().MilliCores, y.worker.free().MilliCores), cmp.Compare(x.worker.entry.ID, y.worker.entry.ID))
+		return cmp.Or(compareBool(x.suspect, y.suspect), cmp.Compare(x.loss, y.loss), cmp.Compare(y.count, x.count), cmp.Compare(x.worker.free().MilliCores, y.worker.free().MilliCores), cmp.Compare(x.worker.entry.ID, y.worker.entry.ID))
 	})
 	return list
 }
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -303,7 +303,8 @@
 }
 
 // bestWorker returns the best-fitting worker, that is the one left with the fewest free cores, or nil if the task fits
-// on none. Workers in other racks and workers with failures come last; fill tasks prefer the most free cores.
+// on none. Workers in other racks and workers with failures come last; fill tasks prefer the most free cores. Of the
+// others, workers with less expected loss by interference come first.
 func (wp *waitingPass) bestWorker(s *step, t *task) (best *worker) {
 	var bestScore int64
 	for _, w := range wp.pool.byID {
@@ -325,6 +326,7 @@
 		if s.spec.GetSameRack() && wp.inOtherRack(s, w) {
 			score += otherRackPenalty
 		}
+		score += lossPenalty * wp.expectedLoss(s, w)
 		if w.failures.suspect() {
 			score += suspectPenalty
 		}
@@ -341,7 +343,7 @@
 const (
 	// otherRackPenalty outweighs any difference in free capacity, in thousandths of a core.
 	otherRackPenalty = 1 << 40
-	// suspectPenalty outweighs any difference in free capacity, but not otherRackPenalty.
+	// suspectPenalty outweighs any difference in free capacity and expected loss, but not otherRackPenalty.
 	suspectPenalty = 1 << 30
 )
 
@@ -356,6 +358,7 @@
 func (wp *waitingPass) startTask(t *task, w *worker, run int32) {
 	s, p := t.step, wp.pool
 	t.state, t.run, t.worker, t.stateSince, t.startedAt = taskOrdered, run, w, wp.now, wp.now
+	wp.pool.joinWorker(wp.now, t, w, true)
 	w.tasks[t.ref] = t
 	w.used = w.used.Add(s.need)
 	w.leaseUntil = max(w.leaseUntil, wp.now+p.maxLeaseTime(p.Options.Lease))
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -31,6 +31,8 @@
 	StopGrace time.Duration
 	// AnswerTimeout is the time without an answer after which a worker's lease is no longer renewed.
 	AnswerTimeout time.Duration
+	// KeepApart makes the pool learn which kinds of task slow each other down and prefer workers without those.
+	KeepApart bool
 	// Retention is how long the state of an ended job is retained for callers.
 	Retention time.Duration
 }
@@ -65,6 +67,8 @@
 	stops    []Stop
 	ended    map[citron.JobID]endedJob
 	runTimes runTimes
+	// interference is unused unless Options.KeepApart is set.
+	interference interference
 	// terms are the teams' terms in the newest configuration; nil if teams are not in force.
 	terms []citron.TeamTerms
 	// lastExpiry is when expired jobs were last removed.
@@ -97,6 +101,8 @@
 	DecidedWorkerLost
 	// DecidedWait reports why a step has been waiting for long.
 	DecidedWait
+	DecidedPairAccepted
+	DecidedPairWithdrawn
 )
 
 // Decision is a scheduling decision with its cause, for logs and metrics.
@@ -114,6 +120,8 @@
 	// Age is how long the task, step or job had waited or run; for a lost worker the time since its last answer, and for
 	// a quarantine its length.
 	Age time.Duration
+	// Pair is the pair that was accepted or withdrawn, otherwise nil.
+	Pair *citron.InterferingPair
 }
 
 // Start is a start order and the worker that it goes to.
@@ -198,6 +206,8 @@
 	index      int
 	spec       *work.Step
 	tasks      []*task
+	// kind is set by Pool.kindInfo.
+	kind *kindInfo
 	// need is the capacity that each task uses.
 	need citron.Capacity
 	// remaining counts the tasks that are not done.
@@ -273,6 +283,11 @@
 	percent int
 	// failedOn holds the workers on which the task failed.
 	failedOn map[citron.Worker]bool
+	// joinedAt is when the run was assigned to its worker. For the length of window from then on, meetings records what
+	// ran beside it; runs with a window of 0 are not observed.
+	joinedAt time.Duration
+	window   time.Duration
+	meetings []meeting
 }
 
 // worker is one incarnation of a worker; a restarted worker has another id.
@@ -307,6 +322,9 @@
 	// leavesAt is the earliest time at which a draining worker leaves.
 	leavesAt time.Duration
 	failures failureStreak
+	// kinds counts the tasks by kind, and metAt is when the meetings of the tasks were last recorded.
+	kinds []kindCount
+	metAt time.Duration
 }
 
 // free returns the capacity that no task uses.
--- a/citron/teams.go
+++ b/citron/teams.go
@@ -97,6 +97,18 @@
 	Gang  bool
 }
 
+// String returns the queue, the image and whether the tasks are gangs.
+func (k TaskKind) String() string {
+	s := string(k.Queue)
+	if k.Image != "" {
+		s += " " + k.Image
+	}
+	if k.Gang {
+		s += " gang"
+	}
+	return s
+}
+
 // RunTimes estimates how long tasks run, by kind and by worker.
 type RunTimes interface {
 	// Observe records the run time of a completed task. Group names workers that are expected to be alike.
