--- a/citron/entry/inspect.go
+++ b/citron/entry/inspect.go
@@ -42,6 +42,12 @@
 			UsedMemoryMb: w.Used.MemoryMb, MemoryMb: w.Entry.Capacity.MemoryMb, SilentMs: w.SinceAnswer.Milliseconds(),
 		})
 	}
+	for _, a := range p.InterferingPairs() {
+		reply.Pairs = append(reply.Pairs, &link.PairStatus{
+			Slowed: a.Slowed.String(), By: a.By.String(), Factor: a.Factor, With: int32(a.With), Without: int32(a.Without),
+			SinceMs: (d.Timer.Now().Boot - a.Since).Milliseconds(),
+		})
+	}
 	return reply, nil
 }
 
--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -186,6 +187,10 @@
 	if c.Run > 0 {
 		fields["Run"] = c.Run
 	}
+	if pair := c.Pair; pair != nil {
+		fields["Slowed"], fields["By"], fields["Factor"] = pair.Slowed.String(), pair.By.String(), math.Round(100*pair.Factor)/100
+		fields["With"], fields["Without"] = pair.With, pair.Without
+	}
 	d.Log.Emit(e, fields)
 }
 
@@ -199,6 +204,8 @@
 	pool.DecidedQuarantine:    event.WorkerQuarantined,
 	pool.DecidedWorkerLost:    event.WorkerLost,
 	pool.DecidedWait:          event.StepWaiting,
+	pool.DecidedPairAccepted:  event.PairAccepted,
+	pool.DecidedPairWithdrawn: event.PairWithdrawn,
 }
 
 // exchangeFailed logs and counts a failed exchange of the given kind.
@@ -225,6 +232,7 @@
 	d.Stats.RegisterGauge("citron_running_tasks", held(func(h *holding) float64 { return float64(h.holder.Pool.LastPlan().RunningTasks) }))
 	d.Stats.RegisterGauge("citron_usable_workers", held(func(h *holding) float64 { return float64(h.holder.Pool.LastPlan().UsableWorkers) }))
 	d.Stats.RegisterGauge("citron_listed_workers", held(func(h *holding) float64 { return float64(h.holder.Pool.LastPlan().ListedWorkers) }))
+	d.Stats.RegisterGauge("citron_interfering_pairs", held(func(h *holding) float64 { return float64(len(h.holder.Pool.InterferingPairs())) }))
 	d.Stats.RegisterGauge("citron_store_age_seconds", func() float64 { return d.storeAge().Seconds() })
 	d.Stats.RegisterGauge("citron_jobs_age_seconds", func() float64 { return d.Intake.Freshness().Age.Seconds() })
 	d.Stats.RegisterGauge("citron_partitions_not_loaded", func() float64 { return float64(d.Intake.Freshness().NotLoaded) })
--- a/citron/event/catalog.go
+++ b/citron/event/catalog.go
@@ -76,6 +76,9 @@
 	StepWaiting        = register(614, logrus.InfoLevel, "step waiting")
 	ExchangeFailed     = register(613, logrus.WarnLevel, "exchange failed")
 	PendingJobsCounted = register(615, logrus.InfoLevel, "pending jobs counted")
+	// PairAccepted and PairWithdrawn carry the Slowed and By kinds, the Factor and the counts of ended runs.
+	PairAccepted  = register(633, logrus.InfoLevel, "interfering kinds of task accepted")
+	PairWithdrawn = register(634, logrus.InfoLevel, "interfering kinds of task withdrawn")
 )
 
 // Events of machine upkeep.
--- a/citronctl/estate.go
+++ b/citronctl/estate.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"google.golang.org/grpc"
@@ -117,6 +118,15 @@
 	for _, q := range holder.GetQueues() {
 		rows = append(rows, []string{q.GetQueue(), fmt.Sprint(q.GetOpenJobs()), fmt.Sprint(q.GetWaitingTasks()), fmt.Sprint(q.GetRunningTasks())})
 	}
+	text += "\n" + table(rows)
+	if len(holder.GetPairs()) == 0 {
+		return text
+	}
+	rows = [][]string{{"KIND", "SLOWED BY", "FACTOR", "RUNS WITH", "WITHOUT", "SINCE"}}
+	for _, p := range holder.GetPairs() {
+		since := (time.Duration(p.GetSinceMs()) * time.Millisecond).Round(time.Second)
+		rows = append(rows, []string{p.GetSlowed(), p.GetBy(), fmt.Sprintf("%.2f", p.GetFactor()), fmt.Sprint(p.GetWith()), fmt.Sprint(p.GetWithout()), since.String()})
+	}
 	return text + "\n" + table(rows)
 }
 
--- a/citronctl/estate_test.go
+++ b/citronctl/estate_test.go
@@ -84,3 +84,19 @@
 		t.Error("the status of an estate without a holder does not say so")
 	}
 }
+
+// Guards against a status that does not show which kinds slow each other down, or that shows an empty table.
+func TestEstateStatusListsInterferingPairs(t *testing.T) {
+	reply := &link.StatusReply{VM: "entry-1", Holds: true, Epoch: 1}
+	if text := estateText(daemons{Daemons: []*link.StatusReply{reply}}); strings.Contains(text, "SLOWED BY") {
+		t.Errorf("status without pairs has a table of them:\n%s", text)
+	}
+	reply.Pairs = []*link.PairStatus{{Slowed: "quick", By: "sweep img gang", Factor: 1.498, With: 85, Without: 807, SinceMs: 65_400}}
+	want := `
+KIND   SLOWED BY       FACTOR  RUNS WITH  WITHOUT  SINCE
+quick  sweep img gang  1.50    85         807      1m5s
+`
+	if text := estateText(daemons{Daemons: []*link.StatusReply{reply}}); !strings.HasSuffix(text, want) {
+		t.Errorf("status\n%s\nwant it to end with\n%s", text, want)
+	}
+}
