citronctl: check a configuration before it is sent

A configuration with a duplicate route, a key of two teams or a limit that nothing fits was noticed only by its effect.

--- a/citronctl/main.go
+++ b/citronctl/main.go
@@ -58,6 +58,7 @@
 		drainCommand(app),
 	}
 	commands = append(commands, estateCommands(app, f)...)
+	commands = append(commands, configCommands(app, f)...)
 	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
 	for _, c := range commands {
 		if c.clause.FullCommand() == chosen {
