Pool: simulate the counts of kinds across changes of holder

The expected loss rests on counts of tasks by kind on each worker, which must follow every way in which a run comes to a worker or leaves it. The simulation now also runs with KeepApart and compares the counts with the tasks after each plan; its other checks are unchanged. Seen to fail without the count of adopted runs and without that of requeued ones.

--- a/citron/pool/sim_test.go
+++ b/citron/pool/sim_test.go
@@ -54,8 +54,10 @@
 
 // world is the state of one simulation.
 type world struct {
-	rng          *rand.Rand
-	mutant       mutant
+	rng    *rand.Rand
+	mutant mutant
+	// keepApart is pool.Options.KeepApart of all holders.
+	keepApart    bool
 	now          citron.Instant
 	start        time.Duration
 	events       []event
@@ -141,6 +143,11 @@
 
 // simulate runs one simulation and returns the first violation of an invariant, empty if there is none.
 func simulate(seed uint64, m mutant) (violation string) {
+	return newWorld(seed, m).run()
+}
+
+// newWorld returns the state at the start of a simulation.
+func newWorld(seed uint64, m mutant) *world {
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 7)), mutant: m, stored: map[string]*work.Progress{}, done: map[citron.TaskRef]bool{},
 		failures: map[citron.TaskRef]int{}, cancelled: map[string]bool{}, lastStart: map[citron.TaskRef]time.Duration{}, start: time.Hour,
@@ -152,11 +159,16 @@
 		s.restart()
 		w.workers = append(w.workers, s)
 	}
+	return w
+}
+
+// run runs a simulation and returns the first violation.
+func (w *world) run() (violation string) {
 	w.claim()
 	for w.now.Boot < w.start+simDuration && w.violation == "" {
 		w.step()
 	}
-	if w.violation == "" && m == noMutant {
+	if w.violation == "" && w.mutant == noMutant {
 		w.checkAllEnded()
 	}
 	return w.violation
@@ -257,6 +269,7 @@
 	w.epoch++
 	advisers := &advice.Balancer{}
 	o := testOptions
+	o.KeepApart = w.keepApart
 	if w.mutant == leaseTooShort {
 		o.Lease, o.MaxLease, o.StopGrace, o.AnswerTimeout = time.Second, time.Second, 0, 500*time.Millisecond
 	}
@@ -319,6 +332,9 @@
 		h.world.violation = err.Error()
 		return
 	}
+	if h.world.keepApart {
+		h.checkKinds()
+	}
 	for _, s := range e.Stops {
 		h.send(func() { h.deliverStop(s) }, nil)
 	}
@@ -805,3 +821,33 @@
 		})
 	}
 }
+
+// Guards against counts of kinds that drift from the tasks on a worker when runs are adopted, lost, stopped or superseded.
+func TestKindsAreCountedAcrossChangesOfHolder(t *testing.T) {
+	for seed := range uint64(simulationSeeds) {
+		w := newWorld(seed, noMutant)
+		w.keepApart = true
+		if violation := w.run(); violation != "" {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+	}
+}
+
+// checkKinds compares the counts of kinds on each worker with its tasks.
+func (h *simHolder) checkKinds() {
+	for _, w := range h.pool.byID {
+		tasks, ends := map[*kindInfo]int{}, map[*kindInfo]time.Duration{}
+		for _, t := range w.tasks {
+			tasks[t.step.kind]++
+			ends[t.step.kind] += t.expectedEnd
+		}
+		if len(w.kinds) != len(tasks) {
+			h.world.fail("worker %s counts %d kinds, has tasks of %d", w.entry.ID, len(w.kinds), len(tasks))
+		}
+		for _, c := range w.kinds {
+			if c.tasks != tasks[c.kind] || c.ends != ends[c.kind] {
+				h.world.fail("worker %s counts %d tasks of %s, has %d", w.entry.ID, c.tasks, c.kind.kind, tasks[c.kind])
+			}
+		}
+	}
+}
