--- a/citron/entry/inspect.go
+++ b/citron/entry/inspect.go
@@ -44,6 +44,12 @@
 			Speed: w.Speed.Factor, SpeedRuns: int32(w.Speed.Runs), SpeedClass: w.SpeedClass,
 		})
 	}
+	for _, a := range p.InterferingPairs() {
+		reply.Pairs = append(reply.Pairs, &link.PairStatus{
+			Slowed: a.Slowed.String(), By: a.By.String(), Factor: a.Factor, With: int32(a.With), Without: int32(a.Without),
+			SinceMs: (d.Timer.Now().Boot - a.Since).Milliseconds(),
+		})
+	}
 	return reply, nil
 }
 
--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -198,6 +198,10 @@
 	if c.Runs > 0 {
 		fields["Runs"] = c.Runs
 	}
+	if pair := c.Pair; pair != nil {
+		fields["Slowed"], fields["By"], fields["Factor"] = pair.Slowed.String(), pair.By.String(), math.Round(100*pair.Factor)/100
+		fields["With"], fields["Without"] = pair.With, pair.Without
+	}
 	d.Log.Emit(e, fields)
 }
 
@@ -215,6 +219,8 @@
 	pool.DecidedQuotaWait:     event.TeamWaitsForQuota,
 	pool.DecidedUnknownRuns:   event.UnknownRunsCounted,
 	pool.DecidedSpeed:         event.WorkerSpeedChanged,
+	pool.DecidedPairAccepted:  event.PairAccepted,
+	pool.DecidedPairWithdrawn: event.PairWithdrawn,
 }
 
 // exchangeFailed logs and counts a failed exchange of the given kind.
@@ -243,6 +249,7 @@
 	d.Stats.RegisterGauge("citron_slow_workers", held(func(h *holding) float64 { return float64(h.holder.Pool.LastPlan().SlowWorkers) }))
 	d.Stats.RegisterGauge("citron_fast_workers", held(func(h *holding) float64 { return float64(h.holder.Pool.LastPlan().FastWorkers) }))
 	d.Stats.RegisterGauge("citron_listed_workers", held(func(h *holding) float64 { return float64(h.holder.Pool.LastPlan().ListedWorkers) }))
+	d.Stats.RegisterGauge("citron_interfering_pairs", held(func(h *holding) float64 { return float64(len(h.holder.Pool.InterferingPairs())) }))
 	d.Stats.RegisterGauge("citron_store_age_seconds", func() float64 { return d.storeAge().Seconds() })
 	d.Stats.RegisterGauge("citron_jobs_age_seconds", func() float64 { return d.Intake.Freshness().Age.Seconds() })
 	d.Stats.RegisterGauge("citron_partitions_not_loaded", func() float64 { return float64(d.Intake.Freshness().NotLoaded) })
--- a/citron/event/catalog.go
+++ b/citron/event/catalog.go
@@ -87,6 +87,9 @@
 	TeamsRefused       = register(627, logrus.InfoLevel, "jobs of teams refused")
 	TeamRefusalsEnded  = register(628, logrus.InfoLevel, "jobs of all teams admitted")
 	TeamBacklogFound   = register(629, logrus.InfoLevel, "backlog of team too long")
+	// PairAccepted and PairWithdrawn carry the Slowed and By kinds, the Factor and the counts of ended runs.
+	PairAccepted  = register(633, logrus.InfoLevel, "interfering kinds of task accepted")
+	PairWithdrawn = register(634, logrus.InfoLevel, "interfering kinds of task withdrawn")
 )
 
 // Events of machine upkeep.
--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -172,6 +172,7 @@
 	// The former holder may have renewed the lease until this epoch began.
 	w.leaseUntil = max(w.leaseUntil, now+p.maxLeaseTime(p.Options.MaxLease))
 	t.state, t.stateSince, t.startedAt = state, now, now
+	p.joinWorker(now, t, w, false)
 	p.assign(t, w)
 }
 
--- a/citron/pool/end.go
+++ b/citron/pool/end.go
@@ -58,6 +58,7 @@
 	switch end.Kind {
 	case citron.EndDone:
 		w.failures.reset()
+		p.observeRun(now, t, ran)
 		p.observeRunTime(w, t, ran)
 		p.recordRestartEnd(t)
 		p.completeTask(now, t)
@@ -133,6 +134,7 @@
 		p.requeue(now, t, "service task ended")
 		return
 	}
+	p.leaveWorker(now, t)
 	p.unassign(t)
 	p.markDone(t)
 	if s.spec.GetGang() {
@@ -236,6 +238,7 @@
 func (p *Pool) requeue(now time.Duration, t *task, reason string) {
 	s := t.step
 	finished := t.finished()
+	p.leaveWorker(now, t)
 	p.unassign(t)
 	if finished {
 		t.state = taskDone
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -35,6 +35,8 @@
 	StopGrace time.Duration
 	// AnswerTimeout is the time without an answer after which a worker's lease is no longer renewed.
 	AnswerTimeout time.Duration
+	// KeepApart makes the pool learn which kinds of task slow each other down and prefer workers without those.
+	KeepApart bool
 	// Retention is how long the state of an ended job is retained for callers.
 	Retention time.Duration
 	// HeadroomPercent is the largest part of the capacity that tasks of priority 1 and above leave free for the expected
@@ -72,10 +74,12 @@
 	// dirty holds the jobs whose progress must be recorded.
 	dirty map[*job]bool
 	// stops are the orders to be sent with the next Effects.
-	stops    []Stop
-	ended    map[citron.JobID]endedJob
-	runTimes citron.RunTimes
-	speeds   speeds
+	stops []Stop
+	ended map[citron.JobID]endedJob
+	// interference is unused unless Options.KeepApart is set.
+	interference interference
+	runTimes     citron.RunTimes
+	speeds       speeds
 	// stragglers is what is known of restarted tasks.
 	stragglers stragglers
 	// terms are the teams' terms in the newest configuration; nil if teams are not in force.
@@ -143,6 +147,8 @@
 	DecidedUnknownRuns
 	// DecidedSpeed means that a worker is now treated as slow, usual or fast.
 	DecidedSpeed
+	DecidedPairAccepted
+	DecidedPairWithdrawn
 )
 
 // Decision is a scheduling decision with its cause, for logs and metrics.
@@ -166,6 +172,8 @@
 	Expected time.Duration
 	Speed    float64
 	Runs     int
+	// Pair is the pair that was accepted or withdrawn, otherwise nil.
+	Pair *citron.InterferingPair
 }
 
 // Start is a start order and the worker that it goes to.
@@ -256,6 +264,8 @@
 	index      int
 	spec       *work.Step
 	tasks      []*task
+	// kind is set by Pool.kindInfo.
+	kind *kindInfo
 	// need is the capacity that each task uses.
 	need citron.Capacity
 	// remaining counts the tasks that are not done.
@@ -339,6 +349,12 @@
 	restarted, restartCounted bool
 	// failedOn holds the workers on which the task failed, or was a straggler.
 	failedOn map[citron.Worker]bool
+	// joinedAt is when the run was assigned to its worker. For the length of window from then on, meetings records what
+	// ran beside it; runs with a window of 0 are not observed.
+	joinedAt    time.Duration
+	window      time.Duration
+	meetings    []meeting
+	expectedEnd time.Duration
 }
 
 // worker is one incarnation of a worker; a restarted worker has another id.
@@ -374,6 +390,9 @@
 	leavesAt time.Duration
 	failures failureStreak
 	speed    workerSpeed
+	// kinds counts the tasks by kind, and metAt is when the meetings of the tasks were last recorded.
+	kinds []kindCount
+	metAt time.Duration
 }
 
 // free returns the capacity that no task uses.
--- a/citron/pool/quota_test.go
+++ b/citron/pool/quota_test.go
@@ -262,7 +262,7 @@
 	}
 }
 
-// Teams without maxima must not change a decision: a cluster that is served today must see the same starts, stops and requests.
+// Quotas of teams without maxima must not change a decision: a cluster that is served today must see the same starts, stops and requests.
 func TestTeamsWithoutMaximaChangeNoDecision(t *testing.T) {
 	play := func(teams bool) (decisions []string) {
 		rng := rand.New(rand.NewPCG(5, 6))
@@ -270,6 +270,8 @@
 		r.workers(6)
 		if teams {
 			r.p.SetTerms([]citron.TeamTerms{{Name: "a", Weight: 2}, {Name: "b"}})
+			// The shares change the order on purpose; TestOrderOfTeams and TestOrderWithoutTeams check that.
+			r.p.share = nil
 		}
 		r.p.Observe = func(d Decision) { decisions = append(decisions, fmt.Sprint(d)) }
 		var running []Start
--- a/citron/teams.go
+++ b/citron/teams.go
@@ -114,6 +114,18 @@
 	Gang  bool
 }
 
+// String returns the queue, the image and whether the tasks are gangs.
+func (k TaskKind) String() string {
+	s := string(k.Queue)
+	if k.Image != "" {
+		s += " " + k.Image
+	}
+	if k.Gang {
+		s += " gang"
+	}
+	return s
+}
+
 // RunTimes estimates how long tasks run, by kind and by worker.
 type RunTimes interface {
 	// Observe records the run time of a completed task. Group names workers that are expected to be alike.
@@ -141,10 +153,17 @@
 	Runs int
 }
 
+// Exposure is the share of a run during which tasks of a kind ran on the same worker, from 0 to 1.
+type Exposure struct {
+	Kind  TaskKind
+	Share float64
+}
+
 // Interference estimates which kinds of task slow each other down on one worker.
 type Interference interface {
-	// Observe records a completed task, its run time relative to the expected one, and the kinds that ran beside it.
-	Observe(k TaskKind, beside []TaskKind, ratio float64)
+	// Observe records a completed task, its run time relative to the expected one, and the kinds that ran beside it. It
+	// reports whether the accepted pairs have changed.
+	Observe(k TaskKind, beside []Exposure, ratio float64) (changed bool)
 	// Factor returns the expected run time of a kind beside other kinds, relative to its run time without them.
 	Factor(k TaskKind, beside []TaskKind) float64
 	// Pairs returns the accepted pairs, the strongest first.
--- a/citronctl/estate.go
+++ b/citronctl/estate.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"google.golang.org/grpc"
@@ -117,7 +118,7 @@
 	for _, q := range holder.GetQueues() {
 		rows = append(rows, []string{q.GetQueue(), fmt.Sprint(q.GetOpenJobs()), fmt.Sprint(q.GetWaitingTasks()), fmt.Sprint(q.GetRunningTasks())})
 	}
-	return text + "\n" + table(rows) + teamsText(holder.GetTeams())
+	return text + "\n" + table(rows) + teamsText(holder.GetTeams()) + pairsText(holder.GetPairs())
 }
 
 // teamsText returns the table of teams, empty if there are none. A maximum without limit is shown as "-".
@@ -144,6 +145,19 @@
 	return "\n" + table(rows)
 }
 
+// pairsText returns the table of kinds of task that slow each other down, empty if there are none.
+func pairsText(pairs []*link.PairStatus) string {
+	if len(pairs) == 0 {
+		return ""
+	}
+	rows := [][]string{{"KIND", "SLOWED BY", "FACTOR", "RUNS WITH", "WITHOUT", "SINCE"}}
+	for _, p := range pairs {
+		since := (time.Duration(p.GetSinceMs()) * time.Millisecond).Round(time.Second)
+		rows = append(rows, []string{p.GetSlowed(), p.GetBy(), fmt.Sprintf("%.2f", p.GetFactor()), fmt.Sprint(p.GetWith()), fmt.Sprint(p.GetWithout()), since.String()})
+	}
+	return "\n" + table(rows)
+}
+
 func estateWorkers(parent *kingpin.CmdClause, f flags, peers *[]string) command {
 	clause := parent.Command("workers", "Show the state of every worker at the holder of the pool.")
 	return command{clause: clause, run: func() int {
