--- a/citron/entry/inspect.go
+++ b/citron/entry/inspect.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/pool"
@@ -35,7 +36,7 @@
 			Queue: string(q.Queue), OpenJobs: int32(q.OpenJobs), WaitingTasks: int32(q.WaitingTasks), RunningTasks: int32(q.Running),
 		})
 	}
-	reply.Teams = teamStatuses(p.Teams())
+	reply.Teams = teamStatuses(p.Teams(), p.Refusals())
 	for _, w := range p.WorkerStatuses(d.Timer.Now()) {
 		reply.Workers = append(reply.Workers, &link.WorkerStatus{
 			Worker: string(w.Entry.ID), Rack: string(w.Entry.Rack), Service: string(w.Entry.Service), State: w.State, Tasks: int32(w.Tasks),
@@ -53,8 +54,12 @@
 	return reply, nil
 }
 
-// teamStatuses returns the teams as shown to operators.
-func teamStatuses(loads []pool.TeamLoad) (list []*link.TeamStatus) {
+// teamStatuses returns the teams as shown to operators. A team of which several priorities are refused shows the longest wait.
+func teamStatuses(loads []pool.TeamLoad, refused pool.Refusals) (list []*link.TeamStatus) {
+	waits := map[citron.Team]time.Duration{}
+	for _, b := range refused.Teams {
+		waits[b.Team] = max(waits[b.Team], b.Wait)
+	}
 	for _, t := range loads {
 		list = append(list, &link.TeamStatus{
 			Team: string(t.Terms.Name), Weight: t.Terms.Weight,
@@ -62,6 +67,7 @@
 			UsedMemoryMb: t.Used.MemoryMb, MaxMemoryMb: t.Terms.Max.MemoryMb,
 			UsedAccelerators: t.Used.Accelerators, MaxAccelerators: t.Terms.Max.Accelerators,
 			WaitingTasks: int32(t.Waiting), RunningTasks: int32(t.Running),
+			RefusedMs: waits[t.Terms.Name].Milliseconds(),
 		})
 	}
 	return list
--- a/citronctl/estate.go
+++ b/citronctl/estate.go
@@ -132,14 +132,18 @@
 		}
 		return used + "/" + most
 	}
-	rows := [][]string{{"TEAM", "WEIGHT", "CORES", "MEMORY MB", "ACCELERATORS", "WAITING TASKS", "RUNNING TASKS"}}
+	rows := [][]string{{"TEAM", "WEIGHT", "CORES", "MEMORY MB", "ACCELERATORS", "WAITING TASKS", "RUNNING TASKS", "REFUSED"}}
 	for _, t := range teams {
+		refused := "-"
+		if t.GetRefusedMs() > 0 {
+			refused = fmt.Sprintf("waits %.1f s", float64(t.GetRefusedMs())/1000)
+		}
 		rows = append(rows, []string{
 			t.GetTeam(), fmt.Sprint(t.GetWeight()),
 			limit(fmt.Sprintf("%.1f", cores(t.GetUsedMilliCores())), fmt.Sprintf("%.1f", cores(t.GetMaxMilliCores())), t.GetMaxMilliCores() > 0),
 			limit(fmt.Sprint(t.GetUsedMemoryMb()), fmt.Sprint(t.GetMaxMemoryMb()), t.GetMaxMemoryMb() > 0),
 			limit(fmt.Sprint(t.GetUsedAccelerators()), fmt.Sprint(t.GetMaxAccelerators()), t.GetMaxAccelerators() > 0),
-			fmt.Sprint(t.GetWaitingTasks()), fmt.Sprint(t.GetRunningTasks()),
+			fmt.Sprint(t.GetWaitingTasks()), fmt.Sprint(t.GetRunningTasks()), refused,
 		})
 	}
 	return "\n" + table(rows)
--- a/citronctl/estate_test.go
+++ b/citronctl/estate_test.go
@@ -51,7 +51,7 @@
 			VM: "entry-2", FailureDomain: "b", Ready: true, ConfigVersion: 7, StoreAgeMs: 12, Holder: "entry-2", Epoch: 4, Holds: true,
 			Queues: []*link.QueueStatus{{Queue: "quick", OpenJobs: 3, WaitingTasks: 2, RunningTasks: 5}},
 			Teams: []*link.TeamStatus{
-				{Team: "atlas", Weight: 2.5, UsedMilliCores: 12_500, MaxMilliCores: 40_000, UsedMemoryMb: 3000, MaxAccelerators: 8, WaitingTasks: 4, RunningTasks: 6},
+				{Team: "atlas", Weight: 2.5, UsedMilliCores: 12_500, MaxMilliCores: 40_000, UsedMemoryMb: 3000, MaxAccelerators: 8, WaitingTasks: 4, RunningTasks: 6, RefusedMs: 3400},
 			},
 		},
 		explain: &link.ExplainReply{Known: true, Holds: true, State: "running"},
@@ -73,8 +73,8 @@
 QUEUE  OPEN JOBS  WAITING TASKS  RUNNING TASKS
 quick  3          2              5
 
-TEAM   WEIGHT  CORES      MEMORY MB  ACCELERATORS  WAITING TASKS  RUNNING TASKS
-atlas  2.5     12.5/40.0  3000/-     0/8           4              6
+TEAM   WEIGHT  CORES      MEMORY MB  ACCELERATORS  WAITING TASKS  RUNNING TASKS  REFUSED
+atlas  2.5     12.5/40.0  3000/-     0/8           4              6              waits 3.4 s
 `
 	if got != want {
 		t.Errorf("status\n%s\nwant\n%s", got, want)
