Revert the limit of unanswered starts

Cause of jobs that fail beside free workers since it was merged: relays that restart, and a holder that is slow for a moment, make some answers late; the limit fell to 16 and stayed near it beside thousands of waiting tasks.

--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -19,7 +19,6 @@
 	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/citron/view"
 	"github.com/citroncross/citroncross/citron/waits"
-	"github.com/citroncross/citroncross/citron/window"
 )
 
 const (
@@ -86,11 +85,9 @@
 	unavailableSince atomic.Int64
 	exchanges        spawn.Group
 	trims            trims
-	// mu guards polls and window.
+	// mu guards polls.
 	mu    sync.Mutex
 	polls map[citron.Worker]*poll
-	// window limits the unanswered starts while other daemons relay them.
-	window window.Window
 }
 
 // Run fences the pool's partitions and runs the pool until the context ends. It returns ErrFenced once another daemon
@@ -188,7 +185,6 @@
 // runPlan plans once and carries out the plan. Stops and advice requests are sent before the records are stored, starts
 // only afterwards.
 func (h *Holder) runPlan(ctx context.Context) error {
-	h.limitStarts()
 	e, err := h.Pool.Plan(h.Timer.Now())
 	if err != nil {
 		return err
@@ -210,9 +206,6 @@
 	}
 	h.Pool.Committed(e)
 	h.consolidate(ctx, e)
-	h.mu.Lock()
-	h.window.Sent(len(e.Starts))
-	h.mu.Unlock()
 	for _, s := range e.Starts {
 		h.exchanges.Go(func(ctx context.Context) { h.start(ctx, s) })
 	}
@@ -296,7 +289,6 @@
 		// No try was sent.
 		outcome = citron.StartLate
 	}
-	h.startEnded(h.Timer.Now().Boot-began, unanswered)
 	h.Pool.Started(h.Timer.Now(), s, outcome, clock)
 	if outcome != citron.Started {
 		h.requestPlan()
@@ -304,29 +296,6 @@
 	h.wakePoll(s.Worker.ID)
 }
 
-// lateStart is the time after which the answer to a relayed start is late: well over the two hops and the worker's answer,
-// and half of relayedOrderTimeout.
-const lateStart = relayedOrderTimeout / 2
-
-// limitStarts limits the next plan to the starts that may be sent now. Starts that are not relayed need no limit, since
-// there are few workers then.
-func (h *Holder) limitStarts() {
-	limit := -1
-	if h.Relayed != nil && h.Relayed() {
-		h.mu.Lock()
-		limit = h.window.Free()
-		h.mu.Unlock()
-	}
-	h.Pool.LimitStarts(limit)
-}
-
-// startEnded records the time that a start took and how many of its tries were not answered.
-func (h *Holder) startEnded(took time.Duration, unanswered int) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.window.Ended(h.Timer.Now().Boot, unanswered > 0 || took > lateStart)
-}
-
 // fillPayload adds the payload to an order for a job that was accepted here without it, if it has been read since.
 func (h *Holder) fillPayload(o *citron.StartOrder) {
 	if !o.PayloadOmitted {
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -201,7 +201,7 @@
 // placeStep starts the waiting tasks of a step as far as they fit.
 func (wp *waitingPass) placeStep(s *step) {
 	room := wp.quotaRoom(s)
-	if wp.now < s.backoffUntil || room == 0 || wp.startsLimited() {
+	if wp.now < s.backoffUntil || room == 0 {
 		return
 	}
 	if s.job.spec.GetTerms().GetAdvice() != nil {
@@ -218,7 +218,7 @@
 		if t.state != taskWaiting {
 			continue
 		}
-		if wp.startsLimited() || wp.mustLeaveHeadroom(s, 1) {
+		if wp.mustLeaveHeadroom(s, 1) {
 			return
 		}
 		w := wp.bestWorker(s, t)
@@ -230,12 +230,6 @@
 	}
 }
 
-// startsLimited reports whether the plan has as many starts as it may.
-func (wp *waitingPass) startsLimited() bool {
-	limit := wp.pool.maxStarts
-	return limit >= 0 && len(wp.effects.Starts) >= limit
-}
-
 // allowed reports whether a worker accepts tasks and may run those of a step now, whatever its free capacity.
 func (wp *waitingPass) allowed(s *step, w *worker) bool {
 	if !w.usable(wp.now) || w.entry.Service != citron.Service(s.job.spec.GetTerms().GetService()) || !w.entry.HasLabel(s.spec.GetRequires()) {
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -120,8 +120,6 @@
 	rewriteQueue []citron.JobID
 	rewriting    bool
 	lastPlan     PlanStats
-	// maxStarts limits the starts of one plan; negative for no limit.
-	maxStarts int
 }
 
 // DecisionKind is the kind of a Decision.
@@ -429,19 +427,11 @@
 		runTimes: &speed.Model{},
 
 		permitCounts: map[string]permitCount{},
-		maxStarts:    -1,
 		teams:        map[citron.Team]*teamUse{},
 		headrooms:    map[citron.Service]*headroom{},
 	}
 }
 
-// LimitStarts limits the starts of the next plan. A gang may exceed the limit, since it starts whole.
-func (p *Pool) LimitStarts(limit int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.maxStarts = limit
-}
-
 // Fenced reports whether a worker has seen a higher epoch.
 func (p *Pool) Fenced() bool {
 	p.mu.Lock()
--- a/citron/pool/pool_test.go
+++ b/citron/pool/pool_test.go
@@ -716,23 +716,3 @@
 		}
 	}
 }
-
-// Guards against starts beyond what the holder can send, and against a gang that never starts or starts in part because it
-// is wider than the limit.
-func TestLimitedStarts(t *testing.T) {
-	r := newRig(t)
-	r.workers(4)
-	r.accept(newJob("a", newStep(6, 1)))
-	r.accept(newJob("g", newGang(5, 1)))
-	r.p.LimitStarts(0)
-	if e := r.plan(); len(e.Starts) != 0 {
-		t.Fatalf("%d starts, want none", len(e.Starts))
-	}
-	r.p.LimitStarts(4)
-	if e := r.plan(); len(e.Starts) != 4 {
-		t.Fatalf("%d starts, want the limit of 4", len(e.Starts))
-	}
-	if e := r.plan(); len(e.Starts) != 7 {
-		t.Fatalf("%d starts, want the last 2 of the step and the whole gang", len(e.Starts))
-	}
-}
