--- a/citron/pool/hold.go
+++ b/citron/pool/hold.go
@@ -28,9 +28,8 @@
 	end  time.Duration
 }
 
-// holdSpare is the number of run times before its deadline at which a gang must be able to start; with fewer it holds quota. In
-// TestHoldsServeGangsOfAFullTeam with 12 seeds the queue with the lowest share earned 0.93 and 0.89 at loads of 0.95 and 1.1 with
-// 2 run times, 0.90 and 0.82 with 1.5, 0.90 and 0.83 with holds at all times, and 0.79 and 0.67 without.
+// holdSpare is the number of run times before its deadline at which a gang must be able to start; with fewer it holds quota.
+// Holding earlier takes quota from the team's small tasks that the gang does not need yet; docs/design/quotas.md has the figures.
 const holdSpare = 2
 
 // heldBack reports whether the quota held for a gang of the team is closed to a step.
