Log runs that are lost with their worker (event 616)

The logs named the lost worker but not its runs, nor which of them had begun last, so that they did not show which task a crash may be due to.

--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -221,6 +221,7 @@
 	pool.DecidedSpeed:         event.WorkerSpeedChanged,
 	pool.DecidedPairAccepted:  event.PairAccepted,
 	pool.DecidedPairWithdrawn: event.PairWithdrawn,
+	pool.DecidedRunLost:       event.RunLost,
 }
 
 // exchangeFailed logs and counts a failed exchange of the given kind.
--- a/citron/event/catalog.go
+++ b/citron/event/catalog.go
@@ -76,6 +76,7 @@
 	StepWaiting        = register(614, logrus.InfoLevel, "step waiting")
 	ExchangeFailed     = register(613, logrus.WarnLevel, "exchange failed")
 	WorkerSpeedChanged = register(630, logrus.InfoLevel, "worker speed class changed")
+	RunLost            = register(616, logrus.InfoLevel, "run lost with its worker")
 	PendingJobsCounted = register(615, logrus.InfoLevel, "pending jobs counted")
 	TeamMalformed      = register(620, logrus.WarnLevel, "team in the configuration malformed")
 	KeyAmbiguous       = register(621, logrus.WarnLevel, "key of several teams in the configuration")
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -147,6 +147,8 @@
 	DecidedSpeed
 	DecidedPairAccepted
 	DecidedPairWithdrawn
+	// DecidedRunLost means that a run was lost with its worker.
+	DecidedRunLost
 )
 
 // Decision is a scheduling decision with its cause, for logs and metrics.
@@ -162,8 +164,8 @@
 	// Reason of a requeue are also values of metric labels.
 	Outcome string
 	Reason  string
-	// Age is how long the task, step or job had waited or run; for a lost worker the time since its last answer, and for
-	// a quarantine its length.
+	// Age is how long the task, step or job had waited or run; for a lost worker the time since its last answer, for a lost
+	// run how long its worker is known to have outlived its start, and for a quarantine its length.
 	Age time.Duration
 	// Expected is the expected run time of a started task on its worker, and Speed the estimated speed of a worker that is
 	// not of usual speed or whose class has changed; Runs counts the ended runs on which that rests.
--- a/citron/pool/report.go
+++ b/citron/pool/report.go
@@ -237,6 +237,10 @@
 func (p *Pool) loseWorker(now time.Duration, w *worker, reason string) {
 	p.observe(Decision{Kind: DecidedWorkerLost, Worker: w.entry.ID, Outcome: "lost", Reason: reason, Age: now - w.lastAnswer})
 	for _, t := range w.sortedTasks() {
+		p.observe(Decision{
+			Kind: DecidedRunLost, Job: t.step.job.id, Task: t.ref, Run: t.run, Worker: w.entry.ID, Outcome: taskStateNames[t.state],
+			Reason: reason, Age: max(w.lastAnswer-t.startedAt, 0),
+		})
 		p.requeue(now, t, reason)
 	}
 	w.reported = false
