--- a/citron/pool/sim_test.go
+++ b/citron/pool/sim_test.go
@@ -86,6 +86,8 @@
 	lastStart map[citron.TaskRef]time.Duration
 	// failures counts the acknowledged failures of each task.
 	failures map[citron.TaskRef]int
+	// crashes records the crashes of workers; nil in simulations without tasks that crash them.
+	crashes *simCrashes
 	// teams is nil in simulations without teams.
 	teams *simTeams
 	// violation describes the first violation of an invariant, with its time and the rule of docs/PROOFS.md that it
@@ -525,6 +527,7 @@
 
 // restart begins a new incarnation of the worker without runs.
 func (s *simWorker) restart() {
+	s.recordCrash()
 	s.world.incarnations++
 	s.entry.ID = citron.Worker(fmt.Sprintf("i-%d", s.world.incarnations))
 	s.entry.Address = string(s.entry.ID)
@@ -600,9 +603,11 @@
 	if w.failures[o.Task] >= 4 {
 		w.fail("BUDGET: %s started as run %d after four acknowledged failures", o.Task, o.Run)
 	}
+	w.checkCrashes(o.Task)
 	s.highestRun[o.Task], w.lastStart[o.Task] = o.Run, w.now.Boot
 	w.begun[jobOf(o.Task)] = true
 	s.runs[o.Task] = &simRun{run: o.Run, need: need, gang: members, endsAt: w.now.Boot + time.Duration(200+w.rng.IntN(1500))*time.Millisecond, willFail: w.chance(0.03)}
+	w.crashAfterStart(s, o.Task)
 }
 
 // fail records the first violation.
@@ -647,6 +652,7 @@
 		defer s.world.breakGang(ref, run.run)
 	}
 	s.world.finished[ref] = s.world.finished[ref] || how == citron.EndDone
+	s.world.recordFailure(ref, how)
 	s.lastEnd++
 	s.endedAt[s.lastEnd] = s.world.now.Boot
 	s.ended = append(s.ended, citron.EndedTask{Number: s.lastEnd, Task: ref, Run: s.runs[ref].run, Kind: how})
@@ -773,6 +779,8 @@
 		if ref := w.unfinished(id); ref != "" {
 			w.fail("MIXED: job %s is recorded as completed, but %s has not ended as done", id, ref)
 		}
+	case work.State_STATE_FAILED:
+		w.checkFailed(id)
 	}
 }
 
