Give up tasks that crash their workers

Callers saw most of the cell's work lost for as long as such a task lived: a third of the workers down at any time, half of the jobs served.

Cause: a run lost with its worker is no attempt and was not counted at all, so a task whose start ends its worker was started on the next one without limit. Class: retries of work whose failures take down what runs it, without a budget that outlives the worker and the holder.

Change: citron/crash keeps for each task the runs whose worker crashed and those of them that may have caused it: runs that the worker had not outlived by 250 ms when it refused connections. A suspect starts only where nothing else is unsettled, on the emptiest worker, and nothing starts beside it until it has settled; the second crash with it as the only suspect fails its job. Both lists are in the job's progress record. Workers that drain or go down for upkeep do not crash, and a worker that was silent before it was gone blames nobody until the fourth crash. Connection refused passes through relays. Ruled out: counting every run on a crashed worker (jobs beside a crashing task would fail; 10 runs are lost with a worker).

Mutants without the record, without the settle time and with draining workers counted are each caught. TestCrashesOfWorkersAreCountedAcrossChangesOfHolder changes the holder after every second crash instead of every second plan, of which the first form did not notice a count that was not recorded.

--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -271,7 +271,7 @@
 		outcome, clock, err = h.Workers.Start(bounded, &s.Worker, s.Order)
 		cancel()
 		if err != nil {
-			h.reportFailure("start", err)
+			h.workerFailed("start", s.Worker.ID, err)
 			timer.Pause(ctx, h.Timer, orderRetry)
 		}
 		if outcome == citron.StartUnknown && !errors.Is(err, citron.ErrRejected) {
@@ -315,7 +315,7 @@
 	case errors.Is(err, citron.ErrWorkerGone):
 		h.Pool.Gone(h.Timer.Now(), s.Worker.ID)
 	case err != nil:
-		h.reportFailure("stop", err)
+		h.workerFailed("stop", s.Worker.ID, err)
 		return
 	default:
 		h.Pool.Stopped(h.Timer.Now(), s, clock)
@@ -333,6 +333,14 @@
 	h.requestPlan()
 }
 
+// workerFailed reports a failed exchange with a worker, and tells the pool if the worker refused the connection.
+func (h *Holder) workerFailed(exchange string, id citron.Worker, err error) {
+	h.reportFailure(exchange, err)
+	if errors.Is(err, citron.ErrRefused) {
+		h.Pool.MarkRefused(h.Timer.Now(), id)
+	}
+}
+
 func (h *Holder) reportFailure(exchange string, err error) {
 	if h.ExchangeFailed != nil {
 		h.ExchangeFailed(exchange, err)
--- a/citron/holder/poll.go
+++ b/citron/holder/poll.go
@@ -94,7 +94,7 @@
 		}
 		if err != nil {
 			if ctx.Err() == nil {
-				h.reportFailure("hold", err)
+				h.workerFailed("hold", id, err)
 				h.Pool.MarkUnresponsive(id)
 			}
 			h.pausePoll(ctx, p, retry, false)
--- a/citron/platform.go
+++ b/citron/platform.go
@@ -16,6 +16,8 @@
 	ErrFenced = errors.New("fenced by a higher epoch")
 	// ErrConflict means that the condition of an append does not hold.
 	ErrConflict = errors.New("append condition does not hold")
+	// ErrRefused means that nothing listens at the remote address, for example since the process has ended.
+	ErrRefused = errors.New("connection refused")
 	// ErrWorkerGone means that a worker has restarted or left; its runs have ended.
 	ErrWorkerGone = errors.New("worker has restarted or left")
 )
--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/crash"
 	"github.com/citroncross/citroncross/schema/work"
 )
 
@@ -144,6 +145,8 @@
 		s := o.steps[r.GetStep()]
 		t := s.tasks[r.GetIndex()]
 		t.run, t.failedRuns, t.checkpoint = r.GetRun(), r.GetFailedRuns(), r.GetCheckpoint()
+		t.crashes = crash.History{Runs: r.GetCrashedRuns(), Suspicions: r.GetSuspectedRuns()}
+		p.watchSuspect(t)
 		s.gangRun = max(s.gangRun, t.run)
 		switch r.GetState() {
 		case work.TaskState_TASK_STATE_DONE:
--- a/citron/pool/crash_test.go
+++ b/citron/pool/crash_test.go
@@ -9,8 +9,10 @@
 	"github.com/citroncross/citroncross/schema/work"
 )
 
-// crashWorker ends a worker with all its runs and adds a new one at its address.
+// crashWorker ends a worker with all its runs, which refuses connections until a new one is at its address.
 func (r *rig) crashWorker(id citron.Worker) {
+	r.advance(10 * time.Millisecond)
+	r.p.MarkRefused(r.now, id)
 	r.advance(3 * time.Second)
 	entry := r.p.workers[id].entry
 	r.p.Gone(r.now, id)
@@ -80,22 +82,25 @@
 	j := newJob("j", newStep(1, 1))
 	r.accept(j)
 	starts := 0
-	for n := range 12 {
-		starts += r.playCrashes(1, map[citron.TaskRef]bool{"j.0.0.0": true})["j.0.0.0"]
-		if n%2 == 0 {
-			entries := []citron.WorkerEntry{}
-			for _, w := range r.p.byID {
-				if !w.gone {
-					entries = append(entries, w.entry)
-				}
+	for range 6 {
+		// The second plan records the crash of the first; its own is known only to the next holder.
+		starts += r.playCrashes(2, map[citron.TaskRef]bool{"j.0.0.0": true})["j.0.0.0"]
+		entries := []citron.WorkerEntry{}
+		for _, w := range r.p.byID {
+			if !w.gone {
+				entries = append(entries, w.entry)
+			}
+		}
+		r.takeOver()
+		r.p.MarkAllJobsKnown()
+		r.p.UpdateWorkers(r.now, entries)
+		r.accept(j)
+		for _, w := range append([]*worker(nil), r.p.byID...) {
+			if !w.listed {
+				r.p.Gone(r.now, w.entry.ID)
 			}
-			r.plan()
-			r.takeOver()
-			r.p.MarkAllJobsKnown()
-			r.p.UpdateWorkers(r.now, entries)
-			r.accept(j)
-			r.keepAlive()
 		}
+		r.keepAlive()
 	}
 	if starts > 5 {
 		t.Errorf("%d starts, want no more than two after three workers have crashed", starts)
@@ -123,6 +128,38 @@
 	}
 }
 
+// Guards against blaming a run that had outlived other starts for the crash that one of those caused.
+func TestOnlyRunsThatHaveNotSettledAreSuspected(t *testing.T) {
+	r := newRig(t)
+	r.workers(1)
+	r.accept(newJob("old", newStep(1, 1)))
+	r.plan()
+	r.advance(time.Second)
+	r.keepAlive()
+	r.accept(newJob("new", newStep(1, 1)))
+	r.crashWorker(r.plan().Starts[0].Worker.ID)
+	for ref, want := range map[citron.TaskRef]bool{"old.0.0.0": false, "new.0.0.0": true} {
+		if got := r.p.findTask(ref).crashes.Exclusive(); got != want {
+			t.Errorf("%s suspected: %t, want %t", ref, got, want)
+		}
+	}
+}
+
+// Guards against blaming the runs on a worker that crashes some time after it was cut off.
+func TestRunsOnASilentWorkerAreNotSuspected(t *testing.T) {
+	r := newRig(t)
+	r.workers(1)
+	r.accept(newJob("j", newStep(1, 1)))
+	id := r.plan().Starts[0].Worker.ID
+	r.p.MarkUnresponsive(id)
+	r.advance(4 * time.Second)
+	r.p.MarkRefused(r.now, id)
+	r.p.Gone(r.now, id)
+	if h := r.p.findTask("j.0.0.0").crashes; h.Exclusive() || len(h.Runs) != 1 {
+		t.Errorf("suspected: %t, crashes %v, want one crash without suspicion", h.Exclusive(), h.Runs)
+	}
+}
+
 // Guards against taking the planned end of a worker for a crash.
 func TestWorkerThatDrainsHasNotCrashed(t *testing.T) {
 	r := newRig(t)
--- a/citron/pool/gang.go
+++ b/citron/pool/gang.go
@@ -28,7 +28,13 @@
 	if wp.mustLeaveHeadroom(s, len(s.tasks)) {
 		return
 	}
-	free := wp.gangSlots(s, func(w *worker) citron.Capacity { return wp.capacityFor(s, w) })
+	exclusive := s.exclusive()
+	free := wp.gangSlots(s, func(w *worker) citron.Capacity {
+		if exclusive && w.unsettled() {
+			return citron.Capacity{}
+		}
+		return wp.capacityFor(s, w)
+	})
 	chosen := wp.chooseLike(s, free)
 	if chosen == nil {
 		wp.reserve(s)
@@ -158,6 +164,10 @@
 			}
 			r.until = max(r.until, wp.now+h)
 			wp.reservations[c.worker] = r
+			if s.exclusive() && h == reservationHorizons[0] {
+				// The other tasks must settle before the gang may start there.
+				wp.closeWorker(c.worker)
+			}
 		}
 		return
 	}
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -48,8 +48,8 @@
 // RunSummary describes what is known of the runs on a worker.
 type RunSummary struct {
 	Tasks int
-	// Unsettled is set if the worker may have runs that have started, stopped or ended without a report, or that are not
-	// recorded.
+	// Unsettled is set if the worker may have runs that have started, stopped or ended without a report, that are not
+	// recorded, or that may crash it.
 	Unsettled bool
 	// Unreported is set if the worker has sent no report in this epoch, or none since its lease expired.
 	Unreported bool
@@ -73,7 +73,7 @@
 	}
 	runs = RunSummary{Tasks: len(w.tasks), Unreported: !w.reported, Unsettled: w.unrecordedRuns}
 	for _, t := range w.tasks {
-		runs.Unsettled = runs.Unsettled || t.state == taskInDoubt || t.state == taskStopping || t.state == taskLeaving
+		runs.Unsettled = runs.Unsettled || t.crashes.Exclusive() && !t.settled() || t.state == taskInDoubt || t.state == taskStopping || t.state == taskLeaving
 	}
 	return w.entry, o, runs, true
 }
@@ -125,6 +125,7 @@
 	p.readSpeeds(now)
 	p.lastPlan = PlanStats{SlowWorkers: p.speeds.slow, FastWorkers: p.speeds.fast}
 	wp := waitingPass{pool: p, now: now, effects: e, advisedSteps: map[string]int{}, headrooms: p.findHeadroom(now)}
+	wp.closeWorkers()
 	for _, s := range p.waiting {
 		p.lastPlan.WaitingSteps++
 		wp.placeStep(s)
@@ -188,6 +189,8 @@
 	advisedSteps map[string]int
 	// headrooms is the capacity left to priority 0 by service; nil if there is none.
 	headrooms map[citron.Service]*serviceHeadroom
+	// closed holds the workers on which only the suspect that they are closed for may start.
+	closed map[*worker]bool
 	// lastNeed is the result of speedNeed for the step that was last looked at.
 	lastNeed speedNeed
 }
@@ -221,7 +224,10 @@
 		if wp.mustLeaveHeadroom(s, 1) {
 			return
 		}
-		w := wp.bestWorker(s, t)
+		w := wp.workerFor(s, t)
+		if w == nil && t.crashes.Exclusive() {
+			continue // The other tasks of the step fit on more workers.
+		}
 		if w == nil || room == 0 {
 			return
 		}
@@ -235,7 +241,7 @@
 	if !w.usable(wp.now) || w.entry.Service != citron.Service(s.job.spec.GetTerms().GetService()) || !w.entry.HasLabel(s.spec.GetRequires()) {
 		return false
 	}
-	if interferes(s, w) {
+	if interferes(s, w) || wp.closed[w] {
 		return false
 	}
 	if s.job.spec.GetTerms().GetAdvice() == nil {
@@ -282,20 +288,20 @@
 
 // bestWorker returns the best-fitting worker, that is the one left with the fewest free cores, or nil if the task fits
 // on none. Workers in other racks and workers with failures come last; fill tasks prefer the most free cores. Of the
-// others, workers with less expected loss by interference come first.
-func (wp *waitingPass) bestWorker(s *step, t *task) (best *worker) {
+// others, workers with less expected loss by interference come first. A suitable of nil accepts every worker.
+func (wp *waitingPass) bestWorker(s *step, t *task, suitable func(*worker) bool) (best *worker) {
 	var bestScore int64
 	for _, w := range wp.pool.byID {
 		// The capacity is checked first: in a full pool it leaves few workers whose tickets must be looked up.
-		if !w.free().Fits(s.need) || !wp.allowed(s, w) || !wp.capacityFor(s, w).Fits(s.need) {
+		if !w.free().Fits(s.need) || !wp.allowed(s, w) || !wp.capacityFor(s, w).Fits(s.need) || suitable != nil && !suitable(w) {
 			continue
 		}
 		if limit := int(s.spec.GetPerWorker()); limit > 0 && countOnWorker(s, w) >= limit {
 			continue
 		}
 		score := w.free().MilliCores - s.need.MilliCores
-		if s.spec.GetFills() {
-			// Fill tasks run on the processor time that other tasks leave.
+		if s.spec.GetFills() || t.crashes.Exclusive() {
+			// Fill tasks run on the processor time that other tasks leave. Where a suspect runs, few others may be lost.
 			score = -w.free().MilliCores
 		}
 		if rack := s.spec.GetDataRack(); rack != "" && string(w.entry.Rack) != rack {
@@ -339,6 +345,9 @@
 	p.joinWorker(wp.now, t, w, true)
 	p.assign(t, w)
 	wp.useHeadroom(s)
+	if t.crashes.Exclusive() {
+		wp.closeWorker(w)
+	}
 	w.leaseUntil = max(w.leaseUntil, wp.now+p.maxLeaseTime(p.Options.Lease))
 	j := s.job
 	p.dirty[j] = true
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -14,6 +14,7 @@
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/advice"
+	"github.com/citroncross/citroncross/citron/crash"
 	"github.com/citroncross/citroncross/citron/quota"
 	"github.com/citroncross/citroncross/citron/share"
 	"github.com/citroncross/citroncross/citron/speed"
@@ -82,6 +83,8 @@
 	speeds       speeds
 	// stragglers is what is known of restarted tasks.
 	stragglers stragglers
+	// suspects are the tasks that may crash their worker, until a run of theirs has settled.
+	suspects map[*task]bool
 	// terms are the teams' terms in the newest configuration; nil if teams are not in force.
 	terms []citron.TeamTerms
 	// termsKnown is set once the terms, or that there are none, are known. Jobs of teams wait for that.
@@ -332,6 +335,8 @@
 	worker *worker
 	// failedRuns are the numbers of the failed runs; each counts as an attempt.
 	failedRuns []int32
+	// crashes are the crashes of workers under the task.
+	crashes crash.History
 	// completedEarlier is set if an earlier run completed the task while the newest run is still being stopped.
 	completedEarlier bool
 	checkpoint       string
@@ -371,6 +376,8 @@
 	// show which runs the worker has.
 	reported   bool
 	lastAnswer time.Duration
+	// refusedAt is when the worker first refused a connection since its last answer, 0 if it has not.
+	refusedAt time.Duration
 	// clockOffset is the worker's clock minus the boot clock of this daemon.
 	clockOffset time.Duration
 	// leaseUntil is when every lease given to the worker has expired and its tasks have stopped.
@@ -378,6 +385,9 @@
 	// processedEnd is the number of the last ended run that was applied, ackedEnd of the last one in a stored record.
 	processedEnd int64
 	ackedEnd     int64
+	// lost are the runs that were given up while it was not known whether the worker had crashed, lostAt is when the last was.
+	lost   []lostRun
+	lostAt time.Duration
 	// unresponsive is set if the last exchanges were not answered.
 	unresponsive bool
 	// cordoned is set while the worker's machine is about to go down for upkeep.
@@ -427,6 +437,7 @@
 		dirty:    map[*job]bool{},
 		ended:    map[citron.JobID]endedJob{},
 		runTimes: &speed.Model{},
+		suspects: map[*task]bool{},
 
 		permitCounts: map[string]permitCount{},
 		teams:        map[citron.Team]*teamUse{},
--- a/citron/pool/record.go
+++ b/citron/pool/record.go
@@ -91,6 +91,8 @@
 		Run:        t.run,
 		FailedRuns: t.failedRuns,
 		Checkpoint: t.checkpoint,
+
+		CrashedRuns: t.crashes.Runs, SuspectedRuns: t.crashes.Suspicions,
 	}
 	if t.worker != nil {
 		r.Worker = string(t.worker.entry.ID)
--- a/citron/pool/report.go
+++ b/citron/pool/report.go
@@ -42,7 +42,7 @@
 			w.listed = false
 			p.observe(Decision{Kind: DecidedWorkerLost, Worker: id, Outcome: "unlisted", Reason: "the platform no longer lists it"})
 		}
-		if !w.listed && len(w.tasks) == 0 && (p.terms == nil || !p.hidesRuns(now.Boot, w)) {
+		if !w.listed && len(w.tasks) == 0 && !w.awaitsVerdict(now.Boot) && (p.terms == nil || !p.hidesRuns(now.Boot, w)) {
 			p.removeWorker(w)
 		}
 	}
@@ -134,6 +134,15 @@
 	}
 }
 
+// MarkRefused records that a worker refused a connection, as one that has crashed does.
+func (p *Pool) MarkRefused(now citron.Instant, id citron.Worker) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w := p.workers[id]; w != nil && w.refusedAt == 0 {
+		w.refusedAt = now.Boot
+	}
+}
+
 // Gone records that a worker has restarted or left, which ends its runs.
 func (p *Pool) Gone(now citron.Instant, id citron.Worker) {
 	p.mu.Lock()
@@ -148,12 +157,13 @@
 	if !w.gone {
 		w.gone = true
 		p.loseWorker(now, w, "the worker has restarted")
+		p.countCrash(now, w)
 	}
 }
 
 // recordAnswer updates the time of the last answer and the worker's clock; a clock of 0 is unknown.
 func (p *Pool) recordAnswer(now time.Duration, w *worker, clock time.Duration) {
-	w.lastAnswer, w.unresponsive = now, false
+	w.lastAnswer, w.unresponsive, w.refusedAt = now, false, 0
 	if clock != 0 {
 		w.clockOffset = clock - now
 	}
@@ -169,7 +179,7 @@
 		return
 	}
 	p.recordAnswer(now.Boot, w, clock)
-	w.reported = true
+	w.reported, w.lost = true, nil
 	present := map[citron.TaskRef]int32{}
 	w.unrecordedRuns = false
 	for _, run := range r.Running {
@@ -235,6 +245,7 @@
 
 // loseWorker requeues the tasks of a worker on which no run of this epoch or an earlier one can still be running.
 func (p *Pool) loseWorker(now time.Duration, w *worker, reason string) {
+	p.recordLost(now, w)
 	p.observe(Decision{Kind: DecidedWorkerLost, Worker: w.entry.ID, Outcome: "lost", Reason: reason, Age: now - w.lastAnswer})
 	for _, t := range w.sortedTasks() {
 		p.observe(Decision{
--- a/citron/pool/sim_crash_test.go
+++ b/citron/pool/sim_crash_test.go
@@ -58,7 +58,8 @@
 func (s *simWorker) crash(down time.Duration) {
 	s.recordCrash()
 	s.runs, s.ended = map[citron.TaskRef]*simRun{}, nil
-	s.cutUntil = s.world.now.Boot + down
+	s.downUntil = s.world.now.Boot + down
+	s.cutUntil = max(s.cutUntil, s.downUntil)
 	id := s.entry.ID
 	s.world.schedule(down, func() {
 		if s.entry.ID == id {
--- a/citron/pool/sim_test.go
+++ b/citron/pool/sim_test.go
@@ -136,6 +136,8 @@
 	// endedAt is when each reported run ended.
 	endedAt  map[int64]time.Duration
 	cutUntil time.Duration
+	// downUntil is the end of the time after a crash.
+	downUntil time.Duration
 	// formerUntil is the end of a partition during which only holders up to formerEpoch reach the worker.
 	formerUntil time.Duration
 	formerEpoch citron.Epoch
@@ -505,6 +507,10 @@
 				h.pool.Gone(w.now, id)
 				return
 			}
+			if w.now.Boot < s.downUntil {
+				h.pool.MarkRefused(w.now, id)
+				return
+			}
 			if !s.reachableBy(o.Epoch) || w.chance(0.02) && !w.recovering() || s.fence(o.Epoch) {
 				return
 			}
--- a/citron/relay/relay.go
+++ b/citron/relay/relay.go
@@ -149,6 +149,8 @@
 		return citron.ErrWorkerGone
 	case link.OrderResult_ORDER_RESULT_FENCED:
 		return citron.ErrFenced
+	case link.OrderResult_ORDER_RESULT_REFUSED:
+		return errors.Join(citron.ErrUnavailable, citron.ErrRefused)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/citron/relay/relay_test.go
+++ b/citron/relay/relay_test.go
@@ -305,7 +305,7 @@
 }
 
 func TestErrorsOfWorkersPassTheRelay(t *testing.T) {
-	for _, want := range []error{citron.ErrWorkerGone, citron.ErrFenced, citron.ErrUnavailable} {
+	for _, want := range []error{citron.ErrWorkerGone, citron.ErrFenced, citron.ErrRefused, citron.ErrUnavailable} {
 		r := newRig(t, "a")
 		r.workers["a"].renew = func(context.Context, citron.RenewOrder) (citron.WorkerReport, error) {
 			return citron.WorkerReport{}, want
--- a/citron/relay/server.go
+++ b/citron/relay/server.go
@@ -187,6 +187,8 @@
 		a.Result = link.OrderResult_ORDER_RESULT_WORKER_GONE
 	case errors.Is(err, citron.ErrFenced):
 		a.Result = link.OrderResult_ORDER_RESULT_FENCED
+	case errors.Is(err, citron.ErrRefused):
+		a.Result = link.OrderResult_ORDER_RESULT_REFUSED
 	}
 	return a
 }
