Tests: capacity that shrinks and grows while a worker runs

The code keeps this already: UpdateWorkers takes the capacity of every new entry, what is used or being stopped is subtracted, and nothing fits into a negative rest. No test showed it.

--- a/citron/pool/sim_test.go
+++ b/citron/pool/sim_test.go
@@ -47,6 +47,8 @@
 	stopsAsEnds
 	// adoptsUncounted does not count the runs of former holders for their teams.
 	adoptsUncounted
+	// ignoresResizes keeps the capacity of a worker's first entry.
+	ignoresResizes
 )
 
 const (
@@ -86,6 +88,8 @@
 	lastStart map[citron.TaskRef]time.Duration
 	// failures counts the acknowledged failures of each task.
 	failures map[citron.TaskRef]int
+	// resizes makes the capacity of workers shrink and grow.
+	resizes bool
 	// crashes records the crashes of workers; nil in simulations without tasks that crash them.
 	crashes *simCrashes
 	// teams is nil in simulations without teams.
@@ -120,8 +124,11 @@
 }
 
 type simWorker struct {
-	world      *world
-	entry      citron.WorkerEntry
+	world *world
+	entry citron.WorkerEntry
+	// capacity is the present capacity, former are the earlier ones. The entry may lag behind.
+	capacity   citron.Capacity
+	former     []capacityChange
 	drift      float64
 	startedAt  time.Duration
 	epoch      citron.Epoch
@@ -175,6 +182,7 @@
 	}
 	for range 5 {
 		s := &simWorker{world: w, drift: 1 - 0.02*w.rng.Float64(), entry: citron.WorkerEntry{Service: "svc", Capacity: citron.Capacity{MilliCores: 8000, MemoryMb: 8000}}}
+		s.capacity = s.entry.Capacity
 		s.restart()
 		w.workers = append(w.workers, s)
 	}
@@ -228,6 +236,7 @@
 		s.tick()
 	}
 	w.changeTerms()
+	w.resize()
 	if w.now.Boot < w.start+simSubmitTime && w.chance(0.05) {
 		w.submit()
 	}
@@ -317,7 +326,11 @@
 func (h *simHolder) updateWorkers() {
 	entries := make([]citron.WorkerEntry, 0, len(h.world.workers))
 	for _, s := range h.world.workers {
-		entries = append(entries, s.entry)
+		e := s.entry
+		if h.world.mutant == ignoresResizes {
+			e.Capacity = citron.Capacity{MilliCores: 8000, MemoryMb: 8000}
+		}
+		entries = append(entries, e)
 	}
 	h.pool.UpdateWorkers(h.world.now, entries)
 }
@@ -594,7 +607,7 @@
 	for _, run := range s.runs {
 		used = used.Add(run.need)
 	}
-	if !s.entry.Capacity.Sub(used).Fits(need) {
+	if !s.countedCapacity().Sub(used).Fits(need) {
 		w.fail("LIMIT: start of %s on %s exceeds its capacity", o.Task, s.entry.ID)
 	}
 	w.checkQuota(o.Task, need)
