Log the lives of workers and ends that are skipped (events 617, 618)

With these a run that is requeued after 617 without 618 was forgotten by the worker (hypothesis 1), one with 618 was skipped here (hypothesis 2). No change of logic.

--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -222,6 +222,9 @@
 	pool.DecidedPairAccepted:  event.PairAccepted,
 	pool.DecidedPairWithdrawn: event.PairWithdrawn,
 	pool.DecidedRunLost:       event.RunLost,
+
+	pool.DecidedWorkerRestarted: event.WorkerRestarted,
+	pool.DecidedEndSkipped:      event.EndSkipped,
 }
 
 // exchangeFailed logs and counts a failed exchange of the given kind.
--- a/citron/event/catalog.go
+++ b/citron/event/catalog.go
@@ -77,6 +77,8 @@
 	ExchangeFailed     = register(613, logrus.WarnLevel, "exchange failed")
 	WorkerSpeedChanged = register(630, logrus.InfoLevel, "worker speed class changed")
 	RunLost            = register(616, logrus.InfoLevel, "run lost with its worker")
+	WorkerRestarted    = register(617, logrus.InfoLevel, "worker restarted under its id")
+	EndSkipped         = register(618, logrus.WarnLevel, "ended run skipped")
 	PendingJobsCounted = register(615, logrus.InfoLevel, "pending jobs counted")
 	TeamMalformed      = register(620, logrus.WarnLevel, "team in the configuration malformed")
 	KeyAmbiguous       = register(621, logrus.WarnLevel, "key of several teams in the configuration")
--- a/citron/platform.go
+++ b/citron/platform.go
@@ -148,7 +148,9 @@
 
 // WorkerEntry describes a worker as the worker registered itself.
 type WorkerEntry struct {
-	ID            Worker
+	ID Worker
+	// Incarnation tells the lives of a worker under one id apart; 0 if the worker does not tell.
+	Incarnation   Incarnation
 	Address       string
 	Service       Service
 	FailureDomain FailureDomain
@@ -323,7 +325,7 @@
 
 // EndedTask is a run that ended on a worker and has not been acknowledged yet.
 type EndedTask struct {
-	// Number counts the ended runs since the worker started.
+	// Number counts the ended runs of one incarnation of the worker.
 	Number     int64
 	Task       TaskRef
 	Run        int32
@@ -333,6 +335,8 @@
 
 // WorkerReport is a worker's answer to a renew order.
 type WorkerReport struct {
+	// Incarnation is the life of the worker that answered; 0 if the worker does not tell.
+	Incarnation Incarnation
 	// Partial is set if more runs may have ended than are listed.
 	Partial bool
 	Running []RunningTask
--- a/citron/pool/end.go
+++ b/citron/pool/end.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -16,6 +17,12 @@
 	acked := true
 	for _, end := range ends {
 		if end.Number <= w.processedEnd {
+			if t := w.tasks[end.Task]; t != nil && t.run == end.Run {
+				p.observe(Decision{
+					Kind: DecidedEndSkipped, Task: end.Task, Run: end.Run, Worker: w.entry.ID, Outcome: string(end.Kind),
+					Reason: fmt.Sprintf("end %d, applied up to %d", end.Number, w.processedEnd),
+				})
+			}
 			continue
 		}
 		acked = acked && p.jobKnown(end.Task)
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -152,6 +152,11 @@
 	DecidedPairWithdrawn
 	// DecidedRunLost means that a run was lost with its worker.
 	DecidedRunLost
+	// DecidedWorkerRestarted means that a worker has started again under its id.
+	DecidedWorkerRestarted
+	// DecidedEndSkipped means that the end of a run that counts as running is not applied, since its number is not higher than
+	// that of the last end that was.
+	DecidedEndSkipped
 )
 
 // Decision is a scheduling decision with its cause, for logs and metrics.
@@ -365,6 +370,8 @@
 // worker is one incarnation of a worker; a restarted worker has another id.
 type worker struct {
 	entry citron.WorkerEntry
+	// incarnation is the newest known life of the worker, 0 if it does not tell.
+	incarnation citron.Incarnation
 	// used is the capacity taken by tasks.
 	used  citron.Capacity
 	tasks map[citron.TaskRef]*task
--- a/citron/pool/report.go
+++ b/citron/pool/report.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -34,6 +35,7 @@
 		if e.Draining && (!w.entry.Draining || e.Remaining != w.entry.Remaining) {
 			w.leavesAt = now.Boot + e.Remaining
 		}
+		p.checkIncarnation(w, e.Incarnation, "its entry")
 		w.entry, w.listed, w.speed.group = e, true, speedGroup(&e)
 	}
 	for _, w := range slices.Clone(p.byID) {
@@ -178,6 +180,7 @@
 	if w == nil {
 		return
 	}
+	p.checkIncarnation(w, r.Incarnation, "its report")
 	p.recordAnswer(now.Boot, w, clock)
 	w.reported, w.lost = true, nil
 	present := map[citron.TaskRef]int32{}
@@ -197,6 +200,20 @@
 	}
 }
 
+// checkIncarnation reports when a worker has started again under its id.
+func (p *Pool) checkIncarnation(w *worker, reported citron.Incarnation, source string) {
+	if reported == 0 || reported == w.incarnation {
+		return
+	}
+	if w.incarnation != 0 {
+		p.observe(Decision{
+			Kind: DecidedWorkerRestarted, Worker: w.entry.ID, Outcome: source,
+			Reason: fmt.Sprintf("started at %d, before at %d; %d tasks, ends applied up to %d", reported, w.incarnation, len(w.tasks), w.processedEnd),
+		})
+	}
+	w.incarnation = reported
+}
+
 // applyRunning applies a run that a worker reports as running.
 func (p *Pool) applyRunning(now time.Duration, w *worker, run citron.RunningTask) {
 	t := w.tasks[run.Task]
--- a/citron/relay/report.go
+++ b/citron/relay/report.go
@@ -23,7 +23,7 @@
 
 // encodeReport returns what a report changes in base, or the complete report if base is nil, and the base of the next one.
 func encodeReport(number uint64, r citron.WorkerReport, base *baseReport) (*link.Report, *baseReport) {
-	encoded := &link.Report{Partial: r.Partial}
+	encoded := &link.Report{Partial: r.Partial, Incarnation: uint64(r.Incarnation)}
 	next := &baseReport{number: number, running: make(map[string]*link.RunningTask, len(r.Running))}
 	if base != nil {
 		encoded.Base = base.number
@@ -91,7 +91,7 @@
 
 // decodeReport converts a complete report.
 func decodeReport(r *link.Report) (report citron.WorkerReport) {
-	report.Partial = r.GetPartial()
+	report.Partial, report.Incarnation = r.GetPartial(), citron.Incarnation(r.GetIncarnation())
 	for _, t := range r.GetRunning() {
 		report.Running = append(report.Running, citron.RunningTask{Task: citron.TaskRef(t.GetTask()), Run: t.GetRun(), Checkpoint: t.GetCheckpoint(), Percent: int(t.GetPercent())})
 	}
