--- /dev/null
+++ b/citron/pool/restart_test.go
@@ -0,0 +1,198 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/schema/work"
+)
+
+// Incarnations of the worker in these tests.
+const (
+	firstLife citron.Incarnation = 1_000 + iota
+	secondLife
+)
+
+// listLife lists the only worker with an incarnation.
+func (r *rig) listLife(id citron.Worker, life citron.Incarnation) {
+	entry := r.p.workers[id].entry
+	entry.Incarnation = life
+	r.p.UpdateWorkers(r.now, []citron.WorkerEntry{entry})
+}
+
+// reportLife passes an answer of one incarnation to a renew order that was sent just now.
+func (r *rig) reportLife(id citron.Worker, life citron.Incarnation, report citron.WorkerReport) {
+	report.Incarnation = life
+	r.report(id, report)
+}
+
+// newLifeRig returns a rig with one worker in its first life, which has acknowledged ends up to 3.
+func newLifeRig(t *testing.T) (r *rig, id citron.Worker) {
+	r = newRig(t)
+	id = r.workers(1)[0]
+	r.listLife(id, firstLife)
+	r.reportLife(id, firstLife, citron.WorkerReport{})
+	r.accept(newJob("before", newStep(3, 1)))
+	var ends []citron.EndedTask
+	for n, s := range r.plan().Starts {
+		ends = append(ends, citron.EndedTask{Number: int64(n + 1), Task: s.Order.Task, Run: s.Order.Run, Kind: citron.EndDone})
+	}
+	r.reportLife(id, firstLife, citron.WorkerReport{Ended: ends})
+	r.plan()
+	if got := r.state("before"); got != work.State_STATE_COMPLETED {
+		t.Fatalf("state %v before the restart, want completed", got)
+	}
+	return r, id
+}
+
+// Guards against taking the ends of a worker that restarted under its id for ends that were applied in its former life.
+func TestEndsAfterARestartUnderTheSameIDAreApplied(t *testing.T) {
+	r, id := newLifeRig(t)
+	r.reportLife(id, secondLife, citron.WorkerReport{})
+	r.listLife(id, secondLife)
+	r.accept(newJob("after", newStep(1, 1)))
+	starts := r.plan().Starts
+	if len(starts) != 1 {
+		t.Fatalf("%d starts after the restart, want 1", len(starts))
+	}
+	r.reportLife(id, secondLife, citron.WorkerReport{Ended: []citron.EndedTask{{Number: 1, Task: "after.0.0.0", Run: 1, Kind: citron.EndDone}}})
+	if e := r.plan(); len(e.Starts) > 0 {
+		t.Errorf("starts %v, want none: the task is done", e.Starts)
+	}
+	if got := r.state("after"); got != work.State_STATE_COMPLETED {
+		t.Errorf("state %v, want completed", got)
+	}
+}
+
+// Guards against acknowledging ends of a new life that it has not listed yet.
+func TestAcknowledgementsDoNotReachTheNextLifeOfAWorker(t *testing.T) {
+	for name, report := range map[string]func(r *rig, id citron.Worker){
+		"after an unanswered order": func(r *rig, id citron.Worker) { r.p.MarkUnresponsive(id) },
+		"after a pause":             func(r *rig, _ citron.Worker) { r.advance(5 * time.Second) },
+		"once its entry is read":    func(r *rig, id citron.Worker) { r.listLife(id, secondLife) },
+		"once it has answered":      func(r *rig, id citron.Worker) { r.reportLife(id, secondLife, citron.WorkerReport{}) },
+		"after a plan from before":  func(r *rig, id citron.Worker) { r.committedAfterRestart(id) },
+		"once entry and answer are known": func(r *rig, id citron.Worker) {
+			r.listLife(id, secondLife)
+			r.reportLife(id, secondLife, citron.WorkerReport{})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, id := newLifeRig(t)
+			r.reportLife(id, firstLife, citron.WorkerReport{})
+			report(r, id)
+			if _, o, _, _ := r.p.NextRenewal(r.now, id); o.Acked != 0 {
+				t.Errorf("ends up to %d are acknowledged, want none", o.Acked)
+			}
+		})
+	}
+}
+
+// committedAfterRestart stores a plan that acknowledges an end of the first life after the worker has restarted.
+func (r *rig) committedAfterRestart(id citron.Worker) {
+	r.t.Helper()
+	r.accept(newJob("late", newStep(1, 1)))
+	r.plan()
+	r.reportLife(id, firstLife, citron.WorkerReport{Ended: []citron.EndedTask{{Number: 4, Task: "late.0.0.0", Run: 1, Kind: citron.EndDone}}})
+	e, err := r.p.Plan(r.now)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.reportLife(id, secondLife, citron.WorkerReport{})
+	r.store(e)
+}
+
+// Guards against starting a task elsewhere while an order under way may still start it on the restarted worker.
+func TestRunsOfAFormerLifeAreStoppedBeforeTheyRunElsewhere(t *testing.T) {
+	r, id := newLifeRig(t)
+	r.accept(newJob("j", newStep(1, 1)))
+	if n := len(r.plan().Starts); n != 1 {
+		t.Fatalf("%d starts, want 1", n)
+	}
+	r.reportLife(id, secondLife, citron.WorkerReport{})
+	r.listLife(id, secondLife)
+	e := r.plan()
+	if len(e.Starts) != 0 || len(e.Stops) != 1 {
+		t.Fatalf("%d starts, %d stops after the restart, want only a stop", len(e.Starts), len(e.Stops))
+	}
+	r.p.Stopped(r.now, e.Stops[0], r.now.Boot)
+	r.reportLife(id, secondLife, citron.WorkerReport{})
+	if e := r.plan(); len(e.Starts) != 1 || e.Starts[0].Order.Run != 2 {
+		t.Errorf("starts %v, want run 2 once the stop is answered", e.Starts)
+	}
+}
+
+// Guards against answers and entries of a former life that arrive after those of the next one.
+func TestNewsOfAFormerLifeIsIgnored(t *testing.T) {
+	r, id := newLifeRig(t)
+	r.accept(newJob("j", newStep(2, 1)))
+	first := r.plan().Starts
+	sent := r.now.Boot
+	r.reportLife(id, secondLife, citron.WorkerReport{})
+	r.listLife(id, secondLife)
+	r.listLife(id, firstLife)
+	r.p.Renewed(r.now, id, sent, citron.WorkerReport{Incarnation: firstLife, Running: []citron.RunningTask{{Task: "j.0.0.0", Run: 1}}}, time.Minute)
+	r.p.Started(r.now, first[1], citron.Started, time.Minute)
+	for _, ref := range []citron.TaskRef{"j.0.0.0", "j.0.0.1"} {
+		if got := r.p.findTask(ref).state; got == taskRunning {
+			t.Errorf("%s counts as running, want not", ref)
+		}
+	}
+	if w := r.p.workers[id]; w.entry.Incarnation != secondLife || w.clockOffset != 0 {
+		t.Errorf("entry of life %d, clock offset %v, want those of the second life", w.entry.Incarnation, w.clockOffset)
+	}
+}
+
+// Guards against placing tasks by the entry of a former life, whose capacity and labels may differ.
+func TestWorkerIsUsedOnlyWithTheEntryOfItsLife(t *testing.T) {
+	r, id := newLifeRig(t)
+	r.reportLife(id, secondLife, citron.WorkerReport{})
+	r.accept(newJob("j", newStep(1, 1)))
+	if n := len(r.plan().Starts); n != 0 {
+		t.Fatalf("%d starts by the entry of the former life, want 0", n)
+	}
+	r.listLife(id, secondLife)
+	if n := len(r.plan().Starts); n != 1 {
+		t.Errorf("%d starts after the new entry, want 1", n)
+	}
+}
+
+// Guards against a crash that is not counted since the next holder knows only the next life of the worker.
+func TestCrashIsCountedThoughTheNextHolderSeesOnlyTheNextLife(t *testing.T) {
+	r, id := newLifeRig(t)
+	j := newJob("j", newStep(1, 1))
+	r.accept(j)
+	r.plan()
+	entry := r.p.workers[id].entry
+	r.takeOver()
+	r.p.MarkAllJobsKnown()
+	r.accept(j)
+	entry.Incarnation = secondLife
+	r.p.UpdateWorkers(r.now, []citron.WorkerEntry{entry})
+	r.reportLife(id, secondLife, citron.WorkerReport{})
+	if got := len(r.p.findTask("j.0.0.0").crashes.Runs); got != 1 {
+		t.Errorf("%d crashes under the task, want 1", got)
+	}
+}
+
+func TestInvariantsHoldWhileWorkersRestartUnderTheirID(t *testing.T) {
+	for seed := range uint64(simulationSeeds) {
+		w := newWorld(seed, noMutant, nil)
+		w.keepsIDs = true
+		if violation := w.run(); violation != "" {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+	}
+}
+
+func TestHiddenRestartsViolateInvariants(t *testing.T) {
+	for seed := range uint64(simulationSeeds) {
+		w := newWorld(seed, hidesRestarts, nil)
+		w.keepsIDs = true
+		if w.run() != "" {
+			return
+		}
+	}
+	t.Error("no simulation without incarnations violated an invariant, want at least one")
+}
--- a/citron/pool/shrink_test.go
+++ b/citron/pool/shrink_test.go
@@ -71,7 +71,7 @@
 	}
 	s.former = append(s.former, capacityChange{w.now.Boot, s.capacity})
 	s.capacity = citron.Capacity{MilliCores: cores * 1000, MemoryMb: 8000}
-	w.schedule(time.Duration(w.rng.IntN(3000))*time.Millisecond, func() { s.entry.Capacity = s.capacity })
+	w.schedule(time.Duration(w.rng.IntN(3000))*time.Millisecond, func() { s.entry.Capacity = s.capacity; s.list() })
 }
 
 // countedCapacity returns the capacity that starts may count on: the largest one within maxCapacityAge.
--- a/citron/pool/sim_crash_test.go
+++ b/citron/pool/sim_crash_test.go
@@ -60,9 +60,9 @@
 	s.runs, s.ended = map[citron.TaskRef]*simRun{}, nil
 	s.downUntil = s.world.now.Boot + down
 	s.cutUntil = max(s.cutUntil, s.downUntil)
-	id := s.entry.ID
+	life := s.startedAt
 	s.world.schedule(down, func() {
-		if s.entry.ID == id {
+		if s.startedAt == life {
 			s.restart()
 		}
 	})
--- a/citron/pool/sim_test.go
+++ b/citron/pool/sim_test.go
@@ -49,6 +49,8 @@
 	adoptsUncounted
 	// ignoresResizes keeps the capacity of a worker's first entry.
 	ignoresResizes
+	// hidesRestarts keeps the incarnations of workers from the holders.
+	hidesRestarts
 )
 
 const (
@@ -88,6 +90,8 @@
 	lastStart map[citron.TaskRef]time.Duration
 	// failures counts the acknowledged failures of each task.
 	failures map[citron.TaskRef]int
+	// keepsIDs makes workers restart under their id.
+	keepsIDs bool
 	// resizes makes the capacity of workers shrink and grow.
 	resizes bool
 	// crashes records the crashes of workers; nil in simulations without tasks that crash them.
@@ -126,6 +130,10 @@
 type simWorker struct {
 	world *world
 	entry citron.WorkerEntry
+	// listed is the entry in the platform's list, which follows entry after a while.
+	listed citron.WorkerEntry
+	// acked is the number up to which ends are acknowledged, also those that follow.
+	acked int64
 	// capacity is the present capacity, former are the earlier ones. The entry may lag behind.
 	capacity   citron.Capacity
 	former     []capacityChange
@@ -285,7 +293,12 @@
 		s := w.workers[w.rng.IntN(len(w.workers))]
 		s.cutUntil = w.now.Boot + time.Duration(w.rng.IntN(9000))*time.Millisecond
 	case 10:
-		w.workers[w.rng.IntN(len(w.workers))].restart()
+		s := w.workers[w.rng.IntN(len(w.workers))]
+		if w.keepsIDs {
+			s.crash(time.Duration(200+w.rng.IntN(2000)) * time.Millisecond)
+			return
+		}
+		s.restart()
 	case 13, 14, 15, 16, 17, 18:
 		s := w.workers[w.rng.IntN(len(w.workers))]
 		s.cutUntil = w.now.Boot + time.Duration(5000+w.rng.IntN(4000))*time.Millisecond
@@ -326,7 +339,7 @@
 func (h *simHolder) updateWorkers() {
 	entries := make([]citron.WorkerEntry, 0, len(h.world.workers))
 	for _, s := range h.world.workers {
-		e := s.entry
+		e := s.listed
 		if h.world.mutant == ignoresResizes {
 			e.Capacity = citron.Capacity{MilliCores: 8000, MemoryMb: 8000}
 		}
@@ -437,11 +450,19 @@
 func (h *simHolder) sendStarts(starts []Start) {
 	for _, s := range starts {
 		answered := false
+		lost := h.world.loseLate(s.Worker.ID)
 		h.send(func() {
+			if lost() {
+				return
+			}
 			worker := h.world.findWorker(s.Worker.ID)
 			if worker != nil && h.world.now.Boot < worker.cutUntil {
 				// The network delivers the order after the partition.
-				h.world.schedule(worker.cutUntil-h.world.now.Boot+h.world.delay(), func() { h.world.findWorker(s.Worker.ID).handleStart(s) })
+				h.world.schedule(worker.cutUntil-h.world.now.Boot+h.world.delay(), func() {
+					if !lost() {
+						h.world.findWorker(s.Worker.ID).handleStart(s)
+					}
+				})
 				return
 			}
 			outcome, clock := worker.handleStart(s)
@@ -464,6 +485,17 @@
 	}
 }
 
+// loseLate returns whether an order to a worker that is sent now is lost: it does not outlive its connection, and thus not
+// its timeout if the worker has restarted since.
+func (w *world) loseLate(id citron.Worker) (lost func() bool) {
+	s, sent := w.findWorker(id), w.now.Boot
+	if s == nil || !w.keepsIDs {
+		return func() bool { return false }
+	}
+	life := s.startedAt
+	return func() bool { return s.startedAt != life && w.now.Boot-sent > 500*time.Millisecond }
+}
+
 func (h *simHolder) deliverStop(s Stop) {
 	worker := h.world.findWorker(s.Worker.ID)
 	if worker == nil {
@@ -539,6 +571,9 @@
 		w.schedule(400*time.Millisecond, func() {
 			if !answered {
 				h.polling[id] = false
+				if w.keepsIDs {
+					h.pool.MarkUnresponsive(id)
+				}
 			}
 		})
 	}
@@ -548,13 +583,32 @@
 func (s *simWorker) restart() {
 	s.recordCrash()
 	s.world.incarnations++
-	s.entry.ID = citron.Worker(fmt.Sprintf("i-%d", s.world.incarnations))
-	s.entry.Address = string(s.entry.ID)
-	s.startedAt, s.epoch, s.leaseEnd = s.world.now.Boot, 0, 0
+	if !s.world.keepsIDs || s.entry.ID == "" {
+		s.entry.ID = citron.Worker(fmt.Sprintf("i-%d", s.world.incarnations))
+		s.entry.Address = string(s.entry.ID)
+	}
+	s.startedAt, s.epoch, s.leaseEnd, s.acked, s.lastExpiredEnd = s.world.now.Boot, 0, 0, 0, 0
+	if s.world.keepsIDs && s.world.mutant != hidesRestarts {
+		s.entry.Incarnation = citron.Incarnation(s.world.now.Wall.UnixMilli())
+	}
+	s.list()
 	s.endedAt = map[int64]time.Duration{}
 	s.runs, s.highestRun, s.ended, s.lastEnd = map[citron.TaskRef]*simRun{}, map[citron.TaskRef]int32{}, nil, 0
 }
 
+// list puts the entry into the platform's list, at once unless the list may show one of a former life.
+func (s *simWorker) list() {
+	delay := time.Duration(0)
+	if s.world.keepsIDs && s.listed.ID != "" {
+		delay = time.Duration(s.world.rng.IntN(1500)) * time.Millisecond
+	}
+	if delay == 0 {
+		s.listed = s.entry
+		return
+	}
+	s.world.schedule(delay, func() { s.listed = s.entry })
+}
+
 // reachableBy reports whether the holder of an epoch reaches the worker.
 func (s *simWorker) reachableBy(epoch citron.Epoch) bool {
 	return s.world.now.Boot >= s.cutUntil && (epoch <= s.formerEpoch || s.world.now.Boot >= s.formerUntil)
@@ -676,6 +730,7 @@
 	s.endedAt[s.lastEnd] = s.world.now.Boot
 	s.ended = append(s.ended, citron.EndedTask{Number: s.lastEnd, Task: ref, Run: s.runs[ref].run, Kind: how})
 	delete(s.runs, ref)
+	s.forgetAcked()
 }
 
 func (s *simWorker) tick() {
@@ -753,9 +808,27 @@
 	if o.Deadline > 0 {
 		s.leaseEnd = max(s.leaseEnd, min(o.Deadline, s.clock()+6*time.Second))
 	}
+	s.acked = max(s.acked, o.Acked)
+	s.forgetAcked()
+	r.Incarnation = s.entry.Incarnation
+	for ref, run := range s.runs {
+		r.Running = append(r.Running, citron.RunningTask{Task: ref, Run: run.run})
+	}
+	slices.SortFunc(r.Running, func(a, b citron.RunningTask) int { return cmp.Compare(a.Task, b.Task) })
+	r.Ended = append(r.Ended, s.ended...)
+	for n := range r.Ended {
+		if r.Ended[n].Kind == citron.EndStopped && s.world.mutant == stopsAsDone {
+			r.Ended[n].Kind = citron.EndDone
+		}
+	}
+	return r, s.clock()
+}
+
+// forgetAcked removes the acknowledged ends.
+func (s *simWorker) forgetAcked() {
 	unacked := s.ended[:0]
 	for _, end := range s.ended {
-		if end.Number > o.Acked {
+		if end.Number > s.acked {
 			unacked = append(unacked, end)
 			continue
 		}
@@ -773,17 +846,6 @@
 		}
 	}
 	s.ended = unacked
-	for ref, run := range s.runs {
-		r.Running = append(r.Running, citron.RunningTask{Task: ref, Run: run.run})
-	}
-	slices.SortFunc(r.Running, func(a, b citron.RunningTask) int { return cmp.Compare(a.Task, b.Task) })
-	r.Ended = append(r.Ended, s.ended...)
-	for n := range r.Ended {
-		if r.Ended[n].Kind == citron.EndStopped && s.world.mutant == stopsAsDone {
-			r.Ended[n].Kind = citron.EndDone
-		}
-	}
-	return r, s.clock()
 }
 
 // checkState checks the state in a stored record, which callers may see from now on.
