News of a worker's lives: ordered by what was known when, gone only for the life that was asked

Now an entry counts only if it started later, and an answer also if its order was sent after the newest life was known. - 421 from the former address of a worker that had restarted at another one gave up the runs of its present life, which then ran twice. Gone now names the life that the order was sent to. - A worker that was gone once stayed unusable after it came back under its id.

TestOutdatedEntryDoesNotHideTheNewestLife, TestWorkerThatMovedIsNotGone and TestWorkerThatComesBackIsUsedAgain failed before; TestLifeWithAnEarlierStartIsNewIfItAnswersLater passed and limits the first.

--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -313,7 +313,7 @@
 	clock, err := h.Workers.Stop(bounded, &s.Worker, s.Order)
 	switch {
 	case errors.Is(err, citron.ErrWorkerGone):
-		h.Pool.Gone(h.Timer.Now(), s.Worker.ID)
+		h.Pool.Gone(h.Timer.Now(), &s.Worker)
 	case err != nil:
 		h.workerFailed("stop", s.Worker.ID, err)
 		return
--- a/citron/holder/poll.go
+++ b/citron/holder/poll.go
@@ -89,7 +89,7 @@
 		report, clock, err := h.Workers.Renew(bounded, &entry, order)
 		cancel()
 		if errors.Is(err, citron.ErrWorkerGone) {
-			h.Pool.Gone(h.Timer.Now(), id)
+			h.Pool.Gone(h.Timer.Now(), &entry)
 			h.requestPlan()
 			return
 		}
--- a/citron/pool/crash_test.go
+++ b/citron/pool/crash_test.go
@@ -15,7 +15,7 @@
 	r.p.MarkRefused(r.now, id)
 	r.advance(3 * time.Second)
 	entry := r.p.workers[id].entry
-	r.p.Gone(r.now, id)
+	r.p.Gone(r.now, &entry)
 	entry.ID += "'"
 	entries := []citron.WorkerEntry{entry}
 	for _, w := range r.p.byID {
@@ -97,7 +97,7 @@
 		r.accept(j)
 		for _, w := range append([]*worker(nil), r.p.byID...) {
 			if !w.listed {
-				r.p.Gone(r.now, w.entry.ID)
+				r.p.Gone(r.now, &w.entry)
 			}
 		}
 		r.keepAlive()
@@ -154,7 +154,7 @@
 	r.p.MarkUnresponsive(id)
 	r.advance(4 * time.Second)
 	r.p.MarkRefused(r.now, id)
-	r.p.Gone(r.now, id)
+	r.p.Gone(r.now, &r.p.workers[id].entry)
 	if h := r.p.findTask("j.0.0.0").crashes; h.Exclusive() || len(h.Runs) != 1 {
 		t.Errorf("suspected: %t, crashes %v, want one crash without suspicion", h.Exclusive(), h.Runs)
 	}
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -378,9 +378,9 @@
 // worker is a worker with an id. A restarted worker has another id or, under the same one, another incarnation.
 type worker struct {
 	entry citron.WorkerEntry
-	// incarnation is the newest known life of the worker, 0 if it does not tell. formerLives are earlier ones.
+	// incarnation is the newest known life of the worker, 0 if it does not tell; lifeSince is when it became known.
 	incarnation citron.Incarnation
-	formerLives []citron.Incarnation
+	lifeSince   time.Duration
 	// used is the capacity taken by tasks.
 	used  citron.Capacity
 	tasks map[citron.TaskRef]*task
--- a/citron/pool/pool_test.go
+++ b/citron/pool/pool_test.go
@@ -291,7 +291,7 @@
 	r.workers(2)
 	r.accept(newJob("j", newStep(1, 1)))
 	w := r.plan().Starts[0].Worker.ID
-	r.p.Gone(r.now, w)
+	r.p.Gone(r.now, &citron.WorkerEntry{ID: w})
 	if e := r.plan(); len(e.Starts) != 1 || e.Starts[0].Worker.ID == w {
 		t.Errorf("starts %v, want one on the other worker", e.Starts)
 	}
--- a/citron/pool/quota_test.go
+++ b/citron/pool/quota_test.go
@@ -215,7 +215,7 @@
 	r.p.UpdateWorkers(r.now, []citron.WorkerEntry{r.p.workers[ids[1]].entry})
 	r.accept(teamJob("a", "j1", newStep(1, 2)))
 	r.wantStarts(0, "an unlisted worker has an unknown run")
-	r.p.Gone(r.now, ids[0])
+	r.p.Gone(r.now, &citron.WorkerEntry{ID: ids[0]})
 	r.wantStarts(1, "the worker has restarted")
 	r.p.UpdateWorkers(r.now, []citron.WorkerEntry{r.p.workers[ids[1]].entry})
 	if r.p.workers[ids[0]] != nil {
--- a/citron/pool/report.go
+++ b/citron/pool/report.go
@@ -31,7 +31,7 @@
 		if w == nil {
 			w = p.ensureWorker(now.Boot, e.ID)
 		}
-		if !p.beginLife(now.Boot, w, e.Incarnation, "its entry") {
+		if !p.beginLife(now.Boot, w, e.Incarnation, 0, "its entry") {
 			w.listed = true
 			continue
 		}
@@ -147,11 +147,11 @@
 	}
 }
 
-// Gone records that a worker has restarted or left, which ends its runs.
-func (p *Pool) Gone(now citron.Instant, id citron.Worker) {
+// Gone records that the worker to which an order was sent has restarted or left, which ends its runs.
+func (p *Pool) Gone(now citron.Instant, to *citron.WorkerEntry) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if w := p.workers[id]; w != nil {
+	if w := p.workers[to.ID]; w != nil && w.incarnation == to.Incarnation {
 		p.workerGone(now.Boot, w)
 	}
 }
@@ -182,7 +182,7 @@
 	if w == nil {
 		return
 	}
-	if !p.beginLife(now.Boot, w, r.Incarnation, "its report") {
+	if !p.beginLife(now.Boot, w, r.Incarnation, sent, "its report") {
 		return
 	}
 	p.recordAnswer(now.Boot, w, clock)
--- a/citron/pool/restart.go
+++ b/citron/pool/restart.go
@@ -2,22 +2,19 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/citroncross/citroncross/citron"
 )
 
-// maxFormerLives is the number of former incarnations of a worker whose late entries and answers are recognized.
-const maxFormerLives = 8
-
-// beginLife notes the incarnation in an entry or an answer of a worker. Current is false if it is a former one, whose news
-// must be ignored. Incarnations are not compared by size, since the clock that they are taken from may step back.
-func (p *Pool) beginLife(now time.Duration, w *worker, reported citron.Incarnation, source string) (current bool) {
+// beginLife notes the incarnation in an entry of a worker, or in its answer to an order that was sent at the given time.
+// Current is false if it is a former one, whose news must be ignored. The clock from which incarnations are taken may step
+// back, but whoever answers an order that was sent after the newest life was known belongs to that one or a later one.
+func (p *Pool) beginLife(now time.Duration, w *worker, reported citron.Incarnation, sent time.Duration, source string) (current bool) {
 	switch {
 	case reported == 0 || reported == w.incarnation:
 		return true
-	case slices.Contains(w.formerLives, reported):
+	case reported < w.incarnation && sent <= w.lifeSince:
 		return false
 	}
 	// A worker that has answered without an incarnation does not tell one later in the same life.
@@ -27,12 +24,9 @@
 			Kind: DecidedWorkerRestarted, Worker: w.entry.ID, Outcome: source,
 			Reason: fmt.Sprintf("started at %d, before at %d; %d tasks, ends applied up to %d", reported, w.incarnation, len(w.tasks), w.processedEnd),
 		})
-		if w.formerLives = append(w.formerLives, w.incarnation); len(w.formerLives) > maxFormerLives {
-			w.formerLives = w.formerLives[1:]
-		}
 		p.forgetLife(now, w)
 	}
-	w.incarnation = reported
+	w.incarnation, w.lifeSince = reported, now
 	p.endFormerRuns(now, w, restarted)
 	return true
 }
@@ -40,7 +34,8 @@
 // forgetLife resets what holds for one life of a worker only. What the former life ran may have been started again on the
 // new one by an order that was under way, so its lease counts as if this holder had just taken over.
 func (p *Pool) forgetLife(now time.Duration, w *worker) {
-	w.reported, w.processedEnd, w.ackedEnd, w.listedEnd = false, 0, 0, 0
+	w.gone, w.reported = false, false
+	w.processedEnd, w.ackedEnd, w.listedEnd = 0, 0, 0
 	w.unrecordedRuns, w.blockedUntil, w.failures = false, 0, failureStreak{}
 	w.leaseUntil = max(w.leaseUntil, now+p.maxLeaseTime(p.Options.MaxLease))
 	p.runTimes.Forget(w.entry.ID)
--- a/citron/pool/restart_test.go
+++ b/citron/pool/restart_test.go
@@ -146,6 +146,56 @@
 	}
 }
 
+// Guards against a worker that is ignored for good, since an entry of a former life was taken for its next one.
+func TestOutdatedEntryDoesNotHideTheNewestLife(t *testing.T) {
+	r, id := newLifeRig(t)
+	r.reportLife(id, secondLife+1, citron.WorkerReport{})
+	r.listLife(id, secondLife)
+	r.reportLife(id, secondLife+1, citron.WorkerReport{})
+	r.listLife(id, secondLife+1)
+	r.accept(newJob("j", newStep(1, 1)))
+	if n := len(r.plan().Starts); n != 1 {
+		t.Errorf("%d starts on the newest life, want 1", n)
+	}
+}
+
+// Guards against a worker that is ignored since its clock was set back before it restarted.
+func TestLifeWithAnEarlierStartIsNewIfItAnswersLater(t *testing.T) {
+	r, id := newLifeRig(t)
+	r.advance(time.Second)
+	r.reportLife(id, firstLife-100, citron.WorkerReport{})
+	if got := r.p.workers[id].incarnation; got != firstLife-100 {
+		t.Errorf("life %d counts as the newest, want %d", got, firstLife-100)
+	}
+}
+
+// Guards against losing the tasks of a worker that restarted at another address, since its former one belongs to another.
+func TestWorkerThatMovedIsNotGone(t *testing.T) {
+	r, id := newLifeRig(t)
+	former, _, _, _ := r.p.NextRenewal(r.now, id)
+	r.listLife(id, secondLife)
+	r.reportLife(id, secondLife, citron.WorkerReport{})
+	r.accept(newJob("j", newStep(1, 1)))
+	r.plan()
+	r.p.Gone(r.now, &former)
+	if got := r.p.findTask("j.0.0.0").state; got != taskRunning {
+		t.Errorf("the task is %s, want running", taskStateNames[got])
+	}
+}
+
+// Guards against a worker that is unusable for good after another one was at its address.
+func TestWorkerThatComesBackIsUsedAgain(t *testing.T) {
+	r, id := newLifeRig(t)
+	former, _, _, _ := r.p.NextRenewal(r.now, id)
+	r.p.Gone(r.now, &former)
+	r.listLife(id, secondLife)
+	r.reportLife(id, secondLife, citron.WorkerReport{})
+	r.accept(newJob("j", newStep(1, 1)))
+	if n := len(r.plan().Starts); n != 1 {
+		t.Errorf("%d starts, want 1", n)
+	}
+}
+
 // Guards against placing tasks by the entry of a former life, whose capacity and labels may differ.
 func TestWorkerIsUsedOnlyWithTheEntryOfItsLife(t *testing.T) {
 	r, id := newLifeRig(t)
--- a/citron/pool/sim_test.go
+++ b/citron/pool/sim_test.go
@@ -502,7 +502,7 @@
 func (h *simHolder) deliverStop(s Stop) {
 	worker := h.world.findWorker(s.Worker.ID)
 	if worker == nil {
-		h.world.schedule(h.world.delay(), func() { h.pool.Gone(h.world.now, s.Worker.ID) })
+		h.world.schedule(h.world.delay(), func() { h.pool.Gone(h.world.now, &s.Worker) })
 		return
 	}
 	if worker.reachableBy(s.Order.Epoch) && !worker.fence(s.Order.Epoch) && worker.handleStop(s.Order) {
@@ -541,7 +541,7 @@
 		if h.polling[id] {
 			continue
 		}
-		_, o, _, ok := h.pool.NextRenewal(w.now, id)
+		entry, o, _, ok := h.pool.NextRenewal(w.now, id)
 		if !ok {
 			continue
 		}
@@ -552,7 +552,7 @@
 			s := w.findWorker(id)
 			if s == nil {
 				answered = true
-				h.pool.Gone(w.now, id)
+				h.pool.Gone(w.now, &entry)
 				return
 			}
 			if w.now.Boot < s.downUntil {
