Stand-in: workers tell when they started and may restart under their id

The fault needs no real platform: TestWorkersRestartUnderTheirID restarts the stand-in's workers under their ids, at another port and with another clock, over real HTTP.

--- a/citronlab/site/instance.go
+++ b/citronlab/site/instance.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -15,13 +16,17 @@
 // Instance is one instance of a worker, from its start until it crashes. It records violations of the scheduler's
 // guarantees.
 type Instance struct {
-	Timer    citron.Timer
-	ID       string
-	Machine  string
-	Address  string
-	Rack     string
-	RunTime  time.Duration
-	Capacity citron.Capacity
+	Timer citron.Timer
+	ID    string
+	// Born is the time of the start in Unix milliseconds, which tells apart the instances that had the same ID.
+	Born int64
+	// ClockAhead is the worker's monotonic clock minus that of the daemons, 0 for an hour.
+	ClockAhead time.Duration
+	Machine    string
+	Address    string
+	Rack       string
+	RunTime    time.Duration
+	Capacity   citron.Capacity
 	// Watch, if set, is called with every event, before the call that caused the event is answered.
 	Watch func(Event)
 
@@ -42,9 +47,11 @@
 	// ends lists the ended runs that have not been acknowledged.
 	ends []end
 	// endCount is the number of ended runs so far.
-	endCount   int64
-	draining   bool
-	gone       bool
+	endCount int64
+	draining bool
+	gone     bool
+	// succeeded is set once the next instance with the same ID has registered.
+	succeeded  bool
 	starts     []string
 	violations []string
 	// runEnded, if set, is closed when a run ends.
@@ -111,6 +118,20 @@
 	i.queueEvent(Event{Kind: WorkerGone})
 }
 
+// succeed leaves the registration to the next instance with the same ID.
+func (i *Instance) succeed() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.succeeded = true
+}
+
+// registers reports whether the instance owns the registration under its ID.
+func (i *Instance) registers() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return !i.succeeded
+}
+
 // Gone reports whether the instance has ended.
 func (i *Instance) Gone() bool {
 	i.mu.Lock()
@@ -118,8 +139,10 @@
 	return i.gone
 }
 
-// clock returns the worker's own monotonic clock, which is an hour ahead of the daemons' clock.
-func (i *Instance) clock() time.Duration { return i.Timer.Now().Boot + time.Hour }
+// clock returns the worker's own monotonic clock.
+func (i *Instance) clock() time.Duration {
+	return i.Timer.Now().Boot + cmp.Or(i.ClockAhead, time.Hour)
+}
 
 // entry returns the record with which the worker registers.
 func (i *Instance) entry(seq int) []byte {
@@ -143,7 +166,8 @@
 		Capacity    capacity `json:"capacity"`
 		Labels      []string `json:"labels"`
 		Seq         int      `json:"seq"`
-	}{"svc", i.Address, "z", state, 0, capacity{i.Capacity.MilliCores, i.Capacity.MemoryMb, 0}, []string{"a", i.Rack}, seq})
+		Born        int64    `json:"born"`
+	}{"svc", i.Address, "z", state, 0, capacity{i.Capacity.MilliCores, i.Capacity.MemoryMb, 0}, []string{"a", i.Rack}, seq, i.Born})
 	if err != nil {
 		panic(err)
 	}
@@ -349,9 +373,10 @@
 func (i *Instance) report() any {
 	body := struct {
 		ClockMs int64 `json:"clock_ms"`
+		Born    int64 `json:"born"`
 		Running []any `json:"running"`
 		Ended   []any `json:"ended"`
-	}{ClockMs: i.clock().Milliseconds(), Running: []any{}, Ended: []any{}}
+	}{ClockMs: i.clock().Milliseconds(), Born: i.Born, Running: []any{}, Ended: []any{}}
 	for task, r := range i.runs {
 		body.Running = append(body.Running, []any{task, r.number, "", 10, 900})
 	}
--- a/citronlab/site/site.go
+++ b/citronlab/site/site.go
@@ -85,15 +85,28 @@
 	s.mu.Lock()
 	instance := len(s.instances)
 	s.mu.Unlock()
-	i := &Instance{
-		Timer:    s.Timer,
+	return s.start(&Instance{
 		ID:       fmt.Sprintf("i-%02d-%02d", n, instance),
 		Machine:  fmt.Sprintf("m-%02d", n),
-		RunTime:  s.RunTime,
 		Capacity: citron.Capacity{MilliCores: workerMilliCores, MemoryMb: workerMemoryMb},
 		Rack:     fmt.Sprintf("r%d", n/2),
-	}
-	i.Watch = s.Watch
+	})
+}
+
+// restartedClock is Instance.ClockAhead of restarted instances.
+const restartedClock = 10 * time.Minute
+
+// RestartInstance starts an instance that has crashed again under its ID, at another address.
+func (s *Site) RestartInstance(former *Instance) error {
+	former.succeed()
+	return s.start(&Instance{
+		ID: former.ID, Machine: former.Machine, Capacity: former.Capacity, Rack: former.Rack, ClockAhead: restartedClock,
+	})
+}
+
+// start serves and registers an instance.
+func (s *Site) start(i *Instance) error {
+	i.Timer, i.RunTime, i.Watch, i.Born = s.Timer, s.RunTime, s.Watch, s.Timer.Now().Wall.UnixMilli()
 	address, err := s.serve(i)
 	if err == nil && s.ProxyWorker != nil {
 		address, err = s.ProxyWorker(i.ID, address)
@@ -150,7 +163,9 @@
 		defer stop()
 		for seq := 1; ; seq++ {
 			if i.Gone() {
-				s.Store.Put("keyed.servers", i.ID, nil)
+				if i.registers() {
+					s.Store.Put("keyed.servers", i.ID, nil)
+				}
 				ended <- nil
 				return
 			}
--- a/citronlab/site/site_test.go
+++ b/citronlab/site/site_test.go
@@ -458,6 +458,36 @@
 	c.checkStarts()
 }
 
+// Guards against tasks that run again since a worker that restarted under its id counts its ends anew.
+func TestWorkersRestartUnderTheirID(t *testing.T) {
+	c := startCell(t, "127.0.0.36", 2)
+	var ids []string
+	for range 3 {
+		for range 6 {
+			ids = append(ids, c.submit(twoSteps))
+		}
+		c.waitUntilCompleted(ids)
+		for _, i := range c.site.Instances() {
+			if i.Gone() {
+				continue
+			}
+			i.Crash()
+			if err := c.site.RestartInstance(i); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	for range 6 {
+		ids = append(ids, c.submit(twoSteps))
+	}
+	c.waitUntilCompleted(ids)
+	for task, n := range c.checkStarts() {
+		if n > 1 {
+			t.Errorf("%s was started %d times, want once: no worker crashed under it", task, n)
+		}
+	}
+}
+
 // Checks the status of each kind of bad request, and that a waiting job can be cancelled at any daemon.
 func TestJobRequests(t *testing.T) {
 	c := startCell(t, "127.0.0.37", 2)
--- a/citronlab/soak/faults.go
+++ b/citronlab/soak/faults.go
@@ -71,6 +71,9 @@
 			return i.ID + " is gone already", func() error { return nil }, nil
 		}
 		i.Crash()
+		if rng.IntN(2) == 0 {
+			return i.ID + " crashed, restarts under its id", func() error { return s.site.RestartInstance(i) }, nil
+		}
 		return i.ID + " crashed", func() error { return s.site.AddInstance(rng.IntN(s.Workers)) }, nil
 	}},
 }
