--- a/citron/pool/restart.go
+++ b/citron/pool/restart.go
@@ -54,10 +54,9 @@
 			ended = append(ended, t)
 		}
 	}
-	if len(ended) == 0 {
-		return
+	if len(ended) > 0 {
+		p.recordLost(now, w, ended)
 	}
-	p.recordLost(now, w, ended)
 	for _, t := range ended {
 		t.incarnation, t.startedAt, t.startSeen = w.incarnation, now, false
 		if t.state == taskLeaving {
@@ -66,7 +65,9 @@
 		}
 		p.stopRun(now, t)
 	}
-	p.countCrash(now, w)
+	if restarted || len(ended) > 0 {
+		p.countCrash(now, w)
+	}
 	for _, t := range ended {
 		if t.step.spec.GetGang() && t.worker != nil && !t.finished() {
 			p.breakGang(now, t.step)
--- a/citron/pool/restart_test.go
+++ b/citron/pool/restart_test.go
@@ -242,6 +242,20 @@
 	}
 }
 
+// Guards against a crash that is not counted since the runs had been given up before the worker was back.
+func TestCrashIsCountedAfterItsLeaseHasLapsed(t *testing.T) {
+	r, id := newLifeRig(t)
+	r.accept(newJob("j", newStep(1, 1)))
+	r.plan()
+	r.p.MarkRefused(r.now, id)
+	r.advance(10 * time.Second)
+	r.plan()
+	r.reportLife(id, secondLife, citron.WorkerReport{})
+	if got := r.p.findTask("j.0.0.0").crashes; len(got.Runs) != 1 || !got.Exclusive() {
+		t.Errorf("crashes %v, suspected: %t, want one crash with suspicion", got.Runs, got.Exclusive())
+	}
+}
+
 // keepIDs makes the workers of a simulation restart under their ids.
 func (w *world) keepIDs() {
 	w.keepsIDs = true
