Simulation: a crashed worker answers nothing until it has restarted

Traced: a renew order that arrived in the very step of the restart, but before it, was answered by the crashed worker as its former life, without its runs, so the pool took the run for ended. No process can answer so. The simulation now marks the worker as down instead of comparing times; the check is unchanged.

--- a/citron/pool/sim_crash_test.go
+++ b/citron/pool/sim_crash_test.go
@@ -61,8 +61,7 @@
 func (s *simWorker) crash(down time.Duration) {
 	s.recordCrash()
 	s.runs, s.ended = map[citron.TaskRef]*simRun{}, nil
-	s.downUntil = s.world.now.Boot + down
-	s.cutUntil = max(s.cutUntil, s.downUntil)
+	s.down = true
 	life := s.startedAt
 	s.world.schedule(down, func() {
 		if s.startedAt == life {
--- a/citron/pool/sim_test.go
+++ b/citron/pool/sim_test.go
@@ -151,8 +151,8 @@
 	// endedAt is when each reported run ended.
 	endedAt  map[int64]time.Duration
 	cutUntil time.Duration
-	// downUntil is the end of the time after a crash.
-	downUntil time.Duration
+	// down is set from a crash to the restart.
+	down bool
 	// formerUntil is the end of a partition during which only holders up to formerEpoch reach the worker.
 	formerUntil time.Duration
 	formerEpoch citron.Epoch
@@ -555,7 +555,7 @@
 				h.pool.Gone(w.now, &entry)
 				return
 			}
-			if w.now.Boot < s.downUntil {
+			if s.down {
 				h.pool.MarkRefused(w.now, id)
 				return
 			}
@@ -590,6 +590,7 @@
 		s.entry.ID = citron.Worker(fmt.Sprintf("i-%d", s.world.incarnations))
 		s.entry.Address = string(s.entry.ID)
 	}
+	s.down = false
 	s.startedAt, s.epoch, s.leaseEnd, s.acked, s.lastExpiredEnd = s.world.now.Boot, 0, 0, 0, 0
 	s.tellIncarnation()
 	s.list()
@@ -619,7 +620,7 @@
 
 // reachableBy reports whether the holder of an epoch reaches the worker.
 func (s *simWorker) reachableBy(epoch citron.Epoch) bool {
-	return s.world.now.Boot >= s.cutUntil && (epoch <= s.formerEpoch || s.world.now.Boot >= s.formerUntil)
+	return !s.down && s.world.now.Boot >= s.cutUntil && (epoch <= s.formerEpoch || s.world.now.Boot >= s.formerUntil)
 }
 
 // clock returns the worker's own monotonic clock, which runs slow by its drift.
