Acknowledge only on the word of a report: other answers do not tell a worker's life

Traced: a renew order had failed while the worker was down, then the next life answered a start, which cleared the mark of an unresponsive worker, and the acknowledgement of the former life went out before a report told the new one. Now an exchange that failed bars acknowledgements until the next report, and their age counts from the last report. TestAcknowledgementsDoNotReachTheNextLifeOfAWorker/after_an_answered_start failed before.

--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -392,6 +392,9 @@
 	// show which runs the worker has.
 	reported   bool
 	lastAnswer time.Duration
+	// lastReport is the time of the last report. sameLife is set by it and reset by an exchange that failed.
+	lastReport time.Duration
+	sameLife   bool
 	// refusedAt is when the worker first refused a connection since its last answer, 0 if it has not.
 	refusedAt time.Duration
 	// clockOffset is the worker's clock minus the boot clock of this daemon.
--- a/citron/pool/report.go
+++ b/citron/pool/report.go
@@ -73,7 +73,7 @@
 		p.markRunning(t.step.job)
 	case citron.StartUnknown:
 		t.state, t.stateSince = taskInDoubt, now.Boot
-		w.unresponsive = true
+		w.unresponsive, w.sameLife = true, false
 	case citron.StartFenced:
 		p.fenced = true
 	case citron.StartGone:
@@ -134,7 +134,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if w := p.workers[id]; w != nil {
-		w.unresponsive = true
+		w.unresponsive, w.sameLife = true, false
 	}
 }
 
@@ -187,6 +187,7 @@
 	}
 	p.recordAnswer(now.Boot, w, clock)
 	w.reported, w.lost = true, nil
+	w.lastReport, w.sameLife = now.Boot, true
 	present := map[citron.TaskRef]int32{}
 	w.unrecordedRuns = false
 	for _, run := range r.Running {
--- a/citron/pool/restart.go
+++ b/citron/pool/restart.go
@@ -82,15 +82,15 @@
 	return entry
 }
 
-// maxAckAge is the longest time from a worker's last answer to an acknowledgement, less than a restart takes. It passes if
+// maxAckAge is the longest time from a worker's last report to an acknowledgement, less than a restart takes. It passes if
 // this daemon was suspended.
 const maxAckAge = 500 * time.Millisecond
 
 // unackedEnd returns the number up to which ends may be acknowledged, 0 if the last report lists none of them. The worker
 // may have restarted since, and forgets what is acknowledged whether it has listed it or not. So nothing is acknowledged
-// twice, nor before a worker that was unresponsive has answered again.
+// twice, nor before a worker that was unresponsive has sent a report: answers to other orders do not tell its life.
 func (w *worker) unackedEnd(now time.Duration) int64 {
-	if w.unresponsive || now-w.lastAnswer > maxAckAge || w.listedEnd == 0 || w.listedEnd > w.ackedEnd {
+	if !w.sameLife || now-w.lastReport > maxAckAge || w.listedEnd == 0 || w.listedEnd > w.ackedEnd {
 		return 0
 	}
 	return w.ackedEnd
--- a/citron/pool/restart_test.go
+++ b/citron/pool/restart_test.go
@@ -70,6 +70,7 @@
 	for name, report := range map[string]func(r *rig, id citron.Worker){
 		"after an unanswered order": func(r *rig, id citron.Worker) { r.p.MarkUnresponsive(id) },
 		"after a pause":             func(r *rig, _ citron.Worker) { r.advance(5 * time.Second) },
+		"after an answered start":   func(r *rig, id citron.Worker) { r.startAfterFailure(id) },
 		"once its entry is read":    func(r *rig, id citron.Worker) { r.listLife(id, secondLife) },
 		"once it has answered":      func(r *rig, id citron.Worker) { r.reportLife(id, secondLife, citron.WorkerReport{}) },
 		"after a plan from before":  func(r *rig, id citron.Worker) { r.committedAfterRestart(id) },
@@ -80,7 +81,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r, id := newLifeRig(t)
-			r.reportLife(id, firstLife, citron.WorkerReport{})
+			r.reportLife(id, firstLife, citron.WorkerReport{Ended: []citron.EndedTask{{Number: 3, Task: "before.0.0.2", Run: 1, Kind: citron.EndDone}}})
+			if _, o, _, _ := r.p.NextRenewal(r.now, id); o.Acked != 3 {
+				t.Fatalf("ends up to %d are acknowledged before the restart, want 3", o.Acked)
+			}
 			report(r, id)
 			if _, o, _, _ := r.p.NextRenewal(r.now, id); o.Acked != 0 {
 				t.Errorf("ends up to %d are acknowledged, want none", o.Acked)
@@ -89,6 +93,19 @@
 	}
 }
 
+// startAfterFailure lets an order fail and then a start be answered, which does not tell the life of the worker.
+func (r *rig) startAfterFailure(id citron.Worker) {
+	r.t.Helper()
+	r.accept(newJob("late", newStep(1, 1)))
+	e, err := r.p.Plan(r.now)
+	if err != nil || len(e.Starts) != 1 {
+		r.t.Fatalf("%d starts, error %v, want 1", len(e.Starts), err)
+	}
+	r.store(e)
+	r.p.MarkUnresponsive(id)
+	r.p.Started(r.now, e.Starts[0], citron.Started, r.now.Boot)
+}
+
 // committedAfterRestart stores a plan that acknowledges an end of the first life after the worker has restarted. Then the
 // worker lists an end that is not recorded yet.
 func (r *rig) committedAfterRestart(id citron.Worker) {
