--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -189,7 +189,8 @@
 	advisedSteps map[string]int
 	// headrooms is the capacity left to priority 0 by service; nil if there is none.
 	headrooms map[citron.Service]*serviceHeadroom
-	// closed holds the workers on which only the suspect that they are closed for may start.
+	// closed holds the workers on which nothing may start in this pass: one has a suspect that has not settled, or must let
+	// its tasks settle before a suspect may start there.
 	closed map[*worker]bool
 	// lastNeed is the result of speedNeed for the step that was last looked at.
 	lastNeed speedNeed
