A run that is being stopped does not clear the suspicion of its task

After a worker had restarted under its id, the runs of its former life were being stopped on the new one, which then outlived their (new) start time, so the task that had crashed it was no longer suspected. TestStoppedRunOfAFormerLifeDoesNotSettle failed before.

--- a/citron/pool/crash.go
+++ b/citron/pool/crash.go
@@ -112,7 +112,7 @@
 		case t.worker == nil:
 		case !t.settled():
 			wp.closeWorker(t.worker)
-		case t.crashes.Settled():
+		case t.state == taskRunning && t.crashes.Settled():
 			p.dirty[t.step.job] = true
 			delete(p.suspects, t)
 		}
--- a/citron/pool/restart_test.go
+++ b/citron/pool/restart_test.go
@@ -273,6 +273,23 @@
 	}
 }
 
+// Guards against forgetting a suspicion while the run that it is about is being stopped on the next life of its worker.
+func TestStoppedRunOfAFormerLifeDoesNotSettle(t *testing.T) {
+	r, id := newLifeRig(t)
+	r.accept(newJob("j", newStep(1, 1)))
+	r.plan()
+	r.p.MarkRefused(r.now, id)
+	r.reportLife(id, secondLife, citron.WorkerReport{})
+	for range 3 {
+		r.advance(200 * time.Millisecond)
+		r.p.Renewed(r.now, id, 0, citron.WorkerReport{Incarnation: secondLife}, r.now.Boot)
+		r.plan()
+	}
+	if got := r.p.findTask("j.0.0.0"); got.state != taskStopping || !got.crashes.Exclusive() {
+		t.Errorf("the task is %s, suspected: %t, want stopping and suspected", taskStateNames[got.state], got.crashes.Exclusive())
+	}
+}
+
 // keepIDs makes the workers of a simulation restart under their ids.
 func (w *world) keepIDs() {
 	w.keepsIDs = true
