Tasks under which many workers have crashed close their worker for the settle time only

Now every task settles after 250 ms, which also clears its count; a task that crashes its workers later than that is not found any more (postmortem). As a suspect with others it is given up with the fifth crash, alone with the fourth.

--- a/citron/crash/crash.go
+++ b/citron/crash/crash.go
@@ -15,14 +15,12 @@
 	// SettleTime is how long a worker must outlive the start of a run for the run not to be suspected. It is long against
 	// the way of an order and short against most run times.
 	SettleTime = 250 * time.Millisecond
-	// LongSettleTime applies instead to tasks under which tolerated workers have crashed. It covers tasks that crash their
-	// workers later in their run.
-	LongSettleTime = 30 * time.Second
 	// tolerated is the number of crashes under a task that may be due to other tasks.
 	tolerated = 3
-	// maxSuspicions is the number of crashes for which a task may be suspected together with others. As the only suspect it
-	// is given up one crash earlier.
+	// maxSuspicions is the number of crashes for which a task that had begun may be suspected together with others, maxCrashes
+	// the number of all crashes under it. As the only suspect it is given up one crash earlier.
 	maxSuspicions = 3
+	maxCrashes    = tolerated + 2
 )
 
 // History is what is known of the crashes under one task. The zero value is a task under which no worker has crashed.
@@ -33,14 +31,6 @@
 	Suspicions []int32
 }
 
-// Settle returns how long a worker must outlive the start of the task's run for the run not to be suspected.
-func (h *History) Settle() time.Duration {
-	if h.Tolerated() {
-		return LongSettleTime
-	}
-	return SettleTime
-}
-
 // Tolerated reports whether as many workers have crashed under the task as may be due to other tasks.
 func (h *History) Tolerated() bool { return len(h.Runs) >= tolerated }
 
@@ -70,10 +60,14 @@
 	if c.Begun {
 		h.Suspicions = append(h.Suspicions, c.Run)
 	}
-	return len(h.Suspicions) >= maxSuspicions || c.Alone && len(h.Suspicions) >= maxSuspicions-1 || len(h.Runs) > tolerated
+	suspicions, crashes := maxSuspicions, maxCrashes
+	if c.Alone {
+		suspicions, crashes = suspicions-1, crashes-1
+	}
+	return len(h.Suspicions) >= suspicions || len(h.Runs) >= crashes
 }
 
-// Settled clears the suspicions after a run has settled, and reports whether there were any.
+// Settled clears what counts against the task after a run has settled, and reports whether there was anything.
 func (h *History) Settled() (changed bool) {
 	changed = h.Exclusive()
 	if h.Tolerated() {
--- a/citron/pool/crash.go
+++ b/citron/pool/crash.go
@@ -27,7 +27,7 @@
 func (t *task) settled() bool {
 	switch t.state {
 	case taskRunning, taskStopping, taskLeaving:
-		return t.worker.lastAnswer >= t.startedAt+t.crashes.Settle()
+		return t.worker.lastAnswer >= t.startedAt+crash.SettleTime
 	}
 	return false
 }
--- a/citron/pool/crash_test.go
+++ b/citron/pool/crash_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/crash"
 	"github.com/citroncross/citroncross/schema/work"
 )
 
@@ -145,6 +146,25 @@
 	}
 }
 
+// Guards against workers that take no tasks as long as one runs there under which workers have crashed before.
+func TestSettledTaskDoesNotCloseItsWorkerAfterManyCrashes(t *testing.T) {
+	r := newRig(t)
+	r.workers(1)
+	r.accept(newJob("old", newStep(1, 1)))
+	old := r.p.findTask("old.0.0.0")
+	for run := range int32(3) {
+		old.crashes.Record(crash.Crash{Run: 100 + run, Begun: true})
+	}
+	r.p.watchSuspect(old)
+	r.plan()
+	r.advance(time.Second)
+	r.keepAlive()
+	r.accept(newJob("new", newStep(1, 1)))
+	if n := len(r.plan().Starts); n != 1 {
+		t.Errorf("%d starts beside a task that has run for a second, want 1", n)
+	}
+}
+
 // Guards against blaming the runs on a worker that crashes some time after it was cut off.
 func TestRunsOnASilentWorkerAreNotSuspected(t *testing.T) {
 	r := newRig(t)
