Only a report settles a run: other answers do not tell a worker's life

Traced: after the crash the next life of the worker answered a start order, which counted as a sign that the worker had outlived the run for long, so the crashes were forgotten and the fifth suspected nobody.

--- a/citron/pool/crash.go
+++ b/citron/pool/crash.go
@@ -23,11 +23,11 @@
 }
 
 // settled reports whether the worker of a task has outlived the start of its run for so long that the run is not
-// suspected if the worker crashes.
+// suspected if the worker crashes. Only reports tell whose life it was that outlived the start.
 func (t *task) settled() bool {
 	switch t.state {
 	case taskRunning, taskStopping, taskLeaving:
-		return t.worker.lastAnswer >= t.startedAt+crash.SettleTime
+		return t.worker.lastReport >= t.startedAt+crash.SettleTime
 	}
 	return false
 }
--- a/citron/pool/restart_test.go
+++ b/citron/pool/restart_test.go
@@ -290,6 +290,25 @@
 	}
 }
 
+// Guards against taking a run for settled by an answer that the next life of its worker gave to another order.
+func TestAnswersOfTheNextLifeDoNotSettleARun(t *testing.T) {
+	r, id := newLifeRig(t)
+	r.accept(newJob("j", newStep(1, 1)))
+	r.plan()
+	r.advance(400 * time.Millisecond)
+	r.accept(newJob("k", newStep(1, 1)))
+	if n := len(r.plan().Starts); n != 1 {
+		t.Fatalf("%d starts, want that of k", n)
+	}
+	if r.p.findTask("j.0.0.0").settled() {
+		t.Error("the run has settled without a report since its start")
+	}
+	r.reportLife(id, firstLife, citron.WorkerReport{Running: []citron.RunningTask{{Task: "j.0.0.0", Run: 1}, {Task: "k.0.0.0", Run: 1}}})
+	if !r.p.findTask("j.0.0.0").settled() {
+		t.Error("the run has not settled with a report 400 ms after its start")
+	}
+}
+
 // keepIDs makes the workers of a simulation restart under their ids.
 func (w *world) keepIDs() {
 	w.keepsIDs = true
