TestOperatorQueries waits for all four workers of the stand-in

Each worker of the stand-in writes its first entry in a goroutine of its own, and the test asked for the status once, as soon as a daemon held the pool. With the first entry of one worker delayed by a beat it fails three times of three; now it waits for the same reply, as the test does for the reply before, and passes with that delay.

--- a/citronlab/site/site_test.go
+++ b/citronlab/site/site_test.go
@@ -328,10 +328,11 @@
 	if len(reply.GetTasks()) != 1 || reply.GetTasks()[0].GetState() != "waiting" || !strings.Contains(reply.GetTasks()[0].GetReason(), "workers usable 0") {
 		t.Errorf("explain reply %v, want 1 waiting task with the reason that no worker is large enough", reply)
 	}
-	status, err := client.Status(context.Background(), &link.StatusRequest{})
-	if err != nil || !status.GetHolds() || len(status.GetWorkers()) != 4 || len(status.GetPeers()) != 1 {
-		t.Errorf("status reply %v, error %v, want the holder with 4 workers and 1 peer", status, err)
-	}
+	// Each worker registers on its own.
+	c.waitUntil(func() bool {
+		status, err := client.Status(context.Background(), &link.StatusRequest{})
+		return err == nil && status.GetHolds() && len(status.GetWorkers()) == 4 && len(status.GetPeers()) == 1
+	})
 	if unknown, err := client.Explain(context.Background(), &link.ExplainRequest{JobID: "ffffffffffffffff"}); err != nil || unknown.GetKnown() {
 		t.Errorf("explain reply for an unknown job %v, error %v, want Known unset", unknown, err)
 	}
