Advice: the limit of tasks for each worker counts as room, and services ask about full workers

Change: room is counted within the limit; a service step asks about full workers too until all are decided or 100 are permitted. Measured: both new tests fail without the change (0 further requests each) and pass with it; the package's tests pass.

--- a/citron/pool/advice.go
+++ b/citron/pool/advice.go
@@ -107,7 +107,7 @@
 			undecided = append(undecided, w.entry.ID)
 		case eligible:
 			allowed = append(allowed, w.entry.ID)
-			slots += w.entry.Capacity.MaxCopies(s.need)
+			slots += s.copiesOnEmpty(w)
 		}
 	}
 	return allowed, undecided, slots
@@ -116,17 +116,20 @@
 // selectLikely returns a part of many candidates: those that may run the step, then as many of the undecided ones as are
 // expected to hold adviceMargin times its waiting tasks. Those with room come first, in an order that differs from step to
 // step, so that steps waiting at the same time do not ask about the same workers.
+//
+// A service step does not wait for room on the workers that it may use: their tasks may run for as long as its own, and its
+// callers are without it for all of that time. It asks about full workers too, so that it can take the first room anywhere.
 func (wp *waitingPass) selectLikely(s *step, candidates []*worker) (workers []citron.Worker, enough bool) {
 	var withRoom, full []*worker
 	roomNow, slots := 0, 0
 	for _, w := range candidates {
 		eligible, decided := s.eligible[w.entry.ID]
-		copies := w.free().MaxCopies(s.need)
+		copies := s.copiesOn(w)
 		switch {
 		case eligible:
 			workers = append(workers, w.entry.ID)
 			roomNow += copies
-			slots += w.entry.Capacity.MaxCopies(s.need)
+			slots += s.copiesOnEmpty(w)
 		case decided:
 		case copies > 0:
 			withRoom = append(withRoom, w)
@@ -135,7 +138,8 @@
 		}
 	}
 	waiting := s.waitingTasks()
-	if roomNow >= waiting || len(withRoom) == 0 && (slots >= len(s.tasks) || len(full) == 0) {
+	waitsForRoom := slots >= len(s.tasks) && !s.spec.GetService() || len(workers) >= maxAdviceWorkers
+	if roomNow >= waiting || len(withRoom) == 0 && (waitsForRoom || len(full) == 0) {
 		s.adviceCheckAt = wp.now + adviceCheckInterval
 		return workers[:min(len(workers), maxAdviceWorkers)], true
 	}
@@ -149,11 +153,29 @@
 			break
 		}
 		workers = append(workers, w.entry.ID)
-		expected += share * float64(max(w.free().MaxCopies(s.need), 1))
+		expected += share * float64(max(s.copiesOn(w), 1))
 	}
 	return workers, false
 }
 
+// copiesOn returns how many more tasks of the step a worker has room for.
+func (s *step) copiesOn(w *worker) int {
+	copies := w.free().MaxCopies(s.need)
+	if limit := int(s.spec.GetPerWorker()); limit > 0 {
+		copies = min(copies, max(limit-countOnWorker(s, w), 0))
+	}
+	return copies
+}
+
+// copiesOnEmpty returns how many tasks of the step a worker could run if it were empty.
+func (s *step) copiesOnEmpty(w *worker) int {
+	copies := w.entry.Capacity.MaxCopies(s.need)
+	if limit := int(s.spec.GetPerWorker()); limit > 0 {
+		copies = min(copies, limit)
+	}
+	return copies
+}
+
 // spread returns the position of a worker in the order in which a step asks about workers.
 func spread(s *step, w *worker) uint64 {
 	return xxhash.Sum64String(string(s.ref) + "/" + string(w.entry.ID))
--- a/citron/pool/pool_test.go
+++ b/citron/pool/pool_test.go
@@ -687,6 +687,54 @@
 	}
 }
 
+// permit answers advice requests with tickets for the first workers named, at most the given number.
+func (r *rig) permit(requests []AdviceRequest, most int) {
+	for _, a := range requests {
+		permits := make([]citron.Permit, 0, most)
+		for _, id := range a.Workers[:min(len(a.Workers), most)] {
+			permits = append(permits, citron.Permit{Worker: id, Ticket: "t"})
+		}
+		r.p.Advised(r.now, a, permits, 2500*time.Millisecond, false)
+	}
+}
+
+// Guards against a step that asks about no further workers although its limit of tasks for each worker is reached on the permitted ones.
+func TestAdviceIsRequestedBeyondTheLimitOfTasksForEachWorker(t *testing.T) {
+	r := newRig(t)
+	r.workers(100)
+	s := newStep(10, 1)
+	s.PerWorker = 1
+	j := newJob("j", s)
+	j.Terms.Advice = &work.Advice{DecideUs: 1000, PerWorkerUs: 10, ValidMs: 2500}
+	r.accept(j)
+	r.permit(r.plan().AdviceRequests, 3)
+	e := r.plan()
+	if len(e.Starts) != 3 || len(e.AdviceRequests) != 1 {
+		t.Errorf("%d starts and %d requests with one task for each of three permitted workers, want 3 and 1", len(e.Starts), len(e.AdviceRequests))
+	}
+}
+
+// Guards against a service that stays down while the few workers that it may use are full and others could take it next.
+func TestServiceWithoutRoomAsksAboutFullWorkers(t *testing.T) {
+	r := newRig(t)
+	r.workers(100)
+	r.accept(newJob("blocker", newStep(100, 32)))
+	if started := len(r.plan().Starts); started != 100 {
+		t.Fatalf("%d workers are full, want 100", started)
+	}
+	s := newStep(2, 8)
+	s.Service = true
+	j := newJob("service", s)
+	j.Terms.Advice = &work.Advice{DecideUs: 1000, PerWorkerUs: 10, ValidMs: 2500}
+	r.accept(j)
+	first := r.plan().AdviceRequests
+	r.permit(first, 6)
+	second := r.plan().AdviceRequests
+	if len(first) != 1 || len(second) != 1 || len(second[0].Workers) <= 6 {
+		t.Errorf("requests %v, then %v, want a second one about more full workers", first, second)
+	}
+}
+
 // The number of steps that may wait for advice at once must grow with the pool: with a fixed one, the steps of a burst waited
 // for their turn to ask, while most of the policy service's time was unused.
 func TestAdviceIsRequestedForMoreStepsInALargePool(t *testing.T) {
