--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -175,6 +175,9 @@
 	d.cell = d.newTail(cellPartition, d.applyCell, 0)
 	writer := &intake.Writer{Store: d.Store, Timer: d.Timer, Relay: d.relay, Home: d.homePartition, AnsweredSince: func(n int, since time.Duration) bool {
 		return d.jobs[n].AnsweredSince(since)
+	}, NextOffset: func(n int) citron.Offset {
+		next, _ := d.jobs[n].Next()
+		return next
 	}}
 	for n := range partitionCount {
 		writer.Partitions = append(writer.Partitions, citron.Partition{Topic: jobsTopic, Number: n})
--- a/citron/entry/relay.go
+++ b/citron/entry/relay.go
@@ -34,12 +34,8 @@
 	return len(d.workerEntries) > most
 }
 
-// homePartition returns the partition of accepted jobs that this daemon uses while the first one is slow or fails. A cell
-// with few workers has too few daemons to need one.
+// homePartition returns the partition of accepted jobs that this daemon uses while the first one is slow or fails.
 func (d *Daemon) homePartition() int {
-	if !d.relaysOrders() {
-		return 0
-	}
 	return 1 + int(xxhash.Sum64String(string(d.self.VM))%(partitionCount-1))
 }
 
--- a/citron/intake/writer.go
+++ b/citron/intake/writer.go
@@ -9,33 +9,31 @@
 	"time"
 
 	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/hedge"
 	"github.com/citroncross/citroncross/citron/spawn"
 	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/citron/waits"
 )
 
-// appendBounds bound the timeout of one append. The store usually answers in about 10 ms, but may take half a second
-// when it is slow.
-var appendBounds = waits.Bounds{Min: 400 * time.Millisecond, Max: 1200 * time.Millisecond}
-
 const (
-	// writeTimeout is the time limit for all tries of one batch.
+	// writeTimeout is the time limit for all copies of one batch.
 	writeTimeout = 2500 * time.Millisecond
-	// retryPause is the delay between the tries of one batch.
-	retryPause = 50 * time.Millisecond
+	// retryPause is the delay after a batch was rejected everywhere before another one is tried at more than one partition.
+	retryPause = 250 * time.Millisecond
 	// relayFirstFor is how long relaying is tried first after it has succeeded where a direct append failed.
 	relayFirstFor = time.Second
 	// slowAppend is the time above which an append is slow. The store carries out the appends to one partition in turn, so
 	// that those of many daemons delay one another.
 	slowAppend = 150 * time.Millisecond
-	// homeTimeout is the timeout of an append to the home partition.
-	homeTimeout = 1400 * time.Millisecond
+	// maxBatches is the maximum number of batches under way at once, batchOverlap the part of the latest latency after which
+	// the next one need not wait for the one before.
+	maxBatches   = 3
+	batchOverlap = 2
+	// minBatchAge is the shortest time after which a batch need not be waited for, a few times the usual latency.
+	minBatchAge = 40 * time.Millisecond
 	// maxBatchRecords and maxBatchBytes limit the records of one append.
 	maxBatchRecords = 200
 	maxBatchBytes   = 64 << 10
-	// maxRaceBytes is the maximum size of records that are sent to all partitions at once after a failure. Larger ones are
-	// sent only to one that answers, since copies of them could fill the link and so cause further failures.
-	maxRaceBytes = 16 << 10
 )
 
 // Writer appends records and batches those that wait at the same time. Records are keyed, so repeated appends change
@@ -47,30 +45,33 @@
 	Timer      citron.Timer
 	// AnsweredSince, if set, reports whether the store has answered for a partition after a boot time.
 	AnsweredSince func(partition int, since time.Duration) bool
+	// NextOffset, if set, returns the offset from which a partition is to be probed, so that the answer is short.
+	NextOffset func(partition int) citron.Offset
 	// Home, if set, returns the partition that this daemon uses while the first one does not answer or is slow; 0 for none.
-	// Each of many daemons has its own, since a slow store is slow for each partition and would be slower still if all
-	// daemons used the same ones.
+	// Each daemon has its own, since the store carries out the appends to one partition in turn.
 	Home func() int
 	// Relay, if set, lets another daemon append the records when this one cannot.
 	Relay func(ctx context.Context, records []citron.KeyedRecord) error
 
 	// exchanges runs the appends.
 	exchanges spawn.Group
-	// appendTimeout adapts the timeout of one append to the store's answers.
-	appendTimeout waits.Timeout
+	// latency is that of the last answered append.
+	latency atomic.Int64
 	// preferredPartition is the partition to try first. It becomes 0 again once the store answers for partition 0 after
 	// failedOverAt, the boot time of the last failure of the preferred partition; zero if there was none.
 	preferredPartition atomic.Int64
 	failedOverAt       atomic.Int64
-	// slow is set while appends take longer than slowAppend.
-	slow atomic.Bool
 	// relayFirstUntil is the boot time until which relaying is tried before a direct append.
 	relayFirstUntil atomic.Int64
+	// rejectedAt is the boot time at which every target last rejected a batch; zero if the store has stored one since.
+	rejectedAt atomic.Int64
 
 	mu      sync.Mutex
 	waiting []pendingWrite
-	// busy is set while appendWaiting runs.
-	busy bool
+	// batches are the start times of the batches under way; scheduled is set while a wait for the next one runs.
+	batches   map[int]time.Duration
+	lastBatch int
+	scheduled bool
 }
 
 // pendingWrite is a record that waits to be appended.
@@ -85,188 +86,146 @@
 	done := make(chan error, 1)
 	w.mu.Lock()
 	w.waiting = append(w.waiting, pendingWrite{r, done})
-	start := !w.busy
-	w.busy = true
+	w.startBatchesLocked()
 	w.mu.Unlock()
-	if start {
-		w.exchanges.Go(func(context.Context) { w.appendWaiting() })
-	}
 	select {
 	case err := <-done:
 		return err
 	case <-ctx.Done():
-		return citron.ErrUnavailable
+		return w.abandon(done)
 	}
 }
 
-// appendWaiting appends waiting records in batches until none is left, and sends each Write its outcome.
-func (w *Writer) appendWaiting() {
-	for {
-		w.mu.Lock()
+// abandon removes a record that is no longer waited for. One that has not been sent yet has no effect.
+func (w *Writer) abandon(done chan error) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if n := slices.IndexFunc(w.waiting, func(p pendingWrite) bool { return p.done == done }); n >= 0 {
+		w.waiting = slices.Delete(w.waiting, n, n+1)
+		return citron.ErrRejected
+	}
+	return citron.ErrUnavailable
+}
+
+// startBatchesLocked appends the waiting records unless the batches under way are to be waited for. Records that arrive together
+// share an append, but do not wait behind one that takes long. It requires mu.
+func (w *Writer) startBatchesLocked() {
+	for len(w.waiting) > 0 {
+		if wait := w.batchWaitLocked(); wait > 0 {
+			w.scheduleLocked(wait)
+			return
+		}
 		n := batchSize(w.waiting)
 		batch := w.waiting[:n:n]
 		w.waiting = w.waiting[n:]
-		if n == 0 {
-			w.busy = false
-			w.mu.Unlock()
-			return
-		}
-		w.mu.Unlock()
-		records := make([]citron.KeyedRecord, 0, n)
-		for _, e := range batch {
-			records = append(records, e.record)
-		}
-		err := w.appendWithRetry(records)
-		for _, e := range batch {
-			e.done <- err
+		if w.batches == nil {
+			w.batches = map[int]time.Duration{}
 		}
+		w.lastBatch++
+		number := w.lastBatch
+		w.batches[number] = w.Timer.Now().Boot
+		w.exchanges.Go(func(context.Context) { w.appendBatch(number, batch) })
 	}
 }
 
-// batchSize returns the number of records, from the first one on, that one append may contain.
-func batchSize(waiting []pendingWrite) (n int) {
-	bytes := 0
-	for n < min(len(waiting), maxBatchRecords) {
-		if bytes += waiting[n].record.Size(); bytes > maxBatchBytes && n > 0 {
-			break
-		}
-		n++
+// batchWaitLocked returns how long the next batch must wait if none under way ends before; 0 if it need not. It requires mu.
+func (w *Writer) batchWaitLocked() time.Duration {
+	switch {
+	case len(w.batches) == 0:
+		return 0
+	case len(w.batches) >= maxBatches:
+		return writeTimeout
 	}
-	return n
+	newest := time.Duration(0)
+	for _, began := range w.batches {
+		newest = max(newest, began)
+	}
+	overlap := max(time.Duration(w.latency.Load())/batchOverlap, minBatchAge)
+	return max(newest+overlap-w.Timer.Now().Boot, 0)
 }
 
-// appendWithRetry tries to append until the outcome is known or writeTimeout has passed.
-func (w *Writer) appendWithRetry(records []citron.KeyedRecord) error {
-	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
-	defer cancel()
-	unknown := false
-	for ctx.Err() == nil {
-		err := w.tryRoutes(ctx, records)
-		if err == nil {
-			return nil
-		}
-		unknown = unknown || !errors.Is(err, citron.ErrRejected)
-		if !unknown {
-			return citron.ErrRejected
-		}
-		timer.Pause(ctx, w.Timer, retryPause)
+// scheduleLocked starts the waiting records after a time. It requires mu.
+func (w *Writer) scheduleLocked(wait time.Duration) {
+	if w.scheduled || len(w.batches) >= maxBatches {
+		return // The end of a batch starts them.
 	}
-	return citron.ErrUnavailable
+	w.scheduled = true
+	w.exchanges.Go(func(ctx context.Context) {
+		timer.Pause(ctx, w.Timer, wait)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.scheduled = false
+		w.startBatchesLocked()
+	})
 }
 
-// tryRoutes appends directly and through another daemon, beginning with the route that worked last. ErrRejected means
-// that both routes rejected the records.
-func (w *Writer) tryRoutes(ctx context.Context, records []citron.KeyedRecord) error {
-	routes := []func(context.Context, []citron.KeyedRecord) error{w.AppendDirect}
-	if w.Relay != nil && !w.storeAnswers() {
-		routes = append(routes, w.Relay)
-		if w.Timer.Now().Boot < time.Duration(w.relayFirstUntil.Load()) {
-			routes[0], routes[1] = routes[1], routes[0]
-		}
+// appendBatch appends one batch, sends each Write its outcome and starts what waits.
+func (w *Writer) appendBatch(number int, batch []pendingWrite) {
+	records := make([]citron.KeyedRecord, 0, len(batch))
+	for _, e := range batch {
+		records = append(records, e.record)
 	}
-	result := citron.ErrRejected
-	for n, route := range routes {
-		err := route(ctx, records)
-		if err == nil {
-			if w.Relay != nil && n == 1 {
-				w.switchRoute()
-			}
-			return nil
-		}
-		if !errors.Is(err, citron.ErrRejected) {
-			result = citron.ErrUnavailable
-		}
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	defer cancel()
+	err := w.race(ctx, records, w.targets(true))
+	for _, e := range batch {
+		e.done <- err
 	}
-	return result
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.batches, number)
+	w.startBatchesLocked()
 }
 
-// unreachableAfter is the time without an answer of the store after which this daemon relays records.
-const unreachableAfter = time.Second
-
-// storeAnswers reports whether the store answers the reads of this daemon. It may still be too slow for an append, but then
-// another daemon can do no better.
-func (w *Writer) storeAnswers() bool {
-	if w.AnsweredSince == nil || w.home() == 0 {
-		return false
-	}
-	since := w.Timer.Now().Boot - unreachableAfter
-	for n := range w.Partitions {
-		if w.AnsweredSince(n, since) {
-			return true
+// batchSize returns the number of records, from the first one on, that one append may contain.
+func batchSize(waiting []pendingWrite) (n int) {
+	bytes := 0
+	for n < min(len(waiting), maxBatchRecords) {
+		if bytes += waiting[n].record.Size(); bytes > maxBatchBytes && n > 0 {
+			break
 		}
+		n++
 	}
-	return false
+	return n
 }
 
-// switchRoute puts the route that has just worked as the second one first: relaying for relayFirstFor, or the direct
-// append if relaying is first at present.
-func (w *Writer) switchRoute() {
-	now := w.Timer.Now().Boot
-	if now < time.Duration(w.relayFirstUntil.Load()) {
-		w.relayFirstUntil.Store(0)
-		return
-	}
-	w.relayFirstUntil.Store(int64(now + relayFirstFor))
+// AppendDirect appends from this daemon without a relay. It returns as Write does.
+func (w *Writer) AppendDirect(ctx context.Context, records []citron.KeyedRecord) error {
+	return w.race(ctx, records, w.targets(false))
 }
 
-// AppendDirect appends from this daemon: to the preferred partition, then to all others at once. Storing the same
-// records in several partitions is harmless.
-func (w *Writer) AppendDirect(ctx context.Context, records []citron.KeyedRecord) error {
-	if since := time.Duration(w.failedOverAt.Load()); since > 0 && w.AnsweredSince != nil && w.AnsweredSince(0, since) && !w.slow.Load() {
+// targets returns where the next append may go, in order of preference. A store that has just rejected a batch everywhere is
+// tried at one partition only.
+func (w *Writer) targets(mayRelay bool) (list []hedge.Target) {
+	now := w.Timer.Now().Boot
+	if since := time.Duration(w.failedOverAt.Load()); since > 0 && w.AnsweredSince != nil && w.AnsweredSince(0, since) && !w.slow() {
 		w.preferredPartition.Store(0)
 		w.failedOverAt.Store(0)
 	}
 	preferred := int(w.preferredPartition.Load())
-	first := w.appendTo(ctx, preferred, records)
-	if first == nil {
-		return nil
+	list = append(list, hedge.Target(preferred))
+	if at := time.Duration(w.rejectedAt.Load()); at > 0 && now-at < retryPause {
+		return list
 	}
-	w.failedOverAt.Store(int64(w.Timer.Now().Boot))
-	if home := w.home(); home > 0 {
-		return w.appendToHome(ctx, home, preferred, first, records)
-	}
-	if citron.SizeOf(records) > maxRaceBytes {
-		return w.appendToAnswering(ctx, []int{preferred}, first, records)
-	}
-	outcomes := make(chan error, len(w.Partitions))
-	bounded, cancel := context.WithCancel(ctx)
-	defer cancel()
-	others := 0
 	for n := range w.Partitions {
-		if n == preferred {
-			continue
+		if other := (w.home() + n) % len(w.Partitions); other != preferred {
+			list = append(list, hedge.Target(other))
 		}
-		others++
-		w.exchanges.Go(func(context.Context) {
-			err := w.appendTo(bounded, n, records)
-			if err == nil {
-				w.preferredPartition.Store(int64(n))
-			}
-			outcomes <- err
-		})
 	}
-	return w.awaitAny(first, others, outcomes)
-}
-
-// appendToHome appends to the home partition after the preferred one has failed with the error first. If the store is slow,
-// a copy in yet another partition would only delay the appends of other daemons, so the home partition gets more time.
-func (w *Writer) appendToHome(ctx context.Context, home, preferred int, first error, records []citron.KeyedRecord) error {
-	failed := []int{preferred}
-	if home != preferred {
-		failed = append(failed, home)
-		w.preferredPartition.Store(int64(home))
-		err := w.appendTo(ctx, home, records)
-		if err == nil {
-			return nil
-		}
-		if !errors.Is(err, citron.ErrRejected) {
-			first = citron.ErrUnavailable
-		}
+	switch {
+	case !mayRelay || w.Relay == nil:
+	case now < time.Duration(w.relayFirstUntil.Load()):
+		list = slices.Insert(list, 0, hedge.Relay)
+	default:
+		list = append(list, hedge.Relay)
 	}
-	return w.appendToAnswering(ctx, failed, first, records)
+	return list
 }
 
-// home returns the partition to use while the first one fails, or 0.
+// slow reports whether the last answered append was slow.
+func (w *Writer) slow() bool { return time.Duration(w.latency.Load()) > slowAppend }
+
+// home returns the partition to use while the first one fails or is slow, or 0.
 func (w *Writer) home() int {
 	if w.Home == nil {
 		return 0
@@ -274,90 +233,120 @@
 	return w.Home()
 }
 
-// appendToAnswering appends to the first partition but the failed ones that answers a read. First is the error of those.
-func (w *Writer) appendToAnswering(ctx context.Context, failed []int, first error, records []citron.KeyedRecord) error {
-	bounded, cancel := context.WithTimeout(ctx, w.appendTimeout.Current(appendBounds))
-	defer cancel()
-	answering := make(chan int, len(w.Partitions))
-	asked := 0
-	for n, p := range w.Partitions {
-		if slices.Contains(failed, n) {
-			continue
+// news is the answer to one copy or probe.
+type news struct {
+	target hedge.Target
+	probe  bool
+	took   time.Duration
+	err    error
+}
+
+// race sends copies of the records as hedge.Race decides until one is stored or all are rejected. Copies that are not needed any
+// more are left to end: storing the same records several times is harmless.
+func (w *Writer) race(ctx context.Context, records []citron.KeyedRecord, targets []hedge.Target) error {
+	r := hedge.Race{Targets: targets, Patience: hedge.Patience(time.Duration(w.latency.Load())) + waits.Transfer(citron.SizeOf(records))}
+	answers := make(chan news)
+	ended := make(chan struct{})
+	defer close(ended)
+	report := func(n news) {
+		select {
+		case answers <- n:
+		case <-ended:
 		}
-		asked++
-		w.exchanges.Go(func(context.Context) {
-			if _, err := w.Store.Read(bounded, p, 0, 0); err != nil && !errors.Is(err, citron.ErrRecordsDeleted) {
-				n = -1
-			}
-			answering <- n
-		})
 	}
-	for range asked {
-		n := <-answering
-		if n < 0 {
-			continue
+	for {
+		m := r.Next(w.Timer.Now().Boot)
+		if m.Rejected {
+			w.rejectedAt.Store(int64(w.Timer.Now().Boot))
+			return citron.ErrRejected
 		}
-		err := w.appendTo(ctx, n, records)
-		if err == nil {
-			w.preferredPartition.Store(int64(n))
-			return nil
+		for _, t := range m.Send {
+			w.exchanges.Go(func(context.Context) { report(w.sendCopy(ctx, t, records)) })
 		}
-		if !errors.Is(err, citron.ErrRejected) {
-			first = citron.ErrUnavailable
+		for _, t := range m.Probe {
+			w.exchanges.Go(func(context.Context) { report(w.probe(ctx, t)) })
 		}
+		due, stop := w.Timer.After(m.Wait)
+		select {
+		case n := <-answers:
+			if w.applyNews(&r, n) {
+				stop()
+				return nil
+			}
+		case <-due:
+		case <-ctx.Done():
+			stop()
+			return citron.ErrUnavailable
+		}
+		stop()
 	}
-	if !errors.Is(first, citron.ErrRejected) {
-		w.appendTimeout.TimedOut(appendBounds)
-	}
-	return first
 }
 
-// awaitAny returns nil at the first success and ErrRejected if every append, including the first one, was rejected.
-func (w *Writer) awaitAny(first error, others int, outcomes <-chan error) error {
-	result := citron.ErrRejected
-	if !errors.Is(first, citron.ErrRejected) {
-		result = citron.ErrUnavailable
-	}
-	for range others {
-		err := <-outcomes
-		if err == nil {
-			return nil
-		}
-		if !errors.Is(err, citron.ErrRejected) {
-			result = citron.ErrUnavailable
+// applyNews applies an answer and reports whether the records are stored.
+func (w *Writer) applyNews(r *hedge.Race, n news) (stored bool) {
+	now := w.Timer.Now().Boot
+	switch {
+	case n.probe:
+		if n.err == nil {
+			r.Probed(n.target, n.took)
 		}
+		return false
+	case n.err != nil:
+		r.Failed(now, n.target, errors.Is(n.err, citron.ErrRejected))
+		return false
+	}
+	w.rejectedAt.Store(0)
+	switch {
+	case n.target == hedge.Relay && r.Targets[0] == hedge.Relay:
+	case n.target == hedge.Relay:
+		w.relayFirstUntil.Store(int64(now + relayFirstFor))
+	case int(n.target) != int(w.preferredPartition.Load()):
+		w.failOver(int(n.target))
 	}
-	if !errors.Is(result, citron.ErrRejected) {
-		// No partition stored the records in time, so the store is slow or unavailable.
-		w.appendTimeout.TimedOut(appendBounds)
+	if n.target != hedge.Relay {
+		w.relayFirstUntil.Store(0)
 	}
-	return result
+	return true
 }
 
-// appendTo appends to partition n without a retry.
-func (w *Writer) appendTo(ctx context.Context, n int, records []citron.KeyedRecord) error {
-	transfer := waits.Transfer(citron.SizeOf(records))
-	timeout := w.appendTimeout.Current(appendBounds)
-	if n > 0 && n == w.home() {
-		timeout = homeTimeout
-	}
-	bounded, cancel := context.WithTimeout(ctx, timeout+transfer)
+// failOver makes another partition the preferred one.
+func (w *Writer) failOver(partition int) {
+	w.failedOverAt.Store(int64(w.Timer.Now().Boot))
+	w.preferredPartition.Store(int64(partition))
+}
+
+// sendCopy appends the records at one target.
+func (w *Writer) sendCopy(ctx context.Context, t hedge.Target, records []citron.KeyedRecord) news {
+	// The append outlives the race that it is a copy in, but not the time for which the caller waits.
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), writeTimeout)
 	defer cancel()
 	began := w.Timer.Now().Boot
-	_, err := w.Store.Append(bounded, w.Partitions[n], records, citron.Condition{})
+	var err error
+	if t == hedge.Relay {
+		err = w.Relay(bounded, records)
+		return news{target: t, err: err}
+	}
+	_, err = w.Store.Append(bounded, w.Partitions[t], records, citron.Condition{})
 	if err == nil {
-		took := w.Timer.Now().Boot - began - transfer
-		w.appendTimeout.Answered(appendBounds, took)
-		w.recordPace(n, took)
+		took := w.Timer.Now().Boot - began - waits.Transfer(citron.SizeOf(records))
+		w.latency.Store(int64(max(took, 0)))
+		if home := w.home(); t == 0 && home > 0 && took > slowAppend {
+			w.failOver(home)
+		}
 	}
-	return err
+	return news{target: t, err: err}
 }
 
-// recordPace moves this daemon to its home partition while the store is slow, and back once it no longer is.
-func (w *Writer) recordPace(partition int, took time.Duration) {
-	w.slow.Store(took > slowAppend)
-	if home := w.home(); partition == 0 && home > 0 && took > slowAppend {
-		w.failedOverAt.Store(int64(w.Timer.Now().Boot))
-		w.preferredPartition.Store(int64(home))
+// probe reads from a partition to learn whether the store answers for it.
+func (w *Writer) probe(ctx context.Context, t hedge.Target) news {
+	began := w.Timer.Now().Boot
+	from := citron.Offset(0)
+	if w.NextOffset != nil {
+		from = w.NextOffset(int(t))
+	}
+	_, err := w.Store.Read(ctx, w.Partitions[t], from, 0)
+	if errors.Is(err, citron.ErrRecordsDeleted) {
+		err = nil
 	}
+	return news{target: t, probe: true, took: w.Timer.Now().Boot - began, err: err}
 }
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
@@ -320,8 +321,38 @@
 	Unknown   = 3
 )
 
-// Append appends intake records through another daemon. It returns citron.ErrUnavailable if the outcome is unknown.
+// connectTimeout bounds the wait for a connection before an append, so that a daemon that is gone costs the caller little.
+const connectTimeout = 100 * time.Millisecond
+
+// connected waits until the connection to a daemon is established and reports whether it is.
+func (p *Peers) connected(ctx context.Context, vm citron.VMName) bool {
+	conn, err := p.connection(vm)
+	if err != nil {
+		return false
+	}
+	bounded, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	for {
+		switch state := conn.GetState(); state {
+		case connectivity.Ready:
+			return true
+		case connectivity.TransientFailure, connectivity.Shutdown:
+			return false
+		default:
+			conn.Connect()
+			if !conn.WaitForStateChange(bounded, state) {
+				return false
+			}
+		}
+	}
+}
+
+// Append appends intake records through another daemon. It returns citron.ErrRejected if they have not been stored, also if
+// they could not be sent, and citron.ErrUnavailable if the outcome is unknown.
 func (p *Peers) Append(ctx context.Context, vm citron.VMName, records []citron.KeyedRecord) error {
+	if !p.connected(ctx, vm) {
+		return citron.ErrRejected
+	}
 	request := &link.AppendRequest{Records: Encode(records)}
 	var reply *link.AppendReply
 	err := p.call(vm, func(c link.LinkClient) (err error) {
--- a/citron/peers/peers_test.go
+++ b/citron/peers/peers_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"errors"
 	"net"
 	"slices"
 	"testing"
@@ -96,3 +97,20 @@
 		t.Error("a daemon that is about to stop counts as live")
 	}
 }
+
+// Guards against an append that counts as perhaps stored although the daemon that was to relay it is gone.
+func TestAppendThroughADaemonThatIsGoneIsRejected(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	p := newPeers(listener.Addr().String())
+	for _, vm := range []citron.VMName{"b", "unknown"} {
+		if err := p.Append(t.Context(), vm, []citron.KeyedRecord{{Key: "k"}}); !errors.Is(err, citron.ErrRejected) {
+			t.Errorf("append through %s: error %v, want citron.ErrRejected", vm, err)
+		}
+	}
+}
