Holder: appends are not given up early, and plans do not wait for a slow store

With longer time, requests to the policy service and starts still waited for the append of the plan before, up to 0.45 s each. Change: an unanswered append is sent once more on another connection, with the same number, and given up after 1.6 s or when probes show that the partition is silent while others answer; a repeat that has stored the records is not followed by a second append. Ends are acknowledged in the order of the plans.

--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -79,8 +79,11 @@
 	// maxClaimed is an upper bound on the number of partitions that the claim names.
 	maxClaimed int
 	merge      merge
-	// storeTimeout adapts the timeout of an append to how quickly the store answers.
+	writes     writes
+	// storeTimeout adapts the timeout of a probe to how quickly the store answers.
 	storeTimeout waits.Timeout
+	// appendLatency is that of the last answered append.
+	appendLatency atomic.Int64
 	// unavailableSince is the boot time since which the store has stored no records; zero while it stores them.
 	unavailableSince atomic.Int64
 	exchanges        spawn.Group
@@ -100,6 +103,7 @@
 		<-h.exchanges.Idle()
 	}()
 	h.replan = make(chan struct{}, 1)
+	h.writes = newWrites(len(h.ProgressTails))
 	h.maxClaimed = len(h.ClaimedPartitions)
 	h.polls = map[citron.Worker]*poll{}
 	h.exchanges.SetContext(inner)
@@ -170,14 +174,21 @@
 			return err
 		}
 		due, stop := h.Timer.After(maxPlanInterval)
+		var err error
 		select {
 		case <-h.replan:
 		case <-due:
+		case f := <-h.writes.ended:
+			err = h.writeEnded(ctx, f)
+		case l := <-h.writes.opened:
+			h.addLog(l)
 		case <-ctx.Done():
-			stop()
-			return ctx.Err()
+			err = ctx.Err()
 		}
 		stop()
+		if err != nil {
+			return err
+		}
 		timer.Pause(ctx, h.Timer, minPlanInterval)
 	}
 }
@@ -185,6 +196,9 @@
 // runPlan plans once and carries out the plan. Stops and advice requests are sent before the records are stored, starts
 // only afterwards.
 func (h *Holder) runPlan(ctx context.Context) error {
+	if err := h.awaitStore(ctx); err != nil {
+		return err
+	}
 	e, err := h.Pool.Plan(h.Timer.Now())
 	if err != nil {
 		return err
@@ -198,23 +212,29 @@
 	for _, a := range e.AdviceRequests {
 		h.exchanges.Go(func(ctx context.Context) { h.requestAdvice(ctx, a) })
 	}
-	if len(e.Records) > 0 {
-		if err := h.store(ctx, e.Records); err != nil {
-			return err
-		}
-		h.publish(e)
-	}
-	h.Pool.Committed(e)
-	h.consolidate(ctx, e)
+	return h.write(ctx, e)
+}
+
+// stored continues with what required the records of a plan to be stored.
+func (h *Holder) stored(e pool.Effects) {
+	h.publish(e)
 	for _, s := range e.Starts {
 		h.exchanges.Go(func(ctx context.Context) { h.start(ctx, s) })
 	}
+}
+
+// committed continues with what required the records of a plan and of all earlier ones to be stored. Alone is set if no other
+// append was under way.
+func (h *Holder) committed(ctx context.Context, e pool.Effects, alone bool) {
+	h.Pool.Committed(e)
+	if alone && len(e.Records) > 0 {
+		h.consolidate(ctx, e)
+	}
 	h.pollWorkers(e.Acks)
 	h.trimJobs(e.Ended)
 	if len(e.Expired) > 0 {
 		h.exchanges.Go(func(ctx context.Context) { h.removeJobs(ctx, e.Expired) })
 	}
-	return nil
 }
 
 // removeJobs deletes the records of expired jobs from every partition that may contain them. The job is deleted before
@@ -240,7 +260,7 @@
 
 // replaceRecords appends records, or tombstones for their keys, to one partition without a condition.
 func (h *Holder) replaceRecords(ctx context.Context, p citron.Partition, records []citron.KeyedRecord) error {
-	bounded, cancel := context.WithTimeout(ctx, appendBounds.Max)
+	bounded, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	_, err := h.Store.Append(bounded, p, records, citron.Condition{})
 	return err
--- a/citron/holder/partition_log.go
+++ b/citron/holder/partition_log.go
@@ -1,21 +1,26 @@
 package holder
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
 	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/hedge"
 	"github.com/citroncross/citroncross/citron/tail"
 	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/citron/waits"
 )
 
-// appendBounds limit the timeout of one append. The store usually answers in about 10 ms, but may take half a second
-// when it is slow.
-var appendBounds = waits.Bounds{Min: 400 * time.Millisecond, Max: 1600 * time.Millisecond}
+// appendTimeout is the time limit of one append, several times what a store that is 80 times slower than usual takes.
+const appendTimeout = 1600 * time.Millisecond
+
+// probeBounds limit the timeout of the reads that look for a partition that answers.
+var probeBounds = waits.Bounds{Min: 400 * time.Millisecond, Max: appendTimeout}
 
 // appendRetry is the delay before the next try after every partition has failed.
 const appendRetry = 30 * time.Millisecond
@@ -64,7 +69,7 @@
 			return err
 		}
 		h.reportFailure("fence", err)
-		h.storeTimeout.TimedOut(appendBounds)
+		h.storeTimeout.TimedOut(probeBounds)
 		timer.Pause(ctx, h.Timer, appendRetry)
 	}
 }
@@ -102,8 +107,8 @@
 	began := h.Timer.Now().Boot
 	l := h.preferred()
 	for {
-		err := h.repeatPending(ctx, l)
-		if err == nil {
+		stored, err := h.repeatPending(ctx, l, records)
+		if err == nil && !stored {
 			_, err = h.appendOnce(ctx, l, records)
 		}
 		if err == nil {
@@ -120,7 +125,7 @@
 		l.failedAt = h.Timer.Now().Boot
 		if l, err = h.nextPartition(ctx); err != nil {
 			h.reportFailure("extend", err)
-			h.storeTimeout.TimedOut(appendBounds)
+			h.storeTimeout.TimedOut(probeBounds)
 			timer.Pause(ctx, h.Timer, appendRetry)
 			l = h.preferred()
 		}
@@ -173,7 +178,7 @@
 // findAnswering reads the end of every partition and returns the first open one that answers. It returns another one
 // only once every open one has failed.
 func (h *Holder) findAnswering(ctx context.Context) (partition int, err error) {
-	bounded, cancel := context.WithTimeout(ctx, h.storeTimeout.Current(appendBounds))
+	bounded, cancel := context.WithTimeout(ctx, h.storeTimeout.Current(probeBounds))
 	defer cancel()
 	type answer struct {
 		n    int
@@ -213,26 +218,28 @@
 
 var errNoPartitionAnswers = errors.New("the store answers for none of the progress partitions")
 
-// repeatPending repeats an unanswered append, which the store ignores if it has already stored it. The records may be
-// older than those in other partitions by now; readers compare the epoch and number of each record.
-func (h *Holder) repeatPending(ctx context.Context, l *partitionLog) error {
+// repeatPending repeats an unanswered append, which the store ignores if it has already stored it, and reports whether that has
+// stored the given records. The pending records may be older than those in other partitions by now; readers compare the epoch
+// and number of each record.
+func (h *Holder) repeatPending(ctx context.Context, l *partitionLog, records []citron.KeyedRecord) (stored bool, err error) {
 	if !l.unanswered {
-		return nil
+		return false, nil
 	}
-	_, err := h.appendOnce(ctx, l, l.pending)
-	return err
+	pending := l.pending
+	_, err = h.appendOnce(ctx, l, pending)
+	return err == nil && slices.EqualFunc(pending, records, func(a, b citron.KeyedRecord) bool {
+		return a.Key == b.Key && bytes.Equal(a.Value, b.Value)
+	}), err
 }
 
-// appendOnce appends to one partition without a retry.
+// appendOnce appends to one partition without a retry. A store that is slow is waited for; a partition that is silent while others
+// answer is not.
 func (h *Holder) appendOnce(ctx context.Context, l *partitionLog, records []citron.KeyedRecord) (end citron.Offset, err error) {
 	c := citron.Condition{Producer: h.Producer, Epoch: h.Pool.Epoch, Sequence: l.sequence}
-	transfer := waits.Transfer(citron.SizeOf(records))
-	bounded, cancel := context.WithTimeout(ctx, h.storeTimeout.Current(appendBounds)+transfer)
-	defer cancel()
 	began := h.Timer.Now().Boot
-	end, err = h.Store.Append(bounded, l.tail.Partition, records, c)
+	end, err = h.appendCopies(ctx, l, records, c)
 	if err == nil {
-		h.storeTimeout.Answered(appendBounds, h.Timer.Now().Boot-began-transfer)
+		h.appendLatency.Store(int64(max(h.Timer.Now().Boot-began-waits.Transfer(citron.SizeOf(records)), 0)))
 		if !l.unanswered {
 			// An answer to a repeat shows nothing about the present: the store gives its first answer again, even if another
 			// daemon has claimed the pool since.
@@ -252,3 +259,86 @@
 	}
 	return end, err
 }
+
+// appendResult is the answer to one copy of an append.
+type appendResult struct {
+	end citron.Offset
+	err error
+}
+
+// appendCopies sends an append and, if it is not answered for long, once more on another connection. The store gives both the same
+// answer. It returns citron.ErrUnavailable if the partition is silent.
+func (h *Holder) appendCopies(ctx context.Context, l *partitionLog, records []citron.KeyedRecord, c citron.Condition) (citron.Offset, error) {
+	transfer := waits.Transfer(citron.SizeOf(records))
+	bounded, cancel := context.WithTimeout(ctx, appendTimeout+transfer)
+	defer cancel()
+	results := make(chan appendResult, 2)
+	send := func() {
+		h.exchanges.Go(func(context.Context) {
+			end, err := h.Store.Append(bounded, l.tail.Partition, records, c)
+			results <- appendResult{end, err}
+		})
+	}
+	send()
+	due, stop := h.Timer.After(hedge.Patience(time.Duration(h.appendLatency.Load())) + transfer)
+	defer func() { stop() }()
+	silent := make(chan bool, 1)
+	var unanswered error
+	for pending := 1; ; {
+		select {
+		case r := <-results:
+			pending--
+			rejected := errors.Is(r.err, citron.ErrRejected)
+			if errors.Is(r.err, citron.ErrUnavailable) {
+				unanswered = r.err
+			}
+			switch {
+			case !rejected && !errors.Is(r.err, citron.ErrUnavailable):
+				return r.end, r.err
+			case pending == 0 && unanswered != nil:
+				return 0, unanswered // The copy without an answer may be stored, whatever became of the other one.
+			case pending == 0:
+				return 0, r.err
+			}
+		case <-due:
+			due = nil
+			pending++
+			send()
+			h.exchanges.Go(func(context.Context) { silent <- h.isSilent(bounded, l) })
+		case s := <-silent:
+			if s {
+				return 0, errPartitionSilent
+			}
+		}
+	}
+}
+
+// errPartitionSilent is the error of an append to a partition for which the store does not answer although it answers for others.
+var errPartitionSilent = fmt.Errorf("%w: the store answers for other partitions only", citron.ErrUnavailable)
+
+// isSilent probes all partitions with reads and reports whether others answer quickly and that of l does not.
+func (h *Holder) isSilent(ctx context.Context, l *partitionLog) bool {
+	bounded, cancel := context.WithTimeout(ctx, hedge.QuickProbe)
+	defer cancel()
+	type answer struct {
+		own bool
+		err error
+	}
+	answers := make(chan answer, len(h.ProgressTails))
+	for _, t := range h.ProgressTails {
+		h.exchanges.Go(func(context.Context) {
+			next, _ := t.Next()
+			_, err := h.Store.Read(bounded, t.Partition, next, 0)
+			answers <- answer{t == l.tail, err}
+		})
+	}
+	others := false
+	for range h.ProgressTails {
+		a := <-answers
+		if a.own && a.err == nil {
+			return false
+		}
+		others = others || a.err == nil
+	}
+	return others
+}
