A holder that the store leaves unanswered says so at once

Cause: a holder reported that it stores no records only once its append had been given up. Change: an append that is unanswered for longer than the holder's patience counts, and others claim after 0.5 s in place of 0.7 s. Test: TestUnansweredAppendCountsAsUnavailableStoreBeforeItIsGivenUp fails without it (0 s).

--- a/citron/claim/claim.go
+++ b/citron/claim/claim.go
@@ -15,7 +15,7 @@
 	// UnresponsiveAfter is how long a holder may leave pings unanswered before it is replaced.
 	UnresponsiveAfter = 450 * time.Millisecond
 	// StoreUnavailableAfter is how long a holder may be unable to store records while the store answers this daemon.
-	StoreUnavailableAfter = 700 * time.Millisecond
+	StoreUnavailableAfter = 500 * time.Millisecond
 	// AdoptTimeout is how long a daemon may take to run the pool after its claim is known.
 	AdoptTimeout = 3 * time.Second
 	// PeerAnswerValidity is the greatest age of a holder's answer to another daemon that keeps this one from claiming:
--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -84,7 +84,8 @@
 	storeTimeout waits.Timeout
 	// appendLatency is that of the last answered append.
 	appendLatency atomic.Int64
-	// unavailableSince is the boot time since which the store has stored no records; zero while it stores them.
+	// unavailableSince is the boot time since which the store has stored no records; zero while it stores them or has not been
+	// waited for longer than usual.
 	unavailableSince atomic.Int64
 	exchanges        spawn.Group
 	trims            trims
--- a/citron/holder/partition_log.go
+++ b/citron/holder/partition_log.go
@@ -239,6 +239,7 @@
 	began := h.Timer.Now().Boot
 	end, err = h.appendCopies(ctx, l, records, c)
 	if err == nil {
+		h.unavailableSince.Store(0)
 		h.appendLatency.Store(int64(max(h.Timer.Now().Boot-began-waits.Transfer(citron.SizeOf(records)), 0)))
 		if !l.unanswered {
 			// An answer to a repeat shows nothing about the present: the store gives its first answer again, even if another
@@ -272,6 +273,7 @@
 	transfer := waits.Transfer(citron.SizeOf(records))
 	bounded, cancel := context.WithTimeout(ctx, appendTimeout+transfer)
 	defer cancel()
+	began := h.Timer.Now().Boot
 	results := make(chan appendResult, 2)
 	send := func() {
 		h.exchanges.Go(func(context.Context) {
@@ -302,6 +304,7 @@
 			}
 		case <-due:
 			due = nil
+			h.unavailableSince.CompareAndSwap(0, int64(began))
 			pending++
 			send()
 			h.exchanges.Go(func(context.Context) { silent <- h.isSilent(bounded, l) })
--- a/citron/holder/writes.go
+++ b/citron/holder/writes.go
@@ -199,7 +199,6 @@
 func (h *Holder) writeEnded(ctx context.Context, w *write) error {
 	if w.err == nil {
 		if w.log != nil {
-			h.unavailableSince.Store(0)
 			h.merge = merge{}
 		}
 		h.finish(ctx, w)
--- a/citron/holder/writes_test.go
+++ b/citron/holder/writes_test.go
@@ -233,3 +233,30 @@
 	}
 	return citron.KeyedBatch{}, citron.ErrUnavailable
 }
+
+// Guards against a holder cut off from the store that others learn of only once its append has been given up.
+func TestUnansweredAppendCountsAsUnavailableStoreBeforeItIsGivenUp(t *testing.T) {
+	s := newHeldStore()
+	h := newSlowHolder(s, 1)
+	h.appendLatency.Store(0)
+	clock := h.Timer.(*timer.Manual)
+	clock.Advance(time.Second)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := h.appendOnce(context.Background(), h.openLogs[0], record("a"))
+		ended <- err
+	}()
+	s.next(0)
+	for clock.OpenSubscriptions() == 0 {
+		continue
+	}
+	clock.Advance(300 * time.Millisecond)
+	s.next(1)
+	if got := h.StoreUnavailableFor(); got != 300*time.Millisecond {
+		t.Errorf("store unavailable for %v while an append is unanswered for 300 ms, want that", got)
+	}
+	s.next(0).answer <- nil
+	if err := <-ended; err != nil || h.StoreUnavailableFor() != 0 {
+		t.Errorf("error %v, unavailable for %v after the answer, want none", err, h.StoreUnavailableFor())
+	}
+}
