--- a/citron/hedge/hedge.go
+++ b/citron/hedge/hedge.go
@@ -14,8 +14,8 @@
 	// minPatience is the shortest time for which a copy may stay unanswered before the next one is sent, some ten times the
 	// usual latency of an append.
 	minPatience = 150 * time.Millisecond
-	// maxPatience is the longest such time: a third of the time that a caller waits.
-	maxPatience = time.Second
+	// maxPatience is the longest such time: two thirds of the time that a caller waits, since more copies make a slow store slower.
+	maxPatience = 2 * time.Second
 	// patienceFactor is the ratio of the patience to the latest latency.
 	patienceFactor = 3
 	// QuickProbe is the answer time of a probe below which the store is not slow, so that an unanswered copy must have gone to
--- a/citron/intake/writer.go
+++ b/citron/intake/writer.go
@@ -29,6 +29,9 @@
 	// the next one need not wait for the one before.
 	maxBatches   = 3
 	batchOverlap = 2
+	// crowdedAppend is the latency above which batches do not overlap: at a slow store it shows that appends to the partition wait
+	// for those of other daemons, and more of them would make all wait longer.
+	crowdedAppend = 600 * time.Millisecond
 	// minBatchAge is the shortest time after which a batch need not be waited for, a few times the usual latency.
 	minBatchAge = 40 * time.Millisecond
 	// maxBatchRecords and maxBatchBytes limit the records of one append.
@@ -133,7 +136,7 @@
 	switch {
 	case len(w.batches) == 0:
 		return 0
-	case len(w.batches) >= maxBatches:
+	case len(w.batches) >= maxBatches || time.Duration(w.latency.Load()) > crowdedAppend:
 		return writeTimeout
 	}
 	newest := time.Duration(0)
@@ -146,7 +149,7 @@
 
 // scheduleLocked starts the waiting records after a time. It requires mu.
 func (w *Writer) scheduleLocked(wait time.Duration) {
-	if w.scheduled || len(w.batches) >= maxBatches {
+	if w.scheduled || wait >= writeTimeout {
 		return // The end of a batch starts them.
 	}
 	w.scheduled = true
