--- a/citron/hedge/hedge_test.go
+++ b/citron/hedge/hedge_test.go
@@ -147,8 +147,8 @@
 // An outage that begins while a copy is unanswered must not keep the append from being stored once the store is back.
 func TestRaceSendsRejectedCopiesAgainAfterAnOutage(t *testing.T) {
 	const back = 900 * ms
-	o := run(&Race{Targets: targets, Patience: Patience(10 * ms)}, 2500*ms, func(now time.Duration, t Target) answer {
-		return answer{after: 8 * ms, rejected: now >= 0 && now < back, never: now == 0}
+	o := run(&Race{Targets: targets, Patience: Patience(10 * ms)}, 2500*ms, func(now time.Duration, _ Target) answer {
+		return answer{after: 8 * ms, rejected: now < back, never: now == 0}
 	}, func(time.Duration, Target) answer { return answer{after: 8 * ms, rejected: true} })
 	if !o.stored || o.at > back+2*repeatAfter {
 		t.Errorf("store back after %v: %+v, want the append stored within %v of that", back, o, 2*repeatAfter)
--- a/citron/intake/writer_test.go
+++ b/citron/intake/writer_test.go
@@ -147,7 +147,11 @@
 	s.block = make(chan struct{})
 	for _, key := range []string{"first", "second"} {
 		w.exchanges.Go(func(ctx context.Context) { _ = w.Write(ctx, citron.KeyedRecord{Key: key}) })
-		advanceUntil(w, func() bool { return s.appended(key) })
+		began := w.Timer.Now().Boot
+		advanceUntil(w, func() bool { return s.appended(key) || w.Timer.Now().Boot-began > writeTimeout })
+		if !s.appended(key) {
+			t.Errorf("the %s record is not appended while the first append is unanswered", key)
+		}
 	}
 	close(s.block)
 	awaitIdle(w)
