Hand-in: a silent store is refused for what was not sent, at once

Cause: while the store answers nothing, every hand-in was sent to it all the same, waited 2.5 s and ended with 504, since an append may have stored it; callers do not come back after that. Change: once an append, its copies, the probes of all partitions and another daemon's try have been left unanswered for 1.2 s, records that have not been sent are rejected at once: a refusal that is true, since nothing was sent. Probes every 250 ms find the store's return. A slow store answers probes, so that it does not count as silent.

--- a/citron/hedge/hedge.go
+++ b/citron/hedge/hedge.go
@@ -24,6 +24,9 @@
 	// relayAfter is the time without any answer after which the store counts as out of reach: the answer time of a probe of a
 	// store that is 64 times slower than usual, with a margin of half.
 	relayAfter = 600 * time.Millisecond
+	// unreachableAfter is the time without any answer after which another daemon has had the time to append as well, so that the
+	// store is out of reach for all.
+	unreachableAfter = 2 * relayAfter
 	// repeatAfter is the pause after which rejected copies are sent again while another one may have been stored.
 	repeatAfter = 200 * time.Millisecond
 )
@@ -181,6 +184,11 @@
 	r.copies[t], r.inDoubt = failed, true
 }
 
+// Unreachable reports whether nothing has been heard of the store for so long that further appends are not worth a try.
+func (r *Race) Unreachable(now time.Duration) bool {
+	return !r.answered && now-r.began >= unreachableAfter
+}
+
 // Probed records the answer to a probe of a partition.
 func (r *Race) Probed(t Target, took time.Duration) {
 	r.answered = true
--- a/citron/hedge/hedge_test.go
+++ b/citron/hedge/hedge_test.go
@@ -124,6 +124,18 @@
 	}
 }
 
+func TestStoreIsUnreachableOnlyIfNothingAnswers(t *testing.T) {
+	slow := Race{Targets: targets, Patience: Patience(10 * ms)}
+	slow.Next(0)
+	silent := slow
+	slow.Probed(3, 320*ms)
+	for _, at := range []time.Duration{unreachableAfter - ms, unreachableAfter} {
+		if got, want := silent.Unreachable(at), at >= unreachableAfter; got != want || slow.Unreachable(at) {
+			t.Errorf("after %v: unreachable %t if silent, %t if slow; want %t and false", at, got, slow.Unreachable(at), want)
+		}
+	}
+}
+
 func TestRaceIsRejectedOnlyIfNoCopyCanBeStored(t *testing.T) {
 	refuse := func(time.Duration, Target) answer { return answer{after: 8 * ms, rejected: true} }
 	if o := run(&Race{Targets: targets, Patience: Patience(10 * ms)}, 2500*ms, refuse, refuse); !o.rejected || o.at > 100*ms || len(o.copies) != len(targets) {
--- a/citron/intake/writer.go
+++ b/citron/intake/writer.go
@@ -32,6 +32,9 @@
 	// crowdedAppend is the latency above which batches do not overlap: at a slow store it shows that appends to the partition wait
 	// for those of other daemons, and more of them would make all wait longer.
 	crowdedAppend = 600 * time.Millisecond
+	// silentProbeInterval is the pause between the probes of a store that is silent: callers that are told to come back do so
+	// after a second.
+	silentProbeInterval = 250 * time.Millisecond
 	// minBatchAge is the shortest time after which a batch need not be waited for, a few times the usual latency.
 	minBatchAge = 40 * time.Millisecond
 	// maxBatchRecords and maxBatchBytes limit the records of one append.
@@ -68,6 +71,8 @@
 	relayFirstUntil atomic.Int64
 	// rejectedAt is the boot time at which every target last rejected a batch; zero if the store has stored one since.
 	rejectedAt atomic.Int64
+	// silentSince is the boot time since which the store is known to answer nothing; zero if it answers.
+	silentSince atomic.Int64
 
 	mu      sync.Mutex
 	waiting []pendingWrite
@@ -86,6 +91,9 @@
 // Write stores a record. It returns ErrRejected if the record has not been and will not be stored, and ErrUnavailable if
 // that is unknown.
 func (w *Writer) Write(ctx context.Context, r citron.KeyedRecord) error {
+	if w.silent() {
+		return citron.ErrRejected // It has not been sent.
+	}
 	done := make(chan error, 1)
 	w.mu.Lock()
 	w.waiting = append(w.waiting, pendingWrite{r, done})
@@ -194,6 +202,9 @@
 
 // AppendDirect appends from this daemon without a relay. It returns as Write does.
 func (w *Writer) AppendDirect(ctx context.Context, records []citron.KeyedRecord) error {
+	if w.silent() {
+		return citron.ErrRejected
+	}
 	return w.race(ctx, records, w.targets(false))
 }
 
@@ -263,6 +274,9 @@
 			w.rejectedAt.Store(int64(w.Timer.Now().Boot))
 			return citron.ErrRejected
 		}
+		if r.Unreachable(w.Timer.Now().Boot) {
+			w.markSilent()
+		}
 		for _, t := range m.Send {
 			w.exchanges.Go(func(context.Context) { report(w.sendCopy(ctx, t, records)) })
 		}
@@ -285,12 +299,54 @@
 	}
 }
 
+// silent reports whether the store is known to answer nothing. What is not sent to it then can be refused for certain, so that
+// callers come back in time; what is sent would stay in doubt.
+func (w *Writer) silent() bool {
+	since := time.Duration(w.silentSince.Load())
+	if since == 0 {
+		return false
+	}
+	for n := range w.Partitions {
+		if w.AnsweredSince != nil && w.AnsweredSince(n, since) {
+			w.silentSince.Store(0)
+			return false
+		}
+	}
+	return true
+}
+
+// markSilent rejects the records that have not been sent and probes the store until it answers.
+func (w *Writer) markSilent() {
+	if !w.silentSince.CompareAndSwap(0, int64(w.Timer.Now().Boot)) {
+		return
+	}
+	w.mu.Lock()
+	for _, e := range w.waiting {
+		e.done <- citron.ErrRejected
+	}
+	w.waiting = nil
+	w.mu.Unlock()
+	w.exchanges.Go(func(ctx context.Context) {
+		for n := 0; w.silent() && ctx.Err() == nil; n++ {
+			w.exchanges.Go(func(ctx context.Context) {
+				bounded, cancel := context.WithTimeout(ctx, writeTimeout)
+				defer cancel()
+				if w.probe(bounded, hedge.Target(n%len(w.Partitions))).err == nil {
+					w.silentSince.Store(0)
+				}
+			})
+			timer.Pause(ctx, w.Timer, silentProbeInterval)
+		}
+	})
+}
+
 // applyNews applies an answer and reports whether the records are stored.
 func (w *Writer) applyNews(r *hedge.Race, n news) (stored bool) {
 	now := w.Timer.Now().Boot
 	switch {
 	case n.probe:
 		if n.err == nil {
+			w.silentSince.Store(0)
 			r.Probed(n.target, n.took)
 		}
 		return false
@@ -299,6 +355,7 @@
 		return false
 	}
 	w.rejectedAt.Store(0)
+	w.silentSince.Store(0)
 	switch {
 	case n.target == hedge.Relay && r.Targets[0] == hedge.Relay:
 	case n.target == hedge.Relay:
