Lost answers are told from a slow and from an unreachable store

Change: copies of the holder's append go on, each after twice the time of the one before; only an append whose partition answers no probe either counts as an unreachable store. A hand-in goes on to further partitions after each patience once a probe was answered quickly.

--- a/citron/hedge/hedge.go
+++ b/citron/hedge/hedge.go
@@ -55,10 +55,11 @@
 	began, sentAt, failedAt time.Duration
 	// last is the target of the last copy.
 	last Target
-	// answering are the targets whose probes have been answered, quick is set if one was answered quickly.
-	answering []Target
-	quick     bool
-	probed    bool
+	// answering are the targets whose probes have been answered. Fast is set if one was answered quickly, quick until the next copy
+	// is sent.
+	answering   []Target
+	fast, quick bool
+	probed      bool
 	// answered is set once the store has answered anything.
 	answered bool
 	// inDoubt is set once a copy may have been stored without an answer.
@@ -123,7 +124,8 @@
 // a probe shows a slow store, for which more copies do harm. Another daemon is asked only once the store has answered nothing
 // for long, or has rejected the copies at all partitions.
 func (r *Race) choose(now time.Duration) (t Target, ok bool) {
-	probesCount := r.quick || now-r.sentAt >= maxPatience
+	unanswered := now - r.sentAt
+	probesCount := r.quick || r.fast && unanswered >= r.Patience || unanswered >= maxPatience
 	for n, t := range r.Targets {
 		if t != Relay && r.copies[t] == untried && (n <= 1 || probesCount && slices.Contains(r.answering, t)) {
 			return t, true
@@ -193,5 +195,7 @@
 func (r *Race) Probed(t Target, took time.Duration) {
 	r.answered = true
 	r.answering = append(r.answering, t)
-	r.quick = r.quick || took < QuickProbe
+	if took < QuickProbe {
+		r.fast, r.quick = true, true
+	}
 }
--- a/citron/hedge/hedge_test.go
+++ b/citron/hedge/hedge_test.go
@@ -116,6 +116,17 @@
 	}
 }
 
+// Guards against a wait as for a slow store after several answers of a quick one were lost.
+func TestRaceGoesOnWithAQuickStoreThatLosesAnswers(t *testing.T) {
+	lost := []Target{0, 3, 1, 2}
+	o := run(&Race{Targets: targets, Patience: Patience(10 * ms)}, 2500*ms, func(_ time.Duration, t Target) answer {
+		return answer{after: 10 * ms, never: slices.Contains(lost, t)}
+	}, func(time.Duration, Target) answer { return answer{after: 8 * ms} })
+	if !o.stored || o.at > 4*minPatience {
+		t.Errorf("four lost answers: %+v, want the append stored within %v", o, 4*minPatience)
+	}
+}
+
 func TestRaceRelaysOnceTheStoreIsOutOfReach(t *testing.T) {
 	at := func(_ time.Duration, t Target) answer { return answer{after: 10 * ms, never: t != Relay} }
 	o := run(&Race{Targets: targets, Patience: Patience(10 * ms)}, 2500*ms, at, at)
--- a/citron/holder/partition_log.go
+++ b/citron/holder/partition_log.go
@@ -267,14 +267,17 @@
 	err error
 }
 
-// appendCopies sends an append and, if it is not answered for long, once more on another connection. The store gives both the same
+// maxAppendCopies is an upper bound on the copies of one append, of which each waits twice as long as the one before.
+const maxAppendCopies = 8
+
+// appendCopies sends an append and, if it is not answered for long, again on other connections. The store gives all of them the same
 // answer. It returns citron.ErrUnavailable if the partition is silent.
 func (h *Holder) appendCopies(ctx context.Context, l *partitionLog, records []citron.KeyedRecord, c citron.Condition) (citron.Offset, error) {
 	transfer := waits.Transfer(citron.SizeOf(records))
 	bounded, cancel := context.WithTimeout(ctx, appendTimeout+transfer)
 	defer cancel()
 	began := h.Timer.Now().Boot
-	results := make(chan appendResult, 2)
+	results := make(chan appendResult, maxAppendCopies)
 	send := func() {
 		h.exchanges.Go(func(context.Context) {
 			end, err := h.Store.Append(bounded, l.tail.Partition, records, c)
@@ -282,9 +285,10 @@
 		})
 	}
 	send()
-	due, stop := h.Timer.After(hedge.Patience(time.Duration(h.appendLatency.Load())) + transfer)
+	patience := hedge.Patience(time.Duration(h.appendLatency.Load())) + transfer
+	due, stop := h.Timer.After(patience)
 	defer func() { stop() }()
-	silent := make(chan bool, 1)
+	probed := make(chan probeResult, maxAppendCopies)
 	var unanswered error
 	for pending := 1; ; {
 		select {
@@ -303,14 +307,19 @@
 				return 0, r.err
 			}
 		case <-due:
-			due = nil
-			h.unavailableSince.CompareAndSwap(0, int64(began))
+			stop()
+			patience *= 2
+			due, stop = h.Timer.After(patience)
 			pending++
 			send()
-			h.exchanges.Go(func(context.Context) { silent <- h.isSilent(bounded, l) })
-		case s := <-silent:
-			if s {
+			h.exchanges.Go(func(context.Context) { probed <- h.probe(bounded, l) })
+		case p := <-probed:
+			switch {
+			case p.others && !p.own:
 				return 0, errPartitionSilent
+			case !p.own:
+				// Other daemons may reach the store. If it answers probes, it is answers that are lost.
+				h.unavailableSince.CompareAndSwap(0, int64(began))
 			}
 		}
 	}
@@ -319,8 +328,11 @@
 // errPartitionSilent is the error of an append to a partition for which the store does not answer although it answers for others.
 var errPartitionSilent = fmt.Errorf("%w: the store answers for other partitions only", citron.ErrUnavailable)
 
-// isSilent probes all partitions with reads and reports whether others answer quickly and that of l does not.
-func (h *Holder) isSilent(ctx context.Context, l *partitionLog) bool {
+// probeResult tells whether a partition, and whether others, have answered a probe quickly.
+type probeResult struct{ own, others bool }
+
+// probe probes all partitions with reads.
+func (h *Holder) probe(ctx context.Context, l *partitionLog) (r probeResult) {
 	bounded, cancel := context.WithTimeout(ctx, hedge.QuickProbe)
 	defer cancel()
 	type answer struct {
@@ -335,13 +347,10 @@
 			answers <- answer{t == l.tail, err}
 		})
 	}
-	others := false
 	for range h.ProgressTails {
 		a := <-answers
-		if a.own && a.err == nil {
-			return false
-		}
-		others = others || a.err == nil
+		r.own = r.own || a.own && a.err == nil
+		r.others = r.others || !a.own && a.err == nil
 	}
-	return others
+	return r
 }
--- a/citron/holder/writes_test.go
+++ b/citron/holder/writes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime"
 	"slices"
 	"sync"
 	"testing"
@@ -186,7 +187,7 @@
 		first := s.next(0)
 		clock := h.Timer.(*timer.Manual)
 		for clock.OpenSubscriptions() == 0 {
-			continue
+			runtime.Gosched()
 		}
 		clock.Advance(time.Second)
 		second := s.next(1)
@@ -207,16 +208,16 @@
 func TestSlowStoreIsNoSilentPartition(t *testing.T) {
 	for name, c := range map[string]struct {
 		answers []int
-		want    bool
+		want    probeResult
 	}{
-		"all partitions slow":        {nil, false},
-		"this partition answers":     {[]int{0, 1, 2}, false},
-		"only others answer quickly": {[]int{1, 2}, true},
+		"all partitions slow":        {nil, probeResult{}},
+		"this partition answers":     {[]int{0, 1, 2}, probeResult{own: true, others: true}},
+		"only others answer quickly": {[]int{1, 2}, probeResult{others: true}},
 	} {
 		h := newHolder(nil, 3)
 		h.Store = probedStore{answers: c.answers}
-		if got := h.isSilent(t.Context(), h.openLogs[0]); got != c.want {
-			t.Errorf("%s: silent %t, want %t", name, got, c.want)
+		if got := h.probe(t.Context(), h.openLogs[0]); got != c.want {
+			t.Errorf("%s: %+v, want %+v", name, got, c.want)
 		}
 	}
 }
@@ -248,10 +249,13 @@
 	}()
 	s.next(0)
 	for clock.OpenSubscriptions() == 0 {
-		continue
+		runtime.Gosched()
 	}
 	clock.Advance(300 * time.Millisecond)
 	s.next(1)
+	for h.StoreUnavailableFor() == 0 {
+		runtime.Gosched()
+	}
 	if got := h.StoreUnavailableFor(); got != 300*time.Millisecond {
 		t.Errorf("store unavailable for %v while an append is unanswered for 300 ms, want that", got)
 	}
