Holder: a claim is narrowed also while there is nothing to record

Cause: the merge of partitions ran only after plans with records, so that an idle holder kept a silent partition in its claim. Change: the merge runs after each plan while no append is under way.

--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -225,10 +225,10 @@
 }
 
 // committed continues with what required the records of a plan and of all earlier ones to be stored. Alone is set if no other
-// append was under way.
+// append was or is under way.
 func (h *Holder) committed(ctx context.Context, e pool.Effects, alone bool) {
 	h.Pool.Committed(e)
-	if alone && len(e.Records) > 0 {
+	if alone {
 		h.consolidate(ctx, e)
 	}
 	h.pollWorkers(e.Acks)
--- a/citron/holder/writes.go
+++ b/citron/holder/writes.go
@@ -270,7 +270,7 @@
 		first := h.writes.list[0]
 		h.writes.list = h.writes.list[1:]
 		for _, e := range first.effects {
-			h.committed(ctx, e, first.log == nil)
+			h.committed(ctx, e, (first.log == nil || len(first.records) == 0) && len(h.writes.list) == 0 && !h.writes.opening)
 		}
 	}
 }
