Log what each queue waits for and uses, and how long plans take (events 635, 636)

Change: once a second the holder logs, by queue and lateness, steps that wait and are advised, cores in use, starts and time asked of the policy service; and the number and length of plans and of the waits for their records. No decision changes.

--- a/citron/advice/advice.go
+++ b/citron/advice/advice.go
@@ -63,6 +63,16 @@
 	return vm, true
 }
 
+// Backlog returns the number of daemons and the sum of their waiting times.
+func (b *Balancer) Backlog(now time.Duration) (daemons int, waiting time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, vm := range b.daemons {
+		waiting += max(b.busyUntil[vm]-now, 0)
+	}
+	return len(b.daemons), waiting
+}
+
 // RecordResult records that a request has been answered or has failed. Only a failure affects later assignments.
 func (b *Balancer) RecordResult(vm citron.VMName, now, cost time.Duration, failed bool) {
 	b.mu.Lock()
--- a/citron/entry/claims.go
+++ b/citron/entry/claims.go
@@ -126,6 +126,7 @@
 		NarrowClaim:    d.setClaimPartition,
 		LastConfirmed:  func() time.Duration { return d.claimConfirmedAt(epoch) },
 		Published:      d.publish,
+		Planned:        d.uses.planned,
 		Pool:           p,
 		Advise:         d.advise,
 		ExchangeFailed: d.exchangeFailed,
--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -105,6 +105,7 @@
 	balancer   advice.Balancer
 	outbox     outbox
 	refusals   refusals
+	uses       uses
 	// orders sends the orders of the pool while this daemon is its holder.
 	orders *relay.Workers
 	// exchanges runs the messages to other daemons, the announcement of this one and the upkeep waves.
--- a/citron/entry/watch.go
+++ b/citron/entry/watch.go
@@ -155,6 +155,7 @@
 			}
 			d.balancer.SetDaemons(append(d.peers.Live(), d.self.VM))
 			d.publishShares()
+			d.logUse()
 		}
 	}()
 	return ended
--- a/citron/event/catalog.go
+++ b/citron/event/catalog.go
@@ -68,6 +68,8 @@
 	TaskPreempted      = register(605, logrus.InfoLevel, "task preempted")
 	WorkerPowered      = register(606, logrus.InfoLevel, "worker power changed")
 	TaskRequeued       = register(607, logrus.InfoLevel, "task requeued")
+	QueueUse           = register(635, logrus.InfoLevel, "use by queue")
+	PoolUse            = register(636, logrus.InfoLevel, "use of the pool")
 	JobEnded           = register(608, logrus.InfoLevel, "job ended")
 	JobRefused         = register(609, logrus.InfoLevel, "job refused")
 	JobCancelled       = register(610, logrus.InfoLevel, "job cancelled")
--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -61,6 +61,9 @@
 	LastConfirmed func() time.Duration
 	// Published is called with each stored record that changes what callers see.
 	Published func(citron.KeyedRecord)
+	// Planned, if set, is called after each plan with the time that it took and the time until its records were stored, or until
+	// the next plan could be made.
+	Planned func(took, stored time.Duration)
 	// ExchangeFailed, if set, is called for each failed exchange with a worker, the store or the policy service.
 	ExchangeFailed func(exchange string, err error)
 
@@ -200,10 +203,17 @@
 	if err := h.awaitStore(ctx); err != nil {
 		return err
 	}
-	e, err := h.Pool.Plan(h.Timer.Now())
+	began := h.Timer.Now()
+	e, err := h.Pool.Plan(began)
 	if err != nil {
 		return err
 	}
+	planned := h.Timer.Now()
+	defer func() {
+		if h.Planned != nil {
+			h.Planned(planned.Boot-began.Boot, h.Timer.Now().Boot-planned.Boot)
+		}
+	}()
 	if h.Pool.Fenced() {
 		return citron.ErrFenced
 	}
--- a/citron/pool/order.go
+++ b/citron/pool/order.go
@@ -24,7 +24,8 @@
 	deadline time.Duration
 }
 
-// Bands of lateness. Steps that can no longer meet their objective come after those that can.
+// Bands of lateness, the last three in the order of Lateness. Steps that can no longer meet their objective come after those
+// that can.
 const (
 	// bandRestart holds the service steps with a task that has run before. Its callers are without it since that run ended,
 	// whatever became of the objective of the job's first start, and such tasks are few.
@@ -62,15 +63,7 @@
 		r.band = bandRestart
 		return r
 	}
-	end := now + p.expectedRunTime(s.job, s.index)
-	switch objective := s.deadline - s.job.accepted; {
-	case end <= s.deadline:
-		r.band = bandInTime
-	case end <= s.job.accepted+tooLateFactor*objective:
-		r.band = bandLate
-	default:
-		r.band = bandTooLate
-	}
+	r.band = bandInTime + int(p.latenessOf(now, s))
 	if p.share != nil {
 		r.share = p.share.Rank(citron.Team(s.job.spec.GetTeam()), !s.job.overRate)
 	}
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -349,6 +349,7 @@
 	if t.crashes.Exclusive() {
 		wp.closeWorker(w)
 	}
+	p.used.of(s).Starts[p.latenessOf(wp.now, s)]++
 	w.leaseUntil = max(w.leaseUntil, wp.now+p.maxLeaseTime(p.Options.Lease))
 	t.incarnation = w.incarnation
 	j := s.job
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -123,6 +123,8 @@
 	rewriteQueue []citron.JobID
 	rewriting    bool
 	lastPlan     PlanStats
+	// used counts what was started and asked for since the last UseByQueue.
+	used useByQueue
 }
 
 // DecisionKind is the kind of a Decision.
@@ -463,6 +465,7 @@
 		permitCounts: map[string]permitCount{},
 		teams:        map[citron.Team]*teamUse{},
 		headrooms:    map[citron.Service]*headroom{},
+		used:         useByQueue{},
 	}
 }
 
