Starts look only at workers that had enough free cores when the plan began

Cause: in a full pool each waiting task looked at all workers, and each gang as well. Change: candidates keep the free cores at the start of the pass, and starts and gangs look at the prefix with enough of them.

--- a/citron/pool/candidates.go
+++ b/citron/pool/candidates.go
@@ -19,13 +19,46 @@
 	label   string
 }
 
+// candidate is a worker and the cores that it had free when the pass began. Starts only take cores during a pass.
+type candidate struct {
+	worker    *worker
+	freeCores int64
+}
+
 // candidateLists are the workers by service and label, sorted once per pass. The zero value is empty.
-type candidateLists map[candidateKey][]*worker
+type candidateLists map[candidateKey][]candidate
 
 // candidates returns the listed workers whose service, label and capacity suit the step. Those with the most free cores at the
 // start of the pass come first. It includes workers without a report in this epoch, since they will have reported by the time
 // that they are needed. The list is valid until the next call.
 func (wp *waitingPass) candidates(s *step) []*worker {
+	list := wp.candidateList(s)
+	wp.pool.lastPlan.Looks += len(list)
+	wp.fitting = wp.fitting[:0]
+	for _, c := range list {
+		if c.worker.entry.Capacity.Fits(s.need) {
+			wp.fitting = append(wp.fitting, c.worker)
+		}
+	}
+	return wp.fitting
+}
+
+// roomy returns the listed workers whose service and label suit the step and that had enough free cores for a task of it when
+// the pass began. No other worker can start one in this pass.
+func (wp *waitingPass) roomy(s *step) []candidate {
+	list := wp.candidateList(s)
+	n, _ := slices.BinarySearchFunc(list, s.need.MilliCores, func(c candidate, cores int64) int {
+		if c.freeCores >= cores {
+			return -1
+		}
+		return 1
+	})
+	wp.pool.lastPlan.Looks += n
+	return list[:n]
+}
+
+// candidateList returns the workers for steps like s, most free cores first.
+func (wp *waitingPass) candidateList(s *step) []candidate {
 	key := candidateKey{citron.Service(s.job.spec.GetTerms().GetService()), s.spec.GetRequires()}
 	list, known := wp.lists[key]
 	if !known {
@@ -35,26 +68,19 @@
 		}
 		wp.lists[key] = list
 	}
-	wp.pool.lastPlan.Looks += len(list)
-	wp.fitting = wp.fitting[:0]
-	for _, w := range list {
-		if w.entry.Capacity.Fits(s.need) {
-			wp.fitting = append(wp.fitting, w)
-		}
-	}
-	return wp.fitting
+	return list
 }
 
 // listCandidates returns the listed workers of a service with a label, most free cores first.
-func (wp *waitingPass) listCandidates(key candidateKey) (list []*worker) {
+func (wp *waitingPass) listCandidates(key candidateKey) (list []candidate) {
 	for _, w := range wp.pool.byID {
 		if w.listed && !w.gone && !w.entry.Draining && w.entry.Service == key.service && w.entry.HasLabel(key.label) {
-			list = append(list, w)
+			list = append(list, candidate{w, w.free().MilliCores})
 		}
 	}
 	wp.countSort(len(list))
-	slices.SortFunc(list, func(x, y *worker) int {
-		return cmp.Or(cmp.Compare(y.free().MilliCores, x.free().MilliCores), cmp.Compare(x.entry.ID, y.entry.ID))
+	slices.SortFunc(list, func(x, y candidate) int {
+		return cmp.Or(cmp.Compare(y.freeCores, x.freeCores), cmp.Compare(x.worker.entry.ID, y.worker.entry.ID))
 	})
 	return list
 }
--- a/citron/pool/gang.go
+++ b/citron/pool/gang.go
@@ -29,7 +29,7 @@
 		return
 	}
 	exclusive := s.exclusive()
-	free := wp.gangSlots(s, func(w *worker) citron.Capacity {
+	free := wp.gangSlots(s, wp.roomy(s), func(w *worker) citron.Capacity {
 		if exclusive && w.unsettled() {
 			return citron.Capacity{}
 		}
@@ -61,11 +61,11 @@
 	return latest
 }
 
-// gangSlots returns how many members each allowed worker can run: workers without failures first, then those with the
+// gangSlots returns how many members each allowed worker of a list can run: workers without failures first, then those with the
 // least expected loss by interference, then most slots first.
-func (wp *waitingPass) gangSlots(s *step, capacity func(*worker) citron.Capacity) (list []workerSlots) {
-	for _, w := range wp.pool.byID {
-		wp.pool.lastPlan.Looks++
+func (wp *waitingPass) gangSlots(s *step, workers []candidate, capacity func(*worker) citron.Capacity) (list []workerSlots) {
+	for _, c := range workers {
+		w := c.worker
 		n := capacity(w).MaxCopies(s.need)
 		if n == 0 || !wp.allowed(s, w) {
 			continue
@@ -150,7 +150,8 @@
 	}
 	wp.reservingGangs++
 	for _, h := range reservationHorizons {
-		expected := wp.gangSlots(s, func(w *worker) citron.Capacity { return wp.capacityAt(s, w, wp.now+h) })
+		wp.pool.lastPlan.Looks += len(wp.pool.byID)
+		expected := wp.gangSlots(s, wp.candidateList(s), func(w *worker) citron.Capacity { return wp.capacityAt(s, w, wp.now+h) })
 		chosen := chooseWorkers(s, expected)
 		if chosen == nil {
 			continue
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -309,8 +309,8 @@
 // others, workers with less expected loss by interference come first. A suitable of nil accepts every worker.
 func (wp *waitingPass) bestWorker(s *step, t *task, suitable func(*worker) bool) (best *worker) {
 	var bestScore int64
-	for _, w := range wp.pool.byID {
-		wp.pool.lastPlan.Looks++
+	for _, c := range wp.roomy(s) {
+		w := c.worker
 		// The capacity is checked first: in a full pool it leaves few workers whose tickets must be looked up.
 		if !w.free().Fits(s.need) || !wp.allowed(s, w) || !wp.capacityFor(s, w).Fits(s.need) || suitable != nil && !suitable(w) {
 			continue
