Steps with room for them get tickets, whatever waits before them

Cause: at most 16 steps of a queue may have tickets; a step counted from its first ticket on, also when all have expired, and steps that fit nowhere come before those that would fit. Ruled out: closed workers (reasons say allowed 0 of 48 candidates with tickets expired), a change of holder, the store. Change: only steps with a valid ticket or a request under way count, and a step beyond the limit may ask if there is room for it on workers that it may use, which it takes from what is left for others.

--- a/citron/pool/advice.go
+++ b/citron/pool/advice.go
@@ -39,11 +39,7 @@
 
 // requestAdvice adds a request to the policy service if the step has too few tickets or they expire soon.
 func (wp *waitingPass) requestAdvice(s *step) {
-	queue := s.job.spec.GetQueue()
-	if s.advicePending || len(s.permits) > 0 {
-		wp.advisedSteps[queue]++
-	}
-	if s.advicePending || wp.now < s.adviceRetryAt || wp.advisedSteps[queue] > wp.maxAdvisedSteps(s) {
+	if s.advicePending || wp.now < s.adviceRetryAt || !wp.mayAsk(s) {
 		return
 	}
 	if s.coveredVersion == wp.pool.listVersion && wp.earliestExpiry(s) > wp.now+s.adviceCost+ticketRenewMargin || wp.now < s.adviceCheckAt {
@@ -71,6 +67,65 @@
 	wp.pool.observe(Decision{Kind: DecidedAdviceRequest, Job: s.job.id, Task: citron.TaskRef(s.ref), Outcome: string(vm), Age: wp.now - s.readyAt})
 }
 
+// mayAsk reports whether a step may have tickets now. The first steps of each queue may, so that they find theirs valid once there
+// is room; others only as far as there is room for them. Without the latter a few steps that fit nowhere keep all others from
+// their tickets, however small those are.
+func (wp *waitingPass) mayAsk(s *step) bool {
+	queue, advised := s.job.spec.GetQueue(), s.advised(wp.now)
+	if advised {
+		wp.advisedSteps[queue]++
+	}
+	return wp.advisedSteps[queue] <= wp.maxAdvisedSteps(s) || wp.claimRoom(s) || advised
+}
+
+// advised reports whether a step has a valid ticket or waits for the answer to a request.
+func (s *step) advised(now time.Duration) bool {
+	return s.advicePending || s.ticketsUntil > now+minTicketValidity
+}
+
+// claimRoom reports whether there is room for the waiting tasks of a step on the workers that it may use, as far as that is known,
+// and takes it from what is left for further steps in this pass.
+func (wp *waitingPass) claimRoom(s *step) bool {
+	tasks := 1
+	if s.spec.GetGang() {
+		tasks = len(s.tasks)
+	}
+	need, found := s.need.Times(s.waitingTasks()), 0
+	if !wp.unclaimedRoom(s).Fits(s.need.Times(tasks)) {
+		return false
+	}
+	for _, c := range wp.roomy(s) {
+		eligible, decided := s.eligible[c.worker.entry.ID]
+		if (eligible || !decided) && !wp.closed[c.worker] && c.worker.usable(wp.now) {
+			found += s.copiesOn(c.worker)
+		}
+		if found >= tasks {
+			*wp.unclaimedRoom(s) = wp.unclaimedRoom(s).Sub(need).AtLeastZero()
+			return true
+		}
+	}
+	return false
+}
+
+// unclaimedRoom returns the free capacity of the usable workers of the service of a step that no claimRoom has taken.
+func (wp *waitingPass) unclaimedRoom(s *step) *citron.Capacity {
+	left, known := wp.unclaimed[s.service()]
+	if known {
+		return left
+	}
+	left = &citron.Capacity{}
+	for _, w := range wp.pool.byID {
+		if w.entry.Service == s.service() && w.usable(wp.now) {
+			*left = left.Add(w.free().AtLeastZero())
+		}
+	}
+	if wp.unclaimed == nil {
+		wp.unclaimed = map[citron.Service]*citron.Capacity{}
+	}
+	wp.unclaimed[s.service()] = left
+	return left
+}
+
 // maxAdvisedSteps returns the maximum number of waiting steps of the queue of s that have tickets or a pending request. It
 // grows with the pool, since the rate of jobs does, while the time for an answer does not. Steps whose tickets take long to
 // renew are fewer: in an overloaded pool they would take up all time of the policy service.
--- a/citron/pool/load.go
+++ b/citron/pool/load.go
@@ -78,7 +78,7 @@
 		}
 		q, l := p.used.of(s), p.latenessOf(now, s)
 		q.Waiting[l]++
-		if s.advicePending || len(s.permits) > 0 {
+		if s.advised(now) {
 			q.Advised[l]++
 		}
 	}
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -201,6 +201,8 @@
 	teamRuns   map[citron.Team][]teamRun
 	// advisedSteps counts the waiting steps with tickets or a pending request, by queue.
 	advisedSteps map[string]int
+	// unclaimed is the free capacity of each service for steps beyond those that may have tickets without room.
+	unclaimed map[citron.Service]*citron.Capacity
 	// headrooms is the capacity left to priority 0 by service; nil if there is none.
 	headrooms map[citron.Service]*serviceHeadroom
 	// closed holds the workers on which nothing may start in this pass: one has a suspect that has not settled, or must let
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -299,6 +299,8 @@
 	// deadline is when the step must end for the job to meet its latency objective.
 	deadline time.Duration
 	permits  map[citron.Worker]permit
+	// ticketsUntil is when the last ticket expires.
+	ticketsUntil time.Duration
 	// eligible holds the policy service's decision for each worker asked about; a decision never changes.
 	eligible map[citron.Worker]bool
 	// coveredVersion is the listVersion for which the decisions so far suffice; adviceCost is the cost of renewing the
--- a/citron/pool/report.go
+++ b/citron/pool/report.go
@@ -297,5 +297,6 @@
 	for _, r := range permits {
 		s.eligible[r.Worker] = true
 		s.permits[r.Worker] = permit{ticket: r.Ticket, expires: now.Boot + valid}
+		s.ticketsUntil = now.Boot + valid
 	}
 }
