Daemons are kept free for urgent requests to the policy service, as many as they need

Change: while there are urgent requests (priority 0, can still be in time) all others count as long; the share of the daemons without long requests grows to three quarters while urgent ones wait for more than 25 ms, and shrinks to a third afterwards.

--- a/citron/advice/advice.go
+++ b/citron/advice/advice.go
@@ -3,6 +3,7 @@
 package advice
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -12,8 +13,20 @@
 const (
 	// longRequest is the minimum cost of a long request.
 	longRequest = 150 * time.Millisecond
-	// longRequestShare is the share of the daemons that receive long requests, so that short ones find a free daemon.
-	longRequestShare = 0.67
+	// minReservedShare is the share of the daemons that receive no long requests, so that short ones find a free daemon. Short
+	// requests that are not urgent count as long while there are urgent ones: beside bursts they come by the hundred.
+	// maxReservedShare is the largest such share, while urgent requests come faster than those daemons can send them.
+	minReservedShare = 0.33
+	maxReservedShare = 0.75
+	// shareStep is the change of the share after an urgent request that must wait for longer than maxUrgentWait, or once in
+	// shareDecay without one. The wait is a tenth of the shortest target latency of the loads of today.
+	shareStep     = 0.03
+	maxUrgentWait = 25 * time.Millisecond
+	shareGrowth   = 10 * time.Millisecond
+	shareDecay    = 50 * time.Millisecond
+	// urgentMemory is how long daemons are kept free for urgent requests after the last one: some ten times the time between
+	// the fewest of them in the loads of today.
+	urgentMemory = 5 * time.Second
 	// maxBacklog is the maximum waiting time at a daemon at which it is still assigned a long request.
 	maxBacklog = 1200 * time.Millisecond
 	// maxShortBacklog is the same limit for short requests, of which there are many.
@@ -26,6 +39,11 @@
 	daemons []citron.VMName
 	// busyUntil is when each daemon's assigned requests are expected to be answered.
 	busyUntil map[citron.VMName]time.Duration
+	// urgentAt is when a short urgent request was last assigned, 0 if none was.
+	urgentAt time.Duration
+	// reserved is the share of the daemons kept for short requests, 0 for minReservedShare; adaptedAt is when it last changed.
+	reserved  float64
+	adaptedAt time.Duration
 }
 
 // SetDaemons sets the live daemons in order of preference; only the first ones receive long requests.
@@ -40,24 +58,49 @@
 
 // Assign picks the daemon that can answer a request of a given cost soonest. It returns false if the waiting time at
 // every daemon is too long; the request should then be deferred until it is known whether it is still needed.
-func (b *Balancer) Assign(now, cost time.Duration) (vm citron.VMName, ok bool) {
+func (b *Balancer) Assign(now, cost time.Duration, urgent bool) (vm citron.VMName, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	vm, ok = b.choose(now, cost)
+	if urgent && cost < longRequest {
+		b.urgentAt = now
+	}
+	vm, ok = b.choose(now, cost, urgent)
 	if ok {
+		if urgent && cost < longRequest {
+			b.adaptShare(now, b.busyUntil[vm]-now)
+		}
 		b.busyUntil[vm] = max(b.busyUntil[vm], now) + cost
 	}
 	return vm, ok
 }
 
+// reservedShare returns the share of the daemons that is kept for short requests.
+func (b *Balancer) reservedShare() float64 { return max(b.reserved, minReservedShare) }
+
+// adaptShare changes the share of the daemons kept for short requests after an urgent one has been assigned that must wait. It
+// requires mu.
+func (b *Balancer) adaptShare(now, wait time.Duration) {
+	switch {
+	case wait > maxUrgentWait && now-b.adaptedAt >= shareGrowth:
+		b.reserved = min(b.reservedShare()+shareStep, maxReservedShare)
+	case wait <= maxUrgentWait && now-b.adaptedAt >= shareDecay:
+		b.reserved = max(b.reservedShare()-shareStep, minReservedShare)
+	default:
+		return
+	}
+	b.adaptedAt = now
+}
+
 // choose returns the daemon that can answer a request soonest. It requires mu.
-func (b *Balancer) choose(now, cost time.Duration) (vm citron.VMName, ok bool) {
+func (b *Balancer) choose(now, cost time.Duration, urgent bool) (vm citron.VMName, ok bool) {
 	best := maxShortBacklog
 	if cost >= longRequest {
 		best = maxBacklog
 	}
+	free := int(math.Ceil((1 - b.reservedShare()) * float64(len(b.daemons))))
+	delaysUrgent := cost >= longRequest || !urgent && b.urgentAt > 0 && now-b.urgentAt < urgentMemory
 	for n, candidate := range b.daemons {
-		if cost >= longRequest && float64(n) >= longRequestShare*float64(len(b.daemons)) && len(b.daemons) > 1 {
+		if delaysUrgent && n >= free && len(b.daemons) > 1 {
 			break
 		}
 		if wait := max(b.busyUntil[candidate]-now, 0); wait < best {
@@ -78,10 +121,10 @@
 }
 
 // Available reports whether Assign would assign a request of a given cost.
-func (b *Balancer) Available(now, cost time.Duration) bool {
+func (b *Balancer) Available(now, cost time.Duration, urgent bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	_, ok := b.choose(now, cost)
+	_, ok := b.choose(now, cost, urgent)
 	return ok
 }
 
--- a/citron/pool/advice.go
+++ b/citron/pool/advice.go
@@ -27,11 +27,10 @@
 	priorPermitShare = 0.4
 	priorDecisions   = 50
 	// minAdvisedSteps is the number of waiting steps of one queue that may have tickets or a pending request in any pool.
-	// Large pools may have one for each workersPerAdvisedStep workers, provided that renewing the tickets of all of them takes
+	// Large pools may have one for each worker, provided that renewing the tickets of all of them takes
 	// no more than the time of one daemon for each workersPerAdviser workers.
-	minAdvisedSteps       = 16
-	workersPerAdvisedStep = 3
-	workersPerAdviser     = 60
+	minAdvisedSteps   = 16
+	workersPerAdviser = 60
 	// ticketRenewMargin is added to the cost of a request to get how long before expiry the tickets of a waiting step are
 	// requested again.
 	ticketRenewMargin = 150 * time.Millisecond
@@ -39,13 +38,13 @@
 
 // requestAdvice adds a request to the policy service if the step has too few tickets or they expire soon.
 func (wp *waitingPass) requestAdvice(s *step) {
-	if s.advicePending || wp.now < s.adviceRetryAt || !wp.mayAsk(s) {
+	if may := wp.mayAsk(s); !may || s.advicePending || wp.now < s.adviceRetryAt {
 		return
 	}
 	if s.coveredVersion == wp.pool.listVersion && wp.earliestExpiry(s) > wp.now+s.adviceCost+ticketRenewMargin || wp.now < s.adviceCheckAt {
 		return
 	}
-	if !wp.pool.Advisers.Available(wp.now, adviceCost(s, minAdviceWorkers)) {
+	if !wp.pool.Advisers.Available(wp.now, adviceCost(s, minAdviceWorkers), wp.urgent(s)) {
 		return
 	}
 	workers, enough := wp.selectAdvised(s)
@@ -57,7 +56,7 @@
 		s.coveredVersion, s.adviceCost = wp.pool.listVersion, cost
 		return
 	}
-	vm, ok := wp.pool.Advisers.Assign(wp.now, cost)
+	vm, ok := wp.pool.Advisers.Assign(wp.now, cost, wp.urgent(s))
 	if !ok {
 		return
 	}
@@ -67,15 +66,20 @@
 	wp.pool.observe(Decision{Kind: DecidedAdviceRequest, Job: s.job.id, Task: citron.TaskRef(s.ref), Outcome: string(vm), Age: wp.now - s.readyAt})
 }
 
+// urgent reports whether a request for a step must not wait behind others.
+func (wp *waitingPass) urgent(s *step) bool {
+	return s.priority() == 0 && wp.pool.latenessOf(wp.now, s) == InTime
+}
+
 // mayAsk reports whether a step may have tickets now. The first steps of each queue may, so that they find theirs valid once there
 // is room; others only as far as there is room for them. Without the latter a few steps that fit nowhere keep all others from
 // their tickets, however small those are.
 func (wp *waitingPass) mayAsk(s *step) bool {
-	queue, advised := s.job.spec.GetQueue(), s.advised(wp.now)
-	if advised {
+	queue := s.job.spec.GetQueue()
+	if s.advised(wp.now) {
 		wp.advisedSteps[queue]++
 	}
-	return wp.advisedSteps[queue] <= wp.maxAdvisedSteps(s) || wp.claimRoom(s) || advised
+	return wp.advisedSteps[queue] <= wp.maxAdvisedSteps(s) || wp.claimRoom(s)
 }
 
 // advised reports whether a step has a valid ticket or waits for the answer to a request.
@@ -133,7 +137,7 @@
 	workers := len(wp.pool.byID)
 	valid := time.Duration(s.job.spec.GetTerms().GetAdvice().GetValidMs()) * time.Millisecond
 	renewable := int(valid * time.Duration(workers/workersPerAdviser) / max(adviceCost(s, 2*minAdviceWorkers), time.Millisecond))
-	return max(minAdvisedSteps, min(workers/workersPerAdvisedStep, renewable))
+	return max(minAdvisedSteps, min(workers, renewable))
 }
 
 // adviceCost returns the time that the policy service takes to decide on a number of workers for a step.
--- a/citron/pool/play_floor_test.go
+++ b/citron/pool/play_floor_test.go
@@ -66,3 +66,25 @@
 		t.Errorf("after the burst quick jobs wait %v at 95 %%, longer than their target latency", after.wait95)
 	}
 }
+
+// TestUrgentJobsInTimeComeBeforeLateOnes guards against bursts in which tickets and workers go to quick jobs that are late, while
+// those that could still be in time wait for their tickets until they are late as well.
+func TestUrgentJobsInTimeComeBeforeLateOnes(t *testing.T) {
+	jobs := makeOverload(4)
+	playLoad(t, jobs, overload)
+	logOverload(t, jobs)
+	inTime, late := 0, 0
+	for _, j := range jobs {
+		if quickIn(span{quickBurst.from + time.Second, quickBurst.to})(j) && !j.fails {
+			switch j.value() {
+			case 1:
+				inTime++
+			default:
+				late++
+			}
+		}
+	}
+	if inTime < late {
+		t.Errorf("in the burst %d quick jobs end in time and %d late or not at all, though the workers have room for most of them", inTime, late)
+	}
+}
