Gangs that fit nowhere do not renew their tickets

Change: a gang that has been decided on and comes after those that reserve capacity asks again only if it fits.

--- a/citron/pool/advice.go
+++ b/citron/pool/advice.go
@@ -79,7 +79,13 @@
 	if s.advised(wp.now) {
 		wp.advisedSteps[queue]++
 	}
-	return wp.advisedSteps[queue] <= wp.maxAdvisedSteps(s) || wp.claimRoom(s)
+	return wp.advisedSteps[queue] <= wp.maxAdvisedSteps(s) && !wp.waitsForGangs(s) || wp.claimRoom(s)
+}
+
+// waitsForGangs reports whether a step is a gang that has been decided on and comes after those that reserve capacity. Renewing its
+// tickets before it fits would take up the policy service to no use.
+func (wp *waitingPass) waitsForGangs(s *step) bool {
+	return s.spec.GetGang() && len(s.eligible) > 0 && wp.reservingGangs >= maxReservingGangs
 }
 
 // advised reports whether a step has a valid ticket or waits for the answer to a request.
