--- a/citron/advice/advice.go
+++ b/citron/advice/advice.go
@@ -18,14 +18,14 @@
 	// maxReservedShare is the largest such share, while urgent requests come faster than those daemons can send them.
 	minReservedShare = 0.33
 	maxReservedShare = 0.75
-	// shareStep is the change of the share after an urgent request that must wait for longer than maxUrgentWait, or once in
-	// shareDecay without one. The wait is a tenth of the shortest target latency of the loads of today.
+	// The share grows by shareStep after an urgent request that must wait for longer than maxUrgentWait, a tenth of the shortest
+	// target latency of the loads of today, and shrinks by it after one that need not; at most once in shareGrowth and shareDecay.
 	shareStep     = 0.03
 	maxUrgentWait = 25 * time.Millisecond
 	shareGrowth   = 10 * time.Millisecond
 	shareDecay    = 50 * time.Millisecond
-	// urgentMemory is how long daemons are kept free for urgent requests after the last one: some ten times the time between
-	// the fewest of them in the loads of today.
+	// urgentMemory is how long daemons are kept free for urgent requests after the last one, longer than the pauses between them in
+	// the loads of today.
 	urgentMemory = 5 * time.Second
 	// maxBacklog is the maximum waiting time at a daemon at which it is still assigned a long request.
 	maxBacklog = 1200 * time.Millisecond
@@ -57,7 +57,8 @@
 }
 
 // Assign picks the daemon that can answer a request of a given cost soonest. It returns false if the waiting time at
-// every daemon is too long; the request should then be deferred until it is known whether it is still needed.
+// every daemon is too long; the request should then be deferred until it is known whether it is still needed. Urgent requests are
+// those of jobs with little time to wait: others leave daemons free for them.
 func (b *Balancer) Assign(now, cost time.Duration, urgent bool) (vm citron.VMName, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/citron/pool/advice.go
+++ b/citron/pool/advice.go
@@ -27,8 +27,8 @@
 	priorPermitShare = 0.4
 	priorDecisions   = 50
 	// minAdvisedSteps is the number of waiting steps of one queue that may have tickets or a pending request in any pool.
-	// Large pools may have one for each worker, provided that renewing the tickets of all of them takes
-	// no more than the time of one daemon for each workersPerAdviser workers.
+	// Large pools may have one for each worker, provided that renewing the tickets of all of them takes no more than the time of
+	// one daemon for each workersPerAdviser workers.
 	minAdvisedSteps   = 16
 	workersPerAdviser = 60
 	// ticketRenewMargin is added to the cost of a request to get how long before expiry the tickets of a waiting step are
--- a/citron/pool/candidates.go
+++ b/citron/pool/candidates.go
@@ -10,8 +10,8 @@
 	"github.com/citroncross/citroncross/citron"
 )
 
-// This file answers bursts in which thousands of steps wait for a few hundred workers: a plan may not sort the workers anew for
-// each step, or plans take longer than the shortest jobs may wait.
+// This file answers bursts in which thousands of steps wait for a few hundred workers. If a plan sorted the workers anew for each
+// step, it would take longer than the shortest jobs may wait.
 
 // candidateKey tells which workers steps may run on.
 type candidateKey struct {
