The line of a job's end tells where its time went; citronlab tally sums it up

Change: event 608 tells how much of a job's age went by until the policy service was asked, until its tasks were placed and until they were done, and whether the end is in time. citronlab tally adds these up by queue, outcome and team; what is left of the age is a column of its own, so that the parts add up. No decision changes. Tests: TestSpentTimeAddsUp, TestPartsAddUpToTheAge.

--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -198,6 +198,10 @@
 	if c.Runs > 0 {
 		fields["Runs"] = c.Runs
 	}
+	if s := c.Spent; s != nil {
+		fields["UntilAskedMs"], fields["UntilPlacedMs"], fields["RunningMs"] = s.UntilAsked.Milliseconds(), s.UntilPlaced.Milliseconds(), s.Running.Milliseconds()
+		fields["Lateness"] = pool.LatenessNames[s.Lateness]
+	}
 	if pair := c.Pair; pair != nil {
 		fields["Slowed"], fields["By"], fields["Factor"] = pair.Slowed.String(), pair.By.String(), math.Round(100*pair.Factor)/100
 		fields["With"], fields["Without"] = pair.With, pair.Without
--- a/citron/pool/advice.go
+++ b/citron/pool/advice.go
@@ -61,6 +61,9 @@
 		return
 	}
 	s.advicePending = true
+	if s.askedAt == 0 {
+		s.askedAt = wp.now
+	}
 	wp.pool.used.of(s).Advice[wp.pool.latenessOf(wp.now, s)] += cost
 	wp.effects.AdviceRequests = append(wp.effects.AdviceRequests, AdviceRequest{Step: s.ref, Workers: workers, VM: vm, Cost: cost})
 	wp.pool.observe(Decision{Kind: DecidedAdviceRequest, Job: s.job.id, Task: citron.TaskRef(s.ref), Outcome: string(vm), Age: wp.now - s.readyAt})
--- a/citron/pool/end.go
+++ b/citron/pool/end.go
@@ -177,6 +177,7 @@
 	if s.remaining > 0 || s.job.terminal {
 		return
 	}
+	s.countSpent(now)
 	j, o := s.job, s.occurrence
 	p.releaseSteps(now, o)
 	if !o.done() {
@@ -188,7 +189,7 @@
 		return
 	}
 	j.state, j.terminal = work.State_STATE_COMPLETED, true
-	p.observe(Decision{Kind: DecidedJobEnd, Job: j.id, Outcome: j.state.String(), Age: now - j.accepted})
+	p.observe(Decision{Kind: DecidedJobEnd, Job: j.id, Team: citron.Team(j.spec.GetTeam()), Outcome: j.state.String(), Age: now - j.accepted, Spent: p.spentOn(now, j)})
 }
 
 // done reports whether every step of the occurrence is done.
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -372,6 +372,7 @@
 	p.used.of(s).Starts[p.latenessOf(wp.now, s)]++
 	w.leaseUntil = max(w.leaseUntil, wp.now+p.maxLeaseTime(p.Options.Lease))
 	t.incarnation = w.incarnation
+	s.placed(wp.now)
 	j := s.job
 	p.dirty[j] = true
 	wp.effects.Starts = append(wp.effects.Starts, Start{Worker: w.target(), Order: citron.StartOrder{
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -184,6 +184,8 @@
 	Expected time.Duration
 	Speed    float64
 	Runs     int
+	// Spent tells where the time of an ended job went, otherwise nil.
+	Spent *Spent
 	// Pair is the pair that was accepted or withdrawn, otherwise nil.
 	Pair *citron.InterferingPair
 }
@@ -265,6 +267,8 @@
 	terminal bool
 	// team is the use of capacity by the job's team, nil until its rate is checked.
 	team *teamUse
+	// spent is the time of its steps that are done.
+	spent Spent
 	// overRate is set if the job arrived beyond the rate of its team.
 	overRate bool
 }
@@ -293,6 +297,9 @@
 	// ready is set once all steps that this one depends on are done.
 	ready   bool
 	readyAt time.Duration
+	// askedAt is when the policy service was first asked, placedAt when all tasks had been placed for the first time; 0 before, and
+	// after the time has been counted.
+	askedAt, placedAt time.Duration
 	// expected is the expected run time of its tasks in the plan with the number expectedAt.
 	expected   time.Duration
 	expectedAt uint64
--- a/citronlab/main.go
+++ b/citronlab/main.go
@@ -27,6 +27,7 @@
 		settingsCommand(app),
 		loadCommand(app),
 		soakCommand(app),
+		tallyCommand(app),
 	}
 	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
 	for _, c := range commands {
