--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -198,7 +198,7 @@
 	if c.Runs > 0 {
 		fields["Runs"] = c.Runs
 	}
-	if s := c.Spent; s != nil {
+	if s := &c.Spent; c.Kind == pool.DecidedJobEnd {
 		fields["UntilAskedMs"], fields["UntilPlacedMs"], fields["RunningMs"] = s.UntilAsked.Milliseconds(), s.UntilPlaced.Milliseconds(), s.Running.Milliseconds()
 		fields["Lateness"] = pool.LatenessNames[s.Lateness]
 	}
--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -257,7 +257,7 @@
 func (p *Pool) endJob(now time.Duration, j *job, state work.State, reason string) {
 	j.state, j.terminal = state, true
 	p.dirty[j] = true
-	p.observe(Decision{Kind: DecidedJobEnd, Job: j.id, Team: citron.Team(j.spec.GetTeam()), Outcome: state.String(), Reason: reason, Age: now - j.accepted, Spent: p.spentOn(now, j)})
+	p.observe(Decision{Kind: DecidedJobEnd, Job: j.id, Outcome: state.String(), Reason: reason, Age: now - j.accepted, Spent: p.spentOn(now, j)})
 	p.stopAllTasks(now, j)
 }
 
--- a/citron/pool/end.go
+++ b/citron/pool/end.go
@@ -189,7 +189,7 @@
 		return
 	}
 	j.state, j.terminal = work.State_STATE_COMPLETED, true
-	p.observe(Decision{Kind: DecidedJobEnd, Job: j.id, Team: citron.Team(j.spec.GetTeam()), Outcome: j.state.String(), Age: now - j.accepted, Spent: p.spentOn(now, j)})
+	p.observe(Decision{Kind: DecidedJobEnd, Job: j.id, Outcome: j.state.String(), Age: now - j.accepted, Spent: p.spentOn(now, j)})
 }
 
 // done reports whether every step of the occurrence is done.
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -184,8 +184,8 @@
 	Expected time.Duration
 	Speed    float64
 	Runs     int
-	// Spent tells where the time of an ended job went, otherwise nil.
-	Spent *Spent
+	// Spent tells where the time of a job went that has ended.
+	Spent Spent
 	// Pair is the pair that was accepted or withdrawn, otherwise nil.
 	Pair *citron.InterferingPair
 }
--- a/citron/pool/spent.go
+++ b/citron/pool/spent.go
@@ -33,7 +33,7 @@
 }
 
 // spentOn returns where the time of a job went that ends now.
-func (p *Pool) spentOn(now time.Duration, j *job) *Spent {
+func (p *Pool) spentOn(now time.Duration, j *job) Spent {
 	spent, objective := j.spent, p.objective(j)
 	switch age := now - j.accepted; {
 	case age <= objective:
@@ -43,5 +43,5 @@
 	default:
 		spent.Lateness = TooLate
 	}
-	return &spent
+	return spent
 }
--- a/citron/pool/spent_test.go
+++ b/citron/pool/spent_test.go
@@ -31,10 +31,10 @@
 		r.advance(700 * time.Millisecond)
 		r.end(started.Starts[0], citron.EndDone)
 	}
-	if len(ended) != 1 || ended[0].Spent == nil {
+	if len(ended) != 1 {
 		t.Fatalf("ends %v", ended)
 	}
-	s := *ended[0].Spent
+	s := ended[0].Spent
 	if s.UntilPlaced != 410*time.Millisecond || s.Running < 1400*time.Millisecond || s.Lateness != InTime {
 		t.Errorf("spent %+v", s)
 	}
--- a/citronlab/tally/tally.go
+++ b/citronlab/tally/tally.go
@@ -18,8 +18,9 @@
 
 // Numbers of the events that are read, see docs/LOGS.md.
 const (
-	jobEnded   = 608
-	jobRefused = 609
+	jobAccepted = 600
+	jobEnded    = 608
+	jobRefused  = 609
 )
 
 // Milliseconds is a length of time as log lines contain it.
@@ -28,7 +29,7 @@
 // line holds the fields of a log line that are read.
 type line struct {
 	Event                                  int
-	Queue, Team                            string
+	Job, Queue, Team                       string
 	Outcome, Reason, Lateness              string
 	AgeMs                                  Milliseconds
 	UntilAskedMs, UntilPlacedMs, RunningMs Milliseconds
@@ -55,12 +56,14 @@
 
 // Tally reads log lines. The zero value is empty.
 type Tally struct {
+	// teams are those of the jobs whose acceptance was read.
+	teams   map[string]string
 	sums    map[Key]*Row
 	refused map[string]int
 	omitted map[int]int
 }
 
-// Read adds the lines of one log. What precedes the first brace of a line is skipped, as are lines without a JSON object.
+// Read adds the lines of one log. The logs of the daemons that accepted the jobs come first: they tell the teams. What precedes the first brace of a line is skipped, as are lines without a JSON object.
 func (t *Tally) Read(r io.Reader) (err error) {
 	defer func() { err = eris.Wrap(err, "read log") }()
 	s := bufio.NewScanner(r)
@@ -78,13 +81,15 @@
 // add adds one line.
 func (t *Tally) add(l *line) {
 	if t.sums == nil {
-		t.sums, t.refused, t.omitted = map[Key]*Row{}, map[string]int{}, map[int]int{}
+		t.teams, t.sums, t.refused, t.omitted = map[string]string{}, map[Key]*Row{}, map[string]int{}, map[int]int{}
 	}
 	switch {
 	case l.Omitted > 0:
 		t.omitted[l.Event] += l.Omitted
 	case l.Event == jobRefused:
 		t.refused[l.Reason]++
+	case l.Event == jobAccepted:
+		t.teams[l.Job] = l.Team
 	case l.Event == jobEnded:
 		t.addJob(l)
 	}
@@ -92,7 +97,7 @@
 
 // addJob adds the line of a job's end.
 func (t *Tally) addJob(l *line) {
-	k := Key{l.Queue, l.Team, strings.ToLower(strings.TrimPrefix(l.Outcome, "STATE_"))}
+	k := Key{l.Queue, t.teams[l.Job], strings.ToLower(strings.TrimPrefix(l.Outcome, "STATE_"))}
 	if k.Outcome == "completed" {
 		k.Outcome = l.Lateness
 	}
@@ -166,7 +171,7 @@
 	for _, reason := range slices.Sorted(maps.Keys(t.refused)) {
 		fmt.Fprintf(w, "refused: %d, %s\n", t.refused[reason], reason)
 	}
-	for _, number := range []int{jobEnded, jobRefused} {
+	for _, number := range []int{jobAccepted, jobEnded, jobRefused} {
 		if t.omitted[number] > 0 {
 			fmt.Fprintf(w, "lines left out of event %d: %d\n", number, t.omitted[number])
 		}
--- a/citronlab/tally/tally_test.go
+++ b/citronlab/tally/tally_test.go
@@ -7,10 +7,13 @@
 )
 
 // log is that of three completed jobs, a failed and a refused one.
-const log = `  0.7194 vm-1 {"Event":608,"Queue":"quick","Team":"north","Outcome":"STATE_COMPLETED","Lateness":"InTime","AgeMs":1000,"UntilAskedMs":10,"UntilPlacedMs":50,"RunningMs":640}
-{"Event":608,"Queue":"quick","Team":"south","Outcome":"STATE_COMPLETED","Lateness":"InTime","AgeMs":2000,"UntilAskedMs":30,"UntilPlacedMs":150,"RunningMs":1360}
-{"Event":608,"Queue":"quick","Team":"south","Outcome":"STATE_COMPLETED","Lateness":"TooLate","AgeMs":9000,"UntilAskedMs":8000,"UntilPlacedMs":300,"RunningMs":700}
-{"Event":608,"Queue":"sweep","Team":"south","Outcome":"STATE_FAILED","Lateness":"InTime","AgeMs":100}
+const log = `  0.7194 vm-1 {"Event":600,"Job":"a","Queue":"quick","Team":"north"}
+{"Event":600,"Job":"b","Queue":"quick","Team":"south"}
+{"Event":600,"Job":"c","Queue":"quick","Team":"south"}
+{"Event":608,"Job":"a","Queue":"quick","Outcome":"STATE_COMPLETED","Lateness":"InTime","AgeMs":1000,"UntilAskedMs":10,"UntilPlacedMs":50,"RunningMs":640}
+{"Event":608,"Job":"b","Queue":"quick","Outcome":"STATE_COMPLETED","Lateness":"InTime","AgeMs":2000,"UntilAskedMs":30,"UntilPlacedMs":150,"RunningMs":1360}
+{"Event":608,"Job":"c","Queue":"quick","Outcome":"STATE_COMPLETED","Lateness":"TooLate","AgeMs":9000,"UntilAskedMs":8000,"UntilPlacedMs":300,"RunningMs":700}
+{"Event":608,"Job":"d","Queue":"sweep","Outcome":"STATE_FAILED","Lateness":"InTime","AgeMs":100}
 {"Event":609,"Queue":"quick","Reason":"backlog"}
 {"Event":608,"Omitted":7}
 {"Event":601,"Omitted":900}
