--- a/review/stand/executor.go
+++ b/review/stand/executor.go
@@ -21,10 +21,13 @@
 	kind    string
 	server  *http.Server
 	began   time.Time
+	// upFor is how long it was up when the stand-in started it.
+	upFor time.Duration
+	// born is the Unix millisecond of its start, 0 if executors get a new id with each start.
+	born int64
 
 	mu           sync.Mutex
 	gone         bool
-	crashed      bool
 	highestToken uint64
 	leaseEnd     time.Duration
 	runs         map[string]*run
@@ -52,7 +55,7 @@
 const readyAfter = 300 * time.Millisecond
 
 // clock is the executor's steady clock, which is not that of the daemons.
-func (x *executor) clock() time.Duration { return time.Since(x.began) + time.Hour }
+func (x *executor) clock() time.Duration { return time.Since(x.began) + x.upFor }
 
 // duration returns how long a task runs, which its spec tells in milliseconds; 0 means that it lasts.
 func duration(spec string) time.Duration {
@@ -62,10 +65,14 @@
 }
 
 func (x *executor) entry(seq int) []byte {
-	raw, _ := json.Marshal(map[string]any{
+	entry := map[string]any{
 		"service": "svc", "address": x.address, "zone": "z", "version": "1", "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": seq,
 		"capacity": map[string]int{"cpu": executorCPU, "mem_mb": executorMB, "gpu": 0}, "labels": []string{x.kind, x.rack},
-	})
+	}
+	if x.born > 0 {
+		entry["born"] = x.born
+	}
+	raw, _ := json.Marshal(entry)
 	return raw
 }
 
@@ -89,6 +96,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if x.lab.holdBack(r, o, x.address) {
+		<-r.Context().Done()
+		return
+	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.gone {
@@ -110,7 +121,6 @@
 	case "run-stop":
 		x.highestRun[o.Task] = max(x.highestRun[o.Task], o.Run)
 		if r := x.runs[o.Task]; r != nil && r.number <= o.Run {
-			x.orderedEnd(o.Task, r, "a stop")
 			x.end(o.Task, "stopped")
 		}
 		x.answer(w, http.StatusOK, map[string]any{})
@@ -124,6 +134,9 @@
 
 func (x *executor) answer(w http.ResponseWriter, status int, body map[string]any) {
 	body["clock_ms"] = x.clock().Milliseconds()
+	if x.born > 0 {
+		body["born"] = x.born
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body)
@@ -148,6 +161,7 @@
 	}
 	x.runs[o.Task] = r
 	x.lab.note("run", "%s run %d starts on %s, token %d", o.Task, o.Run, x.id, o.Token)
+	x.lab.checkOnce(o.Task, o.Run, x)
 	x.lab.started(o.Task)
 	return ""
 }
@@ -184,6 +198,10 @@
 	for _, e := range x.ends {
 		if e.number > o.AckedUpto {
 			kept = append(kept, e)
+			continue
+		}
+		if e.kind == "done" {
+			x.lab.noted(e.task, e.run, x.id)
 		}
 	}
 	x.ends = kept
@@ -235,18 +253,6 @@
 	return 0
 }
 
-// ready returns the tasks that last and are at work here.
-func (x *executor) ready() (tasks []string) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	for task, r := range x.runs {
-		if r.endsAt == 0 && x.percent(r) == 100 {
-			tasks = append(tasks, task)
-		}
-	}
-	return tasks
-}
-
 // tick ends what is due, as the executor would without a call.
 func (x *executor) tick() {
 	x.mu.Lock()
@@ -256,33 +262,18 @@
 	}
 }
 
-// orderedEnd tells the lab that an order ends a task that lasts, if that is at work.
-func (x *executor) orderedEnd(task string, r *run, order string) {
-	if x.percent(r) == 100 && r.endsAt == 0 {
-		x.lab.orderedEnd(task, order)
-	}
-}
-
-// status reports whether the executor is gone, and whether it has crashed.
-func (x *executor) status() (gone, crashed bool) {
+// isGone reports whether the executor has crashed.
+func (x *executor) isGone() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.gone, x.crashed
+	return x.gone
 }
 
-// leave ends the executor with all that it runs.
-func (x *executor) leave() { x.stop(false) }
-
-// crash ends the executor without a word.
-func (x *executor) crash() { x.stop(true) }
-
-func (x *executor) stop(crashed bool) {
+// crash ends the executor with all that it runs, without a word.
+func (x *executor) crash() {
 	x.mu.Lock()
-	x.gone, x.crashed = true, crashed
+	x.gone = true
 	for task, r := range x.runs {
-		if !crashed {
-			x.orderedEnd(task, r, "an upkeep")
-		}
 		x.lab.note("run", "%s run %d is gone with %s", task, r.number, x.id)
 		x.lab.ended(task, "gone")
 	}
--- a/review/stand/lab.go
+++ b/review/stand/lab.go
@@ -40,15 +40,18 @@
 	folder  string
 	began   time.Time
 	store   *site.Store
-	cloud   *cloud
 	stopped chan struct{}
 
-	storeAddress, cloudAddress string
+	storeAddress string
 
 	mu        sync.Mutex
 	record    *os.File
 	executors []*executor
 	nodes     []*node
+	// sameIDs is set if executors keep their ids when they start again.
+	sameIDs bool
+	late    lateOrders
+	once    onceCheck
 	// running counts the runs of each job, starts and done those of each task so far.
 	running map[string]int
 	starts  map[string]int
@@ -56,8 +59,6 @@
 	lengths map[string]int
 	// needs is what each task of a job needs, in thousandths of a core.
 	needs map[string]int
-	// services are the jobs with tasks that last, by id.
-	services map[string]*service
 	// refusals counts the appends that were refused because of a record's size.
 	refusals int
 }
@@ -70,8 +71,8 @@
 }
 
 // newLab starts the platform and the executors.
-func newLab(record string, executors int) (l *lab, err error) {
-	l = &lab{began: time.Now(), stopped: make(chan struct{}), running: map[string]int{}, starts: map[string]int{}, done: map[string]int{}, lengths: map[string]int{}, needs: map[string]int{}, services: map[string]*service{}}
+func newLab(record string, executors int, sameIDs bool) (l *lab, err error) {
+	l = &lab{began: time.Now(), sameIDs: sameIDs, stopped: make(chan struct{}), running: map[string]int{}, starts: map[string]int{}, done: map[string]int{}, lengths: map[string]int{}, needs: map[string]int{}}
 	if l.record, err = os.Create(record); err != nil {
 		return nil, err
 	}
@@ -79,13 +80,9 @@
 		return nil, err
 	}
 	l.store = &site.Store{Timer: timer.System{}}
-	l.cloud = &cloud{lab: l}
 	if l.storeAddress, _, err = l.serve(http.HandlerFunc(l.serveStore)); err != nil {
 		return nil, err
 	}
-	if l.cloudAddress, _, err = l.serve(l.cloud); err != nil {
-		return nil, err
-	}
 	for n := range executors {
 		if err := l.addExecutor(fmt.Sprintf("m-%02d", n), n); err != nil {
 			return nil, err
@@ -145,15 +142,15 @@
 
 // addExecutor starts an executor on a machine and registers it.
 func (l *lab) addExecutor(machine string, n int) error {
-	return l.addExecutorAt("127.0.0.1:0", machine, n)
+	return l.startExecutor("127.0.0.1:0", machine, n, newID("i", n), time.Hour)
 }
 
-// addExecutorAt starts an executor on a machine at an address and registers it.
-func (l *lab) addExecutorAt(at, machine string, n int) error {
-	l.mu.Lock()
-	number := len(l.executors)
-	l.mu.Unlock()
-	x := &executor{lab: l, id: newID("i", number), machine: machine, rack: fmt.Sprintf("r1-%d", n/rackSize), kind: kindOf(n), began: time.Now(), runs: map[string]*run{}, highestRun: map[string]int{}}
+// startExecutor starts an executor with an id on a machine at an address and registers it.
+func (l *lab) startExecutor(at, machine string, n int, id string, upFor time.Duration) error {
+	x := &executor{lab: l, id: id, machine: machine, rack: fmt.Sprintf("r1-%d", n/rackSize), kind: kindOf(n), upFor: upFor, began: time.Now(), runs: map[string]*run{}, highestRun: map[string]int{}}
+	if l.sameIDs {
+		x.born = x.began.Add(-upFor).UnixMilli()
+	}
 	var err error
 	if x.address, x.server, err = l.serveAt(at, x); err != nil {
 		return err
@@ -163,13 +160,8 @@
 	l.mu.Unlock()
 	go func() {
 		for seq := 1; ; seq++ {
-			if gone, crashed := x.status(); gone {
-				if crashed {
-					// The platform removes the entry of an executor that is silent.
-					time.Sleep(3 * heartbeat)
-				}
-				l.store.Put("keyed.servers", x.id, nil)
-				return
+			if x.isGone() {
+				return // Its next life writes the entry.
 			}
 			l.store.Put("keyed.servers", x.id, x.entry(seq))
 			select {
@@ -188,7 +180,7 @@
 	all := slices.Clone(l.executors)
 	l.mu.Unlock()
 	for _, x := range all {
-		if gone, _ := x.status(); !gone {
+		if !x.isGone() {
 			list = append(list, x)
 		}
 	}
@@ -204,7 +196,6 @@
 		}
 		for _, x := range l.present() {
 			x.tick()
-			l.atWork(x.ready())
 		}
 	}
 }
@@ -320,8 +311,6 @@
 record_bytes = 262144
 call_bytes = 2097152
 keep_s = 300
-[cloud]
-address = %q
 `
 
 // startDaemons starts a number of daemons, each with the command of the deploy file.
@@ -343,7 +332,7 @@
 		}
 		d := &node{name: fmt.Sprintf("front-%d", n), front: ports[0]}
 		d.settings = filepath.Join(l.folder, d.name+".toml")
-		text := fmt.Sprintf(settings, d.name, peer, peer, ports[0], ports[1], ports[2], l.storeAddress, l.cloudAddress)
+		text := fmt.Sprintf(settings, d.name, peer, peer, ports[0], ports[1], ports[2], l.storeAddress)
 		if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 			return err
 		}
@@ -429,9 +418,6 @@
 	l.mu.Lock()
 	l.lengths[id] = tasks
 	l.needs[id] = body.Steps[0].CPU
-	if body.Steps[0].MayMiss > 0 {
-		l.services[id] = newService(id, body.Steps[0])
-	}
 	l.mu.Unlock()
 	for n := range 5 {
 		status, answer := l.call(n+int(id[15]), http.MethodPost, id, raw)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -11,14 +11,17 @@
 // testCase is a case with the number of executors that it runs on. Play returns whether the rule was broken.
 type testCase struct {
 	executors int
-	play      func(l *lab, trouble bool) (broken bool, err error)
+	// sameIDs is set if executors keep their ids when they start again.
+	sameIDs bool
+	play    func(l *lab, trouble bool) (broken bool, err error)
 }
 
 var cases = map[string]testCase{
-	"steps": {48, manySteps},
-	"wide":  {48, wideJob},
-	"gang":  {48, wideGang},
-	"fill":  {48, fillers},
+	"steps":  {48, false, manySteps},
+	"wide":   {48, false, wideJob},
+	"gang":   {48, false, wideGang},
+	"reborn": {24, true, reborn},
+	"fill":   {48, false, fillers},
 }
 
 func main() {
@@ -31,7 +34,7 @@
 
 // play returns the exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 func play(c testCase, record string, trouble bool) int {
-	l, err := newLab(record, c.executors)
+	l, err := newLab(record, c.executors, c.sameIDs)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
