--- a/review/stand/reborn.go
+++ b/review/stand/reborn.go
@@ -114,8 +114,8 @@
 // reborn submits short jobs. With trouble, some starts are not answered and carried out late, and some executors crash and start
 // again under their ids meanwhile.
 func reborn(l *lab, trouble bool) (broken bool, err error) {
-	random := rand.New(rand.NewPCG(45, 6))
-	l.late.random = random
+	l.late.random = rand.New(rand.NewPCG(45, 6))
+	chance := rand.New(rand.NewPCG(45, 7))
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -130,7 +130,7 @@
 		for range rebornTimes {
 			time.Sleep(2 * time.Second)
 			list := l.present()
-			rand.New(rand.NewPCG(random.Uint64(), 1)).Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
+			chance.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
 			for _, x := range list[:rebornShare] {
 				l.note("fault", "%s on %s crashes with %d runs", x.id, x.machine, x.load())
 				x.crash()
