Plans no longer look at each task of a step for each worker

What callers saw: one accepted job made the holder plan for seconds, and everything else on the pool waited for that: a step of 20,000 tasks with a limit for each worker, or a gang of as many that fits; a gang that fits nowhere cost half a second in every plan for as long as it waited.

Cause: callers choose how many tasks a step has, and plans asked questions about all of them again and again: how many wait (after each start), how many are on a worker, whether one has failed on a worker or runs in another rack (for each worker), whether a worker runs tasks that fill (for each start).

A gang that needs more than all free capacity, or than all workers have, is not tried on each; what tasks will release is summed up once a plan for all horizons; ends of a broken gang no longer look at all members; names of tasks are built without formatting. No decision changes.

--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -104,9 +104,9 @@
 		if spec.GetFills() {
 			s.need.MilliCores = 0
 		}
-		s.tasks = make([]*task, spec.GetTasks())
-		for i := range s.tasks {
-			s.tasks[i] = &task{ref: TaskName(j.id, number, int32(n), int32(i)), step: s, index: i, waitingSince: now}
+		s.tasks = newTasks(s, int(spec.GetTasks()))
+		for _, t := range s.tasks {
+			t.waitingSince = now
 		}
 		o.steps = append(o.steps, s)
 		p.steps[s.ref] = s
@@ -147,13 +147,15 @@
 		}
 		s := o.steps[r.GetStep()]
 		t := s.tasks[r.GetIndex()]
-		t.run, t.failedRuns, t.checkpoint = r.GetRun(), r.GetFailedRuns(), r.GetCheckpoint()
+		t.restoreRun(r.GetRun())
+		t.failedRuns, t.checkpoint = r.GetFailedRuns(), r.GetCheckpoint()
+		s.counts.failures += len(t.failedRuns)
 		t.crashes = crash.History{Runs: r.GetCrashedRuns(), Suspicions: r.GetSuspectedRuns()}
 		p.watchSuspect(t)
 		s.gangRun = max(s.gangRun, t.run)
 		switch r.GetState() {
 		case work.TaskState_TASK_STATE_DONE:
-			t.state = taskDone
+			t.setState(taskDone)
 			s.remaining--
 		case work.TaskState_TASK_STATE_STARTED:
 			p.adoptRun(now, t, r, taskInDoubt)
@@ -178,7 +180,8 @@
 	t.incarnation = citron.Incarnation(r.GetWorkerIncarnation())
 	// The former holder may have renewed the lease until this epoch began.
 	w.leaseUntil = max(w.leaseUntil, now+p.maxLeaseTime(p.Options.MaxLease))
-	t.state, t.stateSince, t.startedAt = state, now, now
+	t.setState(state)
+	t.stateSince, t.startedAt = now, now
 	p.joinWorker(now, t, w, false)
 	p.assign(t, w)
 	if w.incarnation != 0 {
@@ -285,7 +288,7 @@
 func (p *Pool) stopTask(now time.Duration, t *task) {
 	switch t.state {
 	case taskWaiting:
-		t.state = taskDone
+		t.setState(taskDone)
 	case taskOrdered, taskInDoubt, taskRunning:
 		p.stopRun(now, t)
 	}
@@ -293,7 +296,8 @@
 
 // stopRun orders the stop of a task's run.
 func (p *Pool) stopRun(now time.Duration, t *task) {
-	t.state, t.stateSince, t.stopSentAt, t.stopAckedAt = taskStopping, now, now, 0
+	t.setState(taskStopping)
+	t.stateSince, t.stopSentAt, t.stopAckedAt = now, now, 0
 	p.sendStop(t)
 }
 
--- a/citron/pool/advice.go
+++ b/citron/pool/advice.go
@@ -156,12 +156,8 @@
 	if known {
 		return left
 	}
-	left = &citron.Capacity{}
-	for _, w := range wp.pool.byID {
-		if w.entry.Service == s.service() && w.usable(wp.now) {
-			*left = left.Add(w.free().AtLeastZero())
-		}
-	}
+	free := *wp.freeRoom(s.service())
+	left = &free
 	if wp.unclaimed == nil {
 		wp.unclaimed = map[citron.Service]*citron.Capacity{}
 	}
@@ -258,7 +254,7 @@
 func (s *step) copiesOn(w *worker) int {
 	copies := w.free().MaxCopies(s.need)
 	if limit := int(s.spec.GetPerWorker()); limit > 0 {
-		copies = min(copies, max(limit-countOnWorker(s, w), 0))
+		copies = min(copies, max(limit-s.counts.onWorker[w], 0))
 	}
 	return copies
 }
--- a/citron/pool/apart.go
+++ b/citron/pool/apart.go
@@ -197,6 +197,9 @@
 // expected run time of a task counts: over its whole run, one that takes long for another reason would meet more kinds.
 func (p *Pool) recordMeetings(now time.Duration, w *worker) {
 	since := w.metAt
+	if since == now {
+		return // Nothing has run beside anything since.
+	}
 	w.metAt = now
 	for _, t := range w.tasks {
 		d := min(now, t.joinedAt+t.window) - max(since, t.joinedAt)
--- a/citron/pool/candidates.go
+++ b/citron/pool/candidates.go
@@ -107,6 +107,25 @@
 	return list
 }
 
+// freeRoom returns the free capacity of the usable workers of a service.
+func (wp *waitingPass) freeRoom(service citron.Service) *citron.Capacity {
+	free, known := wp.free[service]
+	if known {
+		return free
+	}
+	free = &citron.Capacity{}
+	for _, w := range wp.pool.byID {
+		if w.entry.Service == service && w.usable(wp.now) {
+			*free = free.Add(w.free().AtLeastZero())
+		}
+	}
+	if wp.free == nil {
+		wp.free = map[citron.Service]*citron.Capacity{}
+	}
+	wp.free[service] = free
+	return free
+}
+
 // countSort counts the comparisons that it takes to sort a number of workers.
 func (wp *waitingPass) countSort(workers int) {
 	wp.pool.lastPlan.Looks += workers * bits.Len(uint(workers))
--- a/citron/pool/cordon.go
+++ b/citron/pool/cordon.go
@@ -35,12 +35,16 @@
 	if w == nil {
 		return
 	}
-	for _, t := range w.sortedTasks() {
-		if t.state != taskRunning && t.state != taskOrdered && t.state != taskInDoubt {
-			continue
-		}
-		if limit := int(t.step.spec.GetMayMiss()); limit > 0 && fullyReady(t) && countMissing(t.step) >= limit {
-			continue
+	missing := map[*step]int{}
+	for _, t := range w.tasksWith(func(t *task) bool { return t.state.active() }) {
+		if limit := int(t.step.spec.GetMayMiss()); limit > 0 && fullyReady(t) {
+			if _, counted := missing[t.step]; !counted {
+				missing[t.step] = countMissing(t.step)
+			}
+			if missing[t.step] >= limit {
+				continue
+			}
+			missing[t.step]++
 		}
 		p.observe(Decision{Kind: DecidedRequeue, Job: t.step.job.id, Task: t.ref, Run: t.run, Worker: id, Reason: "its machine goes down for upkeep"})
 		p.stopRun(now.Boot, t)
--- a/citron/pool/crash.go
+++ b/citron/pool/crash.go
@@ -138,9 +138,9 @@
 }
 
 // exclusive reports whether a member of a gang may not share its worker with other starts.
-func (s *step) exclusive() bool {
-	for _, t := range s.tasks {
-		if t.crashes.Exclusive() {
+func (p *Pool) exclusive(s *step) bool {
+	for t := range p.suspects {
+		if t.step == s && t.crashes.Exclusive() {
 			return true
 		}
 	}
--- a/citron/pool/end.go
+++ b/citron/pool/end.go
@@ -112,7 +112,8 @@
 			continue
 		}
 		// The run uses capacity until its worker reports the end.
-		t.state, t.completedEarlier = taskStopping, true
+		t.setState(taskStopping)
+		t.completedEarlier = true
 		if state != taskStopping {
 			p.stopRun(now, t)
 		}
@@ -158,7 +159,7 @@
 	if t.state == taskDone {
 		return
 	}
-	t.state = taskDone
+	t.setState(taskDone)
 	t.step.remaining--
 	p.dirty[t.step.job] = true
 }
@@ -168,7 +169,8 @@
 func (p *Pool) markMemberDone(now time.Duration, t *task) {
 	p.markDone(t)
 	if t.worker != nil {
-		t.state, t.stateSince = taskLeaving, now
+		t.setState(taskLeaving)
+		t.stateSince = now
 	}
 }
 
@@ -229,13 +231,11 @@
 		return
 	}
 	t.failedRuns = append(t.failedRuns, run)
+	s.counts.failures++
 	p.dirty[s.job] = true
 	failures := len(t.failedRuns)
 	if s.spec.GetGang() {
-		failures = 0
-		for _, member := range s.tasks {
-			failures += len(member.failedRuns)
-		}
+		failures = s.counts.failures
 	}
 	if attempts := int(s.job.spec.GetTerms().GetAttempts()); failures >= max(attempts, 1) {
 		p.endJob(now, s.job, work.State_STATE_FAILED, "a task has used up its attempts")
@@ -249,11 +249,12 @@
 	p.leaveWorker(now, t)
 	p.unassign(t)
 	if finished {
-		t.state = taskDone
+		t.setState(taskDone)
 		return
 	}
 	p.observe(Decision{Kind: DecidedRequeue, Job: s.job.id, Task: t.ref, Run: t.run, Reason: reason})
-	t.state, t.stateSince, t.waitingSince, t.percent = taskWaiting, now, now, 0
+	t.setState(taskWaiting)
+	t.stateSince, t.waitingSince, t.percent = now, now, 0
 	p.enqueue(s)
 	if s.spec.GetGang() {
 		p.breakGang(now, s)
@@ -262,9 +263,11 @@
 
 // breakGang stops the started members of a gang of which one does not run, since they cannot work without it.
 func (p *Pool) breakGang(now time.Duration, s *step) {
+	if s.counts.active == 0 {
+		return
+	}
 	for _, member := range s.tasks {
-		switch member.state {
-		case taskOrdered, taskInDoubt, taskRunning:
+		if member.state.active() {
 			p.stopRun(now, member)
 		}
 	}
--- a/citron/pool/gang.go
+++ b/citron/pool/gang.go
@@ -20,19 +20,18 @@
 
 // placeGang starts all members of a gang or none. A gang that does not fit reserves capacity.
 func (wp *waitingPass) placeGang(s *step) {
-	for _, t := range s.tasks {
-		if t.state != taskWaiting {
-			return
-		}
-	}
-	if wp.mustLeaveHeadroom(s, len(s.tasks)) {
+	if !s.waiting() || wp.mustLeaveHeadroom(s, len(s.tasks)) {
 		return
 	}
 	if s.needsTicket() && !s.hasTicket(wp.now) {
 		wp.takeReservation()
 		return
 	}
-	exclusive := s.exclusive()
+	if !wp.freeRoom(s.service()).Fits(s.need.Times(len(s.tasks))) {
+		wp.reserve(s)
+		return
+	}
+	exclusive := wp.pool.exclusive(s)
 	free := wp.gangSlots(s, wp.startable(s), func(w *worker) citron.Capacity {
 		if exclusive && w.unsettled() {
 			return citron.Capacity{}
@@ -77,7 +76,7 @@
 		if limit := int(s.spec.GetPerWorker()); limit > 0 {
 			n = min(n, limit)
 		}
-		list = append(list, workerSlots{w, n, w.failures.suspect() || failedOn(s, w), wp.expectedLoss(s, w)})
+		list = append(list, workerSlots{w, n, w.failures.suspect() || s.counts.failedOn[w.entry.ID], wp.expectedLoss(s, w)})
 	}
 	slices.SortFunc(list, func(x, y workerSlots) int {
 		return cmp.Or(compareBool(x.suspect, y.suspect), cmp.Compare(x.loss, y.loss), cmp.Compare(y.count, x.count), cmp.Compare(x.worker.free().MilliCores, y.worker.free().MilliCores), cmp.Compare(x.worker.entry.ID, y.worker.entry.ID))
@@ -95,11 +94,6 @@
 	return -1
 }
 
-// failedOn reports whether a member of the gang has failed on a worker.
-func failedOn(s *step, w *worker) bool {
-	return slices.ContainsFunc(s.tasks, func(t *task) bool { return t.failedOn[w.entry.ID] })
-}
-
 // chooseWorkers returns workers for all members. If the step asks for one rack, workers in other racks are used only if
 // the members do not fit into it. It returns nil if the members do not fit at all.
 func chooseWorkers(s *step, free []workerSlots) []workerSlots {
@@ -144,7 +138,7 @@
 }
 
 // reservationHorizons are the times ahead at which capacity for a waiting gang is looked for.
-var reservationHorizons = []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second}
+var reservationHorizons = [...]time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second}
 
 // takeReservation counts a gang that comes before others that could reserve capacity, and reports whether it may reserve some.
 func (wp *waitingPass) takeReservation() bool {
@@ -165,9 +159,13 @@
 	if s.needsTicket() {
 		list = wp.ticketHolders(s)
 	}
-	for _, h := range reservationHorizons {
+	if !fitsEmpty(s, list) {
+		return
+	}
+	exclusive := wp.pool.exclusive(s)
+	for n, h := range reservationHorizons {
 		wp.pool.lastPlan.Looks += len(list)
-		expected := wp.gangSlots(s, list, func(w *worker) citron.Capacity { return wp.capacityAt(s, w, wp.now+h) })
+		expected := wp.gangSlots(s, list, func(w *worker) citron.Capacity { return wp.capacityFor(s, w).Add(wp.releasedBy(w)[n]) })
 		chosen := chooseWorkers(s, expected)
 		if chosen == nil {
 			continue
@@ -177,12 +175,10 @@
 		}
 		for _, c := range chosen {
 			r := wp.reservations[c.worker]
-			for range c.count {
-				r.capacity = r.capacity.Add(s.need)
-			}
+			r.capacity = r.capacity.Add(s.need.Times(c.count))
 			r.until = max(r.until, wp.now+h)
 			wp.reservations[c.worker] = r
-			if s.exclusive() && h == reservationHorizons[0] {
+			if exclusive && h == reservationHorizons[0] {
 				// The other tasks must settle before the gang may start there.
 				wp.closeWorker(c.worker)
 			}
@@ -191,15 +187,39 @@
 	}
 }
 
-// capacityAt returns the capacity that a worker is expected to have for a step at a time, less reservations. Tasks of services run
-// until they are stopped.
-func (wp *waitingPass) capacityAt(s *step, w *worker, at time.Duration) citron.Capacity {
-	capacity := wp.capacityFor(s, w)
+// fitsEmpty reports whether all members of a gang fit on the workers of a list once nothing else is on them.
+func fitsEmpty(s *step, list []candidate) bool {
+	members := len(s.tasks)
+	for _, c := range list {
+		if members -= s.copiesOnEmpty(c.worker); members <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// released is the capacity that tasks are expected to release until each of reservationHorizons.
+type released [len(reservationHorizons)]citron.Capacity
+
+// releasedBy returns what the tasks on a worker are expected to release. Tasks of services run until they are stopped.
+func (wp *waitingPass) releasedBy(w *worker) *released {
+	if r := wp.released[w]; r != nil {
+		return r
+	}
+	r := &released{}
+	wp.pool.lastPlan.Looks += len(w.tasks)
 	for _, t := range w.tasks {
-		ends := !t.step.spec.GetService() && t.startedAt+wp.pool.runTimeOn(w, t.step) <= at
-		if t.state == taskLeaving || t.state == taskStopping || ends {
-			capacity = capacity.Add(t.step.need)
+		stops := t.state == taskLeaving || t.state == taskStopping
+		end := t.startedAt + wp.pool.runTimeOn(w, t.step)
+		for n, h := range reservationHorizons {
+			if stops || !t.step.spec.GetService() && end <= wp.now+h {
+				r[n] = r[n].Add(t.step.need)
+			}
 		}
 	}
-	return capacity
+	if wp.released == nil {
+		wp.released = map[*worker]*released{}
+	}
+	wp.released[w] = r
+	return r
 }
--- a/citron/pool/inspect.go
+++ b/citron/pool/inspect.go
@@ -71,13 +71,9 @@
 		}
 		for _, o := range j.open {
 			for _, s := range o.steps {
-				for _, t := range s.tasks {
-					switch {
-					case t.worker != nil:
-						q.Running++
-					case s.ready && t.state == taskWaiting:
-						q.WaitingTasks++
-					}
+				q.Running += s.counts.assigned
+				if s.ready {
+					q.WaitingTasks += s.waitingTasks()
 				}
 			}
 		}
--- a/citron/pool/order.go
+++ b/citron/pool/order.go
@@ -72,7 +72,7 @@
 
 // restartsService reports whether a service task of the step waits after a run.
 func (s *step) restartsService() bool {
-	return s.spec.GetService() && slices.ContainsFunc(s.tasks, func(t *task) bool { return t.state == taskWaiting && t.run > 0 })
+	return s.spec.GetService() && s.counts.waitingAgain > 0
 }
 
 // compare returns a negative number if r comes before o. No two steps are equal.
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/citroncross/citroncross/citron"
@@ -204,15 +203,8 @@
 	})
 }
 
-// waitingTasks counts the waiting tasks of a step.
-func (s *step) waitingTasks() (n int) {
-	for _, t := range s.tasks {
-		if t.state == taskWaiting {
-			n++
-		}
-	}
-	return n
-}
+// waitingTasks returns the number of waiting tasks of a step.
+func (s *step) waitingTasks() int { return s.counts.waiting }
 
 // waitingPass is the state of one pass of Plan over the waiting steps.
 type waitingPass struct {
@@ -221,6 +213,8 @@
 	effects *Effects
 	// reservations is the capacity reserved for waiting gangs, by worker.
 	reservations map[*worker]reservation
+	// released is what the tasks on a worker are expected to release, until one starts there.
+	released map[*worker]*released
 	// reservingGangs counts the gangs that tried to reserve capacity.
 	reservingGangs int
 	// quotaHolds is the part of a team's maximum kept for a waiting gang; teamRuns are the runs of each team.
@@ -228,6 +222,8 @@
 	teamRuns   map[citron.Team][]teamRun
 	// advisedSteps counts the waiting steps with tickets or a pending request, by queue.
 	advisedSteps map[string]int
+	// free is the free capacity of each service that was asked for.
+	free map[citron.Service]*citron.Capacity
 	// unclaimed is the free capacity of each service for steps beyond those that may have tickets without room.
 	unclaimed map[citron.Service]*citron.Capacity
 	// headrooms is the capacity left to priority 0 by service; nil if there is none.
@@ -274,8 +270,13 @@
 		wp.placeGang(s)
 		return
 	}
-	for _, t := range s.tasks {
+	for i := s.counts.firstWaiting; i < len(s.tasks) && s.counts.waiting > 0; i++ {
+		t := s.tasks[i]
+		wp.pool.lastPlan.Looks++
 		if t.state != taskWaiting {
+			if i == s.counts.firstWaiting {
+				s.counts.firstWaiting++
+			}
 			continue
 		}
 		if wp.startsLeft <= 0 {
@@ -314,16 +315,7 @@
 // interferes reports whether a fill task would share the worker with a task that has a tail latency target. How much
 // they slow each other down differs by image and changes within seconds, so they are always kept apart.
 func interferes(s *step, w *worker) bool {
-	if !s.spec.GetFills() && s.spec.GetTailTargetMs() == 0 {
-		return false
-	}
-	for _, t := range w.tasks {
-		other := t.step.spec
-		if s.spec.GetFills() && other.GetTailTargetMs() > 0 || s.spec.GetTailTargetMs() > 0 && other.GetFills() {
-			return true
-		}
-	}
-	return false
+	return s.spec.GetFills() && w.serving > 0 || s.spec.GetTailTargetMs() > 0 && w.filling > 0
 }
 
 // capacityFor returns the free capacity of a worker for a step. Its reservation is subtracted unless a task of the step
@@ -336,16 +328,6 @@
 	return free
 }
 
-// countOnWorker counts the tasks of a step on a worker.
-func countOnWorker(s *step, w *worker) (n int) {
-	for _, t := range s.tasks {
-		if t.worker == w {
-			n++
-		}
-	}
-	return n
-}
-
 // bestWorker returns the best-fitting worker, that is the one left with the fewest free cores, or nil if the task fits
 // on none. Workers in other racks and workers with failures come last; fill tasks prefer the most free cores. Of the
 // others, workers with less expected loss by interference come first. A suitable of nil accepts every worker.
@@ -357,7 +339,7 @@
 		if !w.free().Fits(s.need) || !wp.allowed(s, w) || !wp.capacityFor(s, w).Fits(s.need) || suitable != nil && !suitable(w) {
 			continue
 		}
-		if limit := int(s.spec.GetPerWorker()); limit > 0 && countOnWorker(s, w) >= limit {
+		if limit := int(s.spec.GetPerWorker()); limit > 0 && s.counts.onWorker[w] >= limit {
 			continue
 		}
 		score := w.free().MilliCores - s.need.MilliCores
@@ -394,18 +376,21 @@
 
 // inOtherRack reports whether a task of the step is on a worker in another rack than w.
 func (wp *waitingPass) inOtherRack(s *step, w *worker) bool {
-	return slices.ContainsFunc(s.tasks, func(t *task) bool {
-		return t.worker != nil && t.worker.entry.Rack != w.entry.Rack
-	})
+	return s.counts.assigned > s.counts.inRack[w.entry.Rack]
 }
 
 // startTask assigns a run to a worker, takes the capacity and adds the start order.
 func (wp *waitingPass) startTask(t *task, w *worker, run int32) {
 	s, p := t.step, wp.pool
 	wp.startsLeft--
-	t.state, t.run, t.stateSince, t.startedAt, t.startSeen = taskOrdered, run, wp.now, wp.now, false
+	t.setState(taskOrdered)
+	t.run, t.stateSince, t.startedAt, t.startSeen = run, wp.now, wp.now, false
 	p.joinWorker(wp.now, t, w, true)
 	p.assign(t, w)
+	delete(wp.released, w)
+	if free := wp.free[s.service()]; free != nil {
+		*free = free.Sub(s.need)
+	}
 	wp.useHeadroom(s)
 	if t.crashes.Exclusive() {
 		wp.closeWorker(w)
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -255,7 +255,7 @@
 	// UsableWorkers counts those of the ListedWorkers that accept new tasks.
 	UsableWorkers int
 	ListedWorkers int
-	// Looks counts the workers that were looked at for a step, and the comparisons of those that were sorted.
+	// Looks counts the workers and tasks that were looked at for a step, and the comparisons of those that were sorted.
 	Looks int
 	// SlowWorkers and FastWorkers are known to differ from the usual speed.
 	SlowWorkers, FastWorkers int
@@ -298,6 +298,7 @@
 	index      int
 	spec       *work.Step
 	tasks      []*task
+	counts     taskCounts
 	// kind is set by Pool.kindInfo.
 	kind *kindInfo
 	// need is the capacity that each task uses.
@@ -412,6 +413,8 @@
 	// used is the capacity taken by tasks.
 	used  citron.Capacity
 	tasks map[citron.TaskRef]*task
+	// filling counts the tasks that fill, serving those with a target for their tail latency.
+	filling, serving int
 	// hash is that of the id.
 	hash uint64
 	// listed is set while the platform lists the worker.
@@ -463,9 +466,16 @@
 
 // sortedTasks returns the tasks on the worker sorted by name.
 func (w *worker) sortedTasks() []*task {
+	return w.tasksWith(func(*task) bool { return true })
+}
+
+// tasksWith returns the tasks on the worker that a condition holds for, sorted by name.
+func (w *worker) tasksWith(holds func(*task) bool) []*task {
 	list := make([]*task, 0, len(w.tasks))
 	for _, t := range w.tasks {
-		list = append(list, t)
+		if holds(t) {
+			list = append(list, t)
+		}
 	}
 	slices.SortFunc(list, func(a, b *task) int { return cmp.Compare(a.ref, b.ref) })
 	return list
--- a/citron/pool/quota.go
+++ b/citron/pool/quota.go
@@ -17,6 +17,7 @@
 	p.unassign(t)
 	t.worker = w
 	w.tasks[t.ref] = t
+	t.step.countOn(w, 1)
 	w.used = w.used.Add(t.step.need)
 	if s := t.step; s.priority() == 0 {
 		p.urgentUse[s.service()] = p.urgentUse[s.service()].Add(s.need)
@@ -32,6 +33,7 @@
 		return
 	}
 	delete(t.worker.tasks, t.ref)
+	t.step.countOn(t.worker, -1)
 	t.worker.used = t.worker.used.Sub(t.step.need)
 	if s := t.step; s.priority() == 0 {
 		p.urgentUse[s.service()] = p.urgentUse[s.service()].Sub(s.need)
--- a/citron/pool/record.go
+++ b/citron/pool/record.go
@@ -61,10 +61,8 @@
 // busy reports whether a run of the occurrence may be on a worker.
 func (o *occurrence) busy() bool {
 	for _, s := range o.steps {
-		for _, t := range s.tasks {
-			if t.worker != nil {
-				return true
-			}
+		if s.counts.assigned > 0 {
+			return true
 		}
 	}
 	return false
--- a/citron/pool/report.go
+++ b/citron/pool/report.go
@@ -40,7 +40,8 @@
 		if e.Draining && (!w.entry.Draining || e.Remaining != w.entry.Remaining) {
 			w.leavesAt = now.Boot + e.Remaining
 		}
-		w.entry, w.listed, w.speed.group = e, true, speedGroup(&e)
+		w.setEntry(e)
+		w.listed, w.speed.group = true, speedGroup(&e)
 	}
 	for _, w := range slices.Clone(p.byID) {
 		id := w.entry.ID
@@ -71,10 +72,12 @@
 	}
 	switch outcome {
 	case citron.Started:
-		t.state, t.startedAt, t.startSeen = taskRunning, now.Boot, true
+		t.setState(taskRunning)
+		t.startedAt, t.startSeen = now.Boot, true
 		p.markRunning(t.step.job)
 	case citron.StartUnknown:
-		t.state, t.stateSince = taskInDoubt, now.Boot
+		t.setState(taskInDoubt)
+		t.stateSince = now.Boot
 		w.unresponsive, w.sameLife = true, false
 	case citron.StartFenced:
 		p.fenced = true
@@ -204,10 +207,8 @@
 	if r.Partial {
 		return
 	}
-	for _, t := range w.sortedTasks() {
-		if present[t.ref] != t.run {
-			p.applyAbsent(now.Boot, t, sent)
-		}
+	for _, t := range w.tasksWith(func(t *task) bool { return present[t.ref] != t.run }) {
+		p.applyAbsent(now.Boot, t, sent)
 	}
 }
 
@@ -225,7 +226,8 @@
 		return
 	}
 	if t.state == taskOrdered || t.state == taskInDoubt {
-		t.state, t.startedAt = taskRunning, now
+		t.setState(taskRunning)
+		t.startedAt = now
 	}
 	p.markRunning(t.step.job)
 	t.percent = run.Percent
--- a/citron/pool/straggler.go
+++ b/citron/pool/straggler.go
@@ -124,4 +124,9 @@
 		t.failedOn = map[citron.Worker]bool{}
 	}
 	t.failedOn[w.entry.ID] = true
+	c := &t.step.counts
+	if c.failedOn == nil {
+		c.failedOn = map[citron.Worker]bool{}
+	}
+	c.failedOn[w.entry.ID] = true
 }
--- a/citron/pool/teams.go
+++ b/citron/pool/teams.go
@@ -56,13 +56,9 @@
 func (j *job) taskCounts() (waiting, running int) {
 	for _, o := range j.open {
 		for _, s := range o.steps {
-			for _, t := range s.tasks {
-				switch {
-				case t.worker != nil:
-					running++
-				case s.ready && t.state == taskWaiting:
-					waiting++
-				}
+			running += s.counts.assigned
+			if s.ready {
+				waiting += s.waitingTasks()
 			}
 		}
 	}
