Overdue occurrences of a job are opened in turn

Cause: openDue opens all that is due; its number is chosen by the caller.

Change: open occurrences of a job have together at most the steps and tasks that a job without repeats may have (256, 20,000); later ones are opened as earlier ones end, in their order. One is always allowed.

--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -75,7 +75,7 @@
 		for !j.terminal && j.nextOccurrence < s.GetRepeats() {
 			due := time.UnixMilli(s.GetFirstMs() + int64(j.nextOccurrence)*s.GetIntervalMs())
 			wait := due.Sub(now.Wall)
-			if wait > 0 {
+			if wait > 0 || !j.mayOpen(p) {
 				break
 			}
 			p.openOccurrence(now.Boot, j, j.nextOccurrence, now.Boot+wait)
@@ -85,6 +85,26 @@
 	}
 }
 
+// Open occurrences of one job have at most maxOpenSteps steps and maxOpenTasks tasks together, as many as a job without repeats may
+// have; later ones wait for the end of earlier ones. A schedule that begins in the past may have any number of them due at once.
+const (
+	maxOpenSteps = 256
+	maxOpenTasks = 20_000
+)
+
+// mayOpen reports whether a scheduled job may have one more open occurrence. One is always allowed.
+func (j *job) mayOpen(p *Pool) bool {
+	tasks := 0
+	for _, s := range j.spec.GetSteps() {
+		tasks += int(s.GetTasks())
+	}
+	open := min(maxOpenSteps/max(len(j.spec.GetSteps()), 1), maxOpenTasks/max(tasks, 1))
+	if len(j.open) >= open {
+		j.closeDoneOccurrences(p)
+	}
+	return len(j.open) < max(open, 1)
+}
+
 // openOccurrence adds an occurrence; its latency objective is counted from the boot time from.
 func (p *Pool) openOccurrence(now time.Duration, j *job, number int32, from time.Duration) *occurrence {
 	o := &occurrence{job: j, number: number}
--- a/citron/pool/bench_shapes_test.go
+++ b/citron/pool/bench_shapes_test.go
@@ -74,6 +74,11 @@
 		}
 		return []*work.Job{newJob("deep", steps...)}
 	}},
+	{"Occurrences", func() []*work.Job {
+		j := newJob("often", smallStep(largestTasks/largestSteps))
+		j.Schedule = &work.Schedule{FirstMs: 1_700_000_000_000 - 86_400_000, IntervalMs: 1000, Repeats: 100_000}
+		return []*work.Job{j}
+	}},
 }
 
 // shapeCost is what the jobs of a shape cost, by the longest call of each kind: its time and what Plan looked at.
