The progress of a large job is kept in several records

Cause: the progress of a job is one record, and a record has a bound where a job has none: 23 to 40 bytes for each started task, in all open occurrences. The record of 367,924 bytes is refused by the store (256 KiB), and the holder repeats it. Class: a size that callers choose, written as one unit into something that has a limit.

Records of smaller jobs are as before. Also found on the way: a 16,000 task job rewrote all of its progress in each plan that changed one task.

The simulation now stores the records of a plan one by one in any order, beside those of the next plan, and loses holders in between, also for jobs with several occurrences. Mutants are found: starts before the parts are listed, before their record, acknowledgements before their record.

--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -163,7 +163,7 @@
 // jobChanged passes an accepted, changed or cancelled job to the pool.
 func (h *Holder) jobChanged(id citron.JobID, e view.Entry) {
 	now := h.Timer.Now()
-	h.Pool.Accept(now, e.Spec, e.Progress)
+	h.Pool.Accept(now, e.Spec, e.Progress, e.Parts()...)
 	if e.Cancelled {
 		h.Pool.Cancel(now, id)
 	}
@@ -243,7 +243,9 @@
 // committed continues with what required the records of a plan and of all earlier ones to be stored. Alone is set if no other
 // append was or is under way.
 func (h *Holder) committed(ctx context.Context, e pool.Effects, alone bool) {
-	h.Pool.Committed(e)
+	if h.Pool.Committed(e) {
+		h.requestPlan()
+	}
 	if alone {
 		h.consolidate(ctx, e)
 	}
@@ -255,12 +257,15 @@
 }
 
 // removeJobs deletes the records of expired jobs from every partition that may contain them. The job is deleted before
-// its progress, since a job without progress looks as if it had never started.
-func (h *Holder) removeJobs(ctx context.Context, ids []citron.JobID) {
+// its progress, since a job without progress looks as if it had never started, and the parts before what tells their number.
+func (h *Holder) removeJobs(ctx context.Context, expired []pool.ExpiredJob) {
 	var jobs, progress []citron.KeyedRecord
-	for _, id := range ids {
-		jobs = append(jobs, citron.KeyedRecord{Key: pool.JobKey + string(id)}, citron.KeyedRecord{Key: pool.CancelKey + string(id)})
-		progress = append(progress, citron.KeyedRecord{Key: pool.ProgressKey + string(id)})
+	for _, j := range expired {
+		jobs = append(jobs, citron.KeyedRecord{Key: pool.JobKey + string(j.ID)}, citron.KeyedRecord{Key: pool.CancelKey + string(j.ID)})
+		for n := range j.Parts {
+			progress = append(progress, citron.KeyedRecord{Key: pool.NameOfPart(j.ID, int32(n))})
+		}
+		progress = append(progress, citron.KeyedRecord{Key: pool.ProgressKey + string(j.ID)})
 	}
 	for _, t := range h.JobTails {
 		if err := h.replaceRecords(ctx, t.Partition, jobs); err != nil {
@@ -269,8 +274,13 @@
 		}
 	}
 	for _, t := range h.ProgressTails {
-		if err := h.replaceRecords(ctx, t.Partition, progress); err != nil {
-			h.reportFailure("remove", err)
+		for left := progress; len(left) > 0; {
+			n := prefixWithin(left, maxAppendBytes)
+			if err := h.replaceRecords(ctx, t.Partition, left[:n]); err != nil {
+				h.reportFailure("remove", err)
+				break
+			}
+			left = left[n:]
 		}
 	}
 }
--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -14,8 +14,8 @@
 	"github.com/citroncross/citroncross/schema/work"
 )
 
-// Accept adds a job. Progress is the last record that a former holder wrote of it, or nil.
-func (p *Pool) Accept(now citron.Instant, spec *work.Job, progress *work.Progress) {
+// Accept adds a job. Progress and parts are the last records that a former holder wrote of it, if any.
+func (p *Pool) Accept(now citron.Instant, spec *work.Job, progress *work.Progress, parts ...*work.Part) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	id := citron.JobID(spec.GetID())
@@ -27,28 +27,33 @@
 	}
 	ended := IsTerminal(progress.GetState())
 	if ended && len(progress.GetOpen()) == 0 {
-		p.ended[id] = endedJob{now.Boot, progress.GetState(), progress.GetNextOccurrence(), progress.GetEndedMs()}
+		p.ended[id] = endedJob{now.Boot, progress.GetState(), progress.GetNextOccurrence(), progress.GetEndedMs(), int(progress.GetParts())}
 		return
 	}
 	waited := max(now.Wall.Sub(time.UnixMilli(spec.GetAcceptedMs())), 0)
-	j := &job{id: id, spec: spec, accepted: now.Boot - waited, state: progress.GetState(), recorded: progress.GetState(), nextOccurrence: progress.GetNextOccurrence()}
+	j := &job{id: id, spec: spec, accepted: now.Boot - waited, state: progress.GetState(), recorded: progress.GetState(), nextOccurrence: progress.GetNextOccurrence(), parts: int(progress.GetParts())}
 	p.jobs[id] = j
 	p.arrivals = append(p.arrivals, j)
 	if spec.GetSchedule().GetRepeats() > 0 {
 		p.scheduled = append(p.scheduled, j)
 	}
 	for _, o := range progress.GetOpen() {
-		p.restoreOccurrence(now.Boot, j, o)
+		p.restoreOccurrence(now.Boot, j, o, parts)
 	}
 	if ended {
 		// Its runs use capacity until their workers report the ends.
 		j.terminal = true
 		p.stopAllTasks(now.Boot, j)
-		p.dirty[j] = true
+		p.changeJob(j)
 		return
 	}
+	for _, o := range slices.Clone(j.open) {
+		if o.done() {
+			p.advance(now.Boot, o.steps[0]) // The former holder was lost before it had recorded the end.
+		}
+	}
 	if spec.GetSchedule().GetRepeats() == 0 && j.nextOccurrence == 0 {
-		p.openOccurrence(now.Boot, j, 0, j.accepted)
+		p.beginOccurrence(now.Boot, j, 0, j.accepted)
 		j.nextOccurrence = 1
 	}
 }
@@ -78,9 +83,9 @@
 			if wait > 0 || !j.mayOpen(p) {
 				break
 			}
-			p.openOccurrence(now.Boot, j, j.nextOccurrence, now.Boot+wait)
+			p.beginOccurrence(now.Boot, j, j.nextOccurrence, now.Boot+wait)
 			j.nextOccurrence++
-			p.dirty[j] = true
+			p.changeJob(j)
 		}
 	}
 }
@@ -94,20 +99,25 @@
 
 // mayOpen reports whether a scheduled job may have one more open occurrence. One is always allowed.
 func (j *job) mayOpen(p *Pool) bool {
-	tasks := 0
-	for _, s := range j.spec.GetSteps() {
-		tasks += int(s.GetTasks())
-	}
-	open := min(maxOpenSteps/max(len(j.spec.GetSteps()), 1), maxOpenTasks/max(tasks, 1))
+	open := min(maxOpenSteps/max(len(j.spec.GetSteps()), 1), maxOpenTasks/max(j.countTasks(), 1))
 	if len(j.open) >= open {
-		j.closeDoneOccurrences(p)
+		p.closeDoneOccurrences(j)
 	}
 	return len(j.open) < max(open, 1)
 }
 
+// beginOccurrence adds an occurrence that no former holder has begun.
+func (p *Pool) beginOccurrence(now time.Duration, j *job, number int32, from time.Duration) {
+	l := p.layOut(j)
+	p.openOccurrence(now, j, number, from).layout = l
+	if l.parts > 0 {
+		p.changeJob(j) // The next plan lists the parts.
+	}
+}
+
 // openOccurrence adds an occurrence; its latency objective is counted from the boot time from.
 func (p *Pool) openOccurrence(now time.Duration, j *job, number int32, from time.Duration) *occurrence {
-	o := &occurrence{job: j, number: number}
+	o, tasks := &occurrence{job: j, number: number}, 0
 	objective := p.objective(j)
 	after := timesAfter(j.spec.GetSteps(), func(n int) time.Duration { return p.expectedRunTime(j, n) })
 	for n, spec := range j.spec.GetSteps() {
@@ -117,6 +127,7 @@
 			occurrence: o,
 			index:      n,
 			spec:       spec,
+			firstTask:  tasks,
 			remaining:  int(spec.GetTasks()),
 			deadline:   from + objective - after[n],
 			need:       citron.Capacity{MilliCores: spec.GetMilliCores(), MemoryMb: spec.GetMemoryMb(), Accelerators: spec.GetAccelerators()},
@@ -128,6 +139,7 @@
 		for _, t := range s.tasks {
 			t.waitingSince = now
 		}
+		tasks += len(s.tasks)
 		o.steps = append(o.steps, s)
 		p.steps[s.ref] = s
 	}
@@ -153,15 +165,15 @@
 	}
 }
 
-// restoreOccurrence rebuilds an open occurrence from its record. Started runs are in doubt until their worker reports
+// restoreOccurrence rebuilds an open occurrence from its records. Started runs are in doubt until their worker reports
 // or its lease expires.
-func (p *Pool) restoreOccurrence(now time.Duration, j *job, recorded *work.Occurrence) {
+func (p *Pool) restoreOccurrence(now time.Duration, j *job, recorded *work.Occurrence, parts []*work.Part) {
 	from := j.accepted
 	if s := j.spec.GetSchedule(); s.GetRepeats() > 0 {
 		from = now
 	}
 	o := p.openOccurrence(now, j, recorded.GetNumber(), from)
-	for _, r := range recorded.GetTasks() {
+	for _, r := range o.restoreLayout(recorded, parts) {
 		if int(r.GetStep()) >= len(o.steps) || int(r.GetIndex()) >= len(o.steps[r.GetStep()].tasks) {
 			continue
 		}
@@ -185,7 +197,10 @@
 		}
 	}
 	for _, s := range o.steps {
-		if s.spec.GetGang() && s.waitingTasks() > 0 {
+		if s.spec.GetGang() && s.remaining < len(s.tasks) {
+			// Only some of the records that show the end of the gang are stored.
+			p.completeGang(now, s)
+		} else if s.spec.GetGang() && s.waitingTasks() > 0 {
 			// Members are started together, so a running member belongs to a broken gang that the former holder was about
 			// to stop.
 			p.breakGang(now, s)
@@ -288,7 +303,7 @@
 // endJob sets the final state of a job and stops its tasks.
 func (p *Pool) endJob(now time.Duration, j *job, state work.State, reason string) {
 	j.state, j.terminal = state, true
-	p.dirty[j] = true
+	p.changeJob(j)
 	p.observe(Decision{Kind: DecidedJobEnd, Job: j.id, Outcome: state.String(), Reason: reason, Age: now - j.accepted, Spent: p.spentOn(now, j)})
 	p.stopAllTasks(now, j)
 }
@@ -309,6 +324,7 @@
 	switch t.state {
 	case taskWaiting:
 		t.setState(taskDone)
+		t.dropped = true
 	case taskOrdered, taskInDoubt, taskRunning:
 		p.stopRun(now, t)
 	}
--- a/citron/pool/bench_shapes_test.go
+++ b/citron/pool/bench_shapes_test.go
@@ -81,10 +81,12 @@
 	}},
 }
 
-// shapeCost is what the jobs of a shape cost, by the longest call of each kind: its time and what Plan looked at.
+// shapeCost is what the jobs of a shape cost, by the longest call of each kind: its time, what Plan looked at and what it recorded.
 type shapeCost struct {
 	accept, plan, report, cancel, recover time.Duration
 	looks                                 int
+	// record is the size of the largest record.
+	record int
 }
 
 // shapePlans is the number of plans before and after the first tasks end, planInterval the time between two.
@@ -116,6 +118,9 @@
 			})
 			cost.looks = max(cost.looks, r.p.LastPlan().Looks)
 			r.store(e)
+			for _, record := range e.Records {
+				cost.record = max(cost.record, record.Size())
+			}
 			for _, s := range e.Starts {
 				r.p.Started(r.now, s, citron.Started, r.now.Boot)
 			}
--- a/citron/pool/crash.go
+++ b/citron/pool/crash.go
@@ -86,7 +86,7 @@
 		if t.finished() {
 			continue
 		}
-		p.dirty[t.step.job] = true
+		p.changeTask(t)
 		givenUp := t.crashes.Record(l.crash)
 		p.watchSuspect(t)
 		if givenUp && !t.settled() {
@@ -113,7 +113,7 @@
 		case !t.settled():
 			wp.closeWorker(t.worker)
 		case t.state == taskRunning && t.crashes.Settled():
-			p.dirty[t.step.job] = true
+			p.changeTask(t)
 			delete(p.suspects, t)
 		}
 	}
--- a/citron/pool/end.go
+++ b/citron/pool/end.go
@@ -91,6 +91,11 @@
 	p.completeBySupersededRun(now, t)
 }
 
+// done reports whether a run of the task, or of another member of its gang, has ended as done.
+func (t *task) done() bool {
+	return t.state == taskDone && !t.dropped || t.state == taskLeaving || t.completedEarlier
+}
+
 // finished reports whether a task needs no further run. A run of it may still be on a worker.
 func (t *task) finished() bool {
 	return t.state == taskDone || t.state == taskLeaving || t.completedEarlier || t.step.job.terminal
@@ -146,12 +151,18 @@
 	p.unassign(t)
 	p.markDone(t)
 	if s.spec.GetGang() {
-		// A gang is done as soon as one member is.
-		for _, member := range s.tasks {
+		p.completeGang(now, s)
+	}
+	p.advance(now, s)
+}
+
+// completeGang marks all members of a gang as done, since a gang is done as soon as one member is.
+func (p *Pool) completeGang(now time.Duration, s *step) {
+	for _, member := range s.tasks {
+		if !member.done() {
 			p.markMemberDone(now, member)
 		}
 	}
-	p.advance(now, s)
 }
 
 // markDone marks a task as done and updates its step.
@@ -161,7 +172,7 @@
 	}
 	t.setState(taskDone)
 	t.step.remaining--
-	p.dirty[t.step.job] = true
+	p.changeTask(t)
 }
 
 // markMemberDone marks a gang member as done because another member is done. It uses capacity until its own worker
@@ -185,9 +196,9 @@
 	if !o.done() {
 		return
 	}
-	p.dirty[j] = true
+	p.changeJob(j)
 	if j.nextOccurrence < j.spec.GetSchedule().GetRepeats() || slices.ContainsFunc(j.open, func(o *occurrence) bool { return !o.done() }) {
-		j.closeDoneOccurrences(p)
+		p.closeDoneOccurrences(j)
 		return
 	}
 	j.state, j.terminal = work.State_STATE_COMPLETED, true
@@ -200,11 +211,15 @@
 }
 
 // closeDoneOccurrences removes the occurrences of a scheduled job that are done and have no runs left.
-func (j *job) closeDoneOccurrences(p *Pool) {
+func (p *Pool) closeDoneOccurrences(j *job) {
 	j.open = slices.DeleteFunc(j.open, func(o *occurrence) bool {
 		closed := o.done() && !o.busy()
 		if closed {
 			p.removeSteps(o)
+			p.changeJob(j)
+			if o.layout.parts > 0 {
+				j.closed = append(j.closed, o)
+			}
 		}
 		return closed
 	})
@@ -232,7 +247,7 @@
 	}
 	t.failedRuns = append(t.failedRuns, run)
 	s.counts.failures++
-	p.dirty[s.job] = true
+	p.changeTask(t)
 	failures := len(t.failedRuns)
 	if s.spec.GetGang() {
 		failures = s.counts.failures
@@ -245,11 +260,12 @@
 // requeue makes a task wait again after a run that did not complete it. A finished task only releases its capacity.
 func (p *Pool) requeue(now time.Duration, t *task, reason string) {
 	s := t.step
-	finished := t.finished()
+	finished, done := t.finished(), t.done()
 	p.leaveWorker(now, t)
 	p.unassign(t)
 	if finished {
 		t.setState(taskDone)
+		t.dropped = !done
 		return
 	}
 	p.observe(Decision{Kind: DecidedRequeue, Job: s.job.id, Task: t.ref, Run: t.run, Reason: reason})
@@ -273,9 +289,9 @@
 	}
 }
 
-// enqueue adds a step to the waiting steps.
+// enqueue adds a step to the waiting steps. One that waits for others, of which a former holder may have known more, is added later.
 func (p *Pool) enqueue(s *step) {
-	if !slices.Contains(p.waiting, s) && !slices.Contains(p.idle, s) {
+	if s.ready && !slices.Contains(p.waiting, s) && !slices.Contains(p.idle, s) {
 		p.waiting = append(p.waiting, s)
 	}
 }
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/citroncross/citroncross/citron"
@@ -38,15 +39,23 @@
 	return e, p.appendRecords(now, &e)
 }
 
-// Committed marks the records of e as stored, so that the ends which they cover may be acknowledged to workers.
-func (p *Pool) Committed(e Effects) {
+// Committed marks the records of e, and of all plans before, as stored, so that the ends which they cover may be acknowledged to
+// workers. It reports whether tasks may start now that had to wait for that.
+func (p *Pool) Committed(e Effects) (unblocked bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for _, o := range e.listed {
+		o.layout.listed = true
+	}
+	for _, o := range e.unlisted {
+		o.job.closed = slices.DeleteFunc(o.job.closed, func(other *occurrence) bool { return other == o })
+	}
 	for id, a := range e.Acks {
 		if w := p.workers[id]; w != nil && w.incarnation == a.Incarnation {
 			w.ackedEnd = max(w.ackedEnd, a.Number)
 		}
 	}
+	return len(e.listed) > 0
 }
 
 // RunSummary describes what is known of the runs on a worker.
@@ -263,7 +272,7 @@
 			return
 		}
 	}
-	if wp.startsLeft <= 0 {
+	if l := &s.occurrence.layout; wp.startsLeft <= 0 || l.listing && !l.listed {
 		return
 	}
 	if s.spec.GetGang() {
@@ -400,7 +409,7 @@
 	t.incarnation = w.incarnation
 	s.placed(wp.now)
 	j := s.job
-	p.dirty[j] = true
+	p.changeTask(t)
 	wp.effects.Starts = append(wp.effects.Starts, Start{Worker: w.target(), Order: citron.StartOrder{
 		Task:           t.ref,
 		Run:            run,
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -46,6 +46,8 @@
 	// StartsPerPlan is the number of tasks after which a plan starts no others but the rest of a gang, unless plans are rare; 0 means any
 	// number. Each start takes the holder a good part of a millisecond, and urgent jobs that arrive meanwhile wait for the next plan.
 	StartsPerPlan int
+	// TasksPerRecord is the number of tasks whose progress one record of the store may hold; 0 means tasksPerRecord.
+	TasksPerRecord int
 	// RestartStragglers makes the pool restart tasks that may run twice and take much longer than expected. Off by default: on
 	// drawn loads the sweeps that it restarts gain, but over all queues no gain is shown (docs/design/speed.md).
 	RestartStragglers bool
@@ -75,7 +77,7 @@
 	scheduled []*job
 	// waiting lists the steps that may have waiting tasks, without the idle ones: steps that are too late, which are tried in turn.
 	waiting, idle []*step
-	// dirty holds the jobs whose progress must be recorded.
+	// dirty holds the jobs of which a record must be replaced.
 	dirty map[*job]bool
 	// stops are the orders to be sent with the next Effects. Unanswered ones were last looked for at stopsCheckedAt.
 	stops          []Stop
@@ -127,6 +129,8 @@
 	recordNumber uint64
 	// rewriteQueue lists the jobs that a rewrite in progress has not recorded yet.
 	rewriteQueue []citron.JobID
+	// rewriteParts are the parts of such jobs that are to be recorded next.
+	rewriteParts []occurrencePart
 	rewriting    bool
 	lastPlan     PlanStats
 	// placedAt is when tasks were last placed.
@@ -236,7 +240,17 @@
 	// Ended lists the jobs that Records show as ended for good, without a run on any worker.
 	Ended []citron.JobID
 	// Expired lists the jobs whose records are to be removed.
-	Expired []citron.JobID
+	Expired []ExpiredJob
+	// listed are the occurrences whose parts Records list for the first time.
+	listed []*occurrence
+	// unlisted are the closed occurrences that Records no longer list.
+	unlisted []*occurrence
+}
+
+// ExpiredJob is a job whose records are to be removed, with the parts of its progress below an index.
+type ExpiredJob struct {
+	ID    citron.JobID
+	Parts int
 }
 
 // Ack is the number of an ended run in one incarnation of its worker.
@@ -273,6 +287,11 @@
 	// nextOccurrence is the number of the first occurrence that has not begun.
 	nextOccurrence int32
 	open           []*occurrence
+	// changed is set if the progress record has to be replaced, apart from the parts; parts is an upper bound on the indexes of these.
+	changed bool
+	parts   int
+	// closed are the closed occurrences whose parts the stored progress record may still list.
+	closed []*occurrence
 	// terminal is set once the final state of the job is decided.
 	terminal bool
 	// team is the use of capacity by the job's team, nil until its rate is checked.
@@ -288,6 +307,7 @@
 	job    *job
 	number int32
 	steps  []*step
+	layout layout
 }
 
 // step is one step of one occurrence.
@@ -299,6 +319,8 @@
 	spec       *work.Step
 	tasks      []*task
 	counts     taskCounts
+	// firstTask is the number of tasks in the steps before this one.
+	firstTask int
 	// kind is set by Pool.kindInfo.
 	kind *kindInfo
 	// need is the capacity that each task uses.
@@ -381,9 +403,11 @@
 	crashes crash.History
 	// completedEarlier is set if an earlier run completed the task while the newest run is still being stopped.
 	completedEarlier bool
-	checkpoint       string
-	stateSince       time.Duration
-	startedAt        time.Duration
+	// dropped is set if the task needs no further run although it is not done, since its job has ended.
+	dropped    bool
+	checkpoint string
+	stateSince time.Duration
+	startedAt  time.Duration
 	// startSeen is set if the worker answered the start of the newest run to this holder, which makes startedAt precise.
 	startSeen    bool
 	waitingSince time.Duration
--- a/citron/pool/pool_test.go
+++ b/citron/pool/pool_test.go
@@ -582,7 +582,7 @@
 		t.Fatal("job removed within its retention")
 	}
 	r.advance(retentionMargin + expireInterval)
-	if e := r.plan(); len(e.Expired) != 1 || e.Expired[0] != "j" {
+	if e := r.plan(); len(e.Expired) != 1 || e.Expired[0].ID != "j" {
 		t.Errorf("removed jobs %v, want j", e.Expired)
 	}
 	r.advance(expireInterval)
--- a/citron/pool/quota.go
+++ b/citron/pool/quota.go
@@ -39,7 +39,7 @@
 		p.urgentUse[s.service()] = p.urgentUse[s.service()].Sub(s.need)
 	}
 	t.worker = nil
-	p.dirty[t.step.job] = true
+	p.changeTask(t)
 	if team := t.step.team(); team != "" {
 		p.quota.Return(team, quota.StepNeed(t.step.spec))
 	}
--- a/citron/pool/record.go
+++ b/citron/pool/record.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -26,29 +27,45 @@
 func (p *Pool) appendRecords(now citron.Instant, e *Effects) (err error) {
 	changed := slices.SortedFunc(maps.Keys(p.dirty), func(a, b *job) int { return cmp.Compare(a.id, b.id) })
 	for _, j := range changed {
-		r := j.progress()
-		if j.terminal && len(r.GetOpen()) == 0 {
-			r.EndedMs = now.Wall.UnixMilli()
-		}
-		k, err := p.encode(r)
-		if err != nil {
-			return err
-		}
-		e.Records = append(e.Records, k)
-		e.Visible = append(e.Visible, j.state != j.recorded)
-		j.recorded = j.state
 		delete(p.dirty, j)
-		if j.terminal && len(r.GetOpen()) == 0 {
+		ended := j.terminal && !j.busy()
+		if j.changed {
+			if err := p.appendProgress(now, j, ended, e); err != nil {
+				return err
+			}
+		}
+		if ended {
 			p.removeJob(now, j)
 			e.Ended = append(e.Ended, j.id)
+			continue
+		}
+		if err := p.appendParts(j, e); err != nil {
+			return err
 		}
 	}
 	return p.appendRewritten(e)
 }
 
+// appendProgress adds the progress record of a job to e. Ended is set if no run of the job is left.
+func (p *Pool) appendProgress(now citron.Instant, j *job, ended bool, e *Effects) error {
+	r := j.progress()
+	if ended {
+		r.EndedMs = now.Wall.UnixMilli()
+	}
+	k, err := p.encode(r)
+	if err != nil {
+		return err
+	}
+	e.Records = append(e.Records, k)
+	e.Visible = append(e.Visible, j.state != j.recorded)
+	j.recorded, j.changed = j.state, false
+	e.list(j)
+	return nil
+}
+
 // progress returns the record of a job. For an ended job it has only the occurrences whose runs are being stopped.
 func (j *job) progress() *work.Progress {
-	r := &work.Progress{JobID: string(j.id), State: j.state, NextOccurrence: j.nextOccurrence}
+	r := &work.Progress{JobID: string(j.id), State: j.state, NextOccurrence: j.nextOccurrence, Parts: int32(j.parts)}
 	for _, o := range j.open {
 		if j.terminal && !o.busy() {
 			continue
@@ -58,6 +75,11 @@
 	return r
 }
 
+// busy reports whether a run of the job may be on a worker.
+func (j *job) busy() bool {
+	return slices.ContainsFunc(j.open, func(o *occurrence) bool { return o.busy() })
+}
+
 // busy reports whether a run of the occurrence may be on a worker.
 func (o *occurrence) busy() bool {
 	for _, s := range o.steps {
@@ -68,16 +90,13 @@
 	return false
 }
 
-// record returns the record of an occurrence with the tasks that have been started.
+// record returns the record of an occurrence with the tasks that have been started, unless they are in parts.
 func (o *occurrence) record() *work.Occurrence {
-	r := &work.Occurrence{Number: o.number}
-	for _, s := range o.steps {
-		for _, t := range s.tasks {
-			if t.run == 0 {
-				continue
-			}
-			r.Tasks = append(r.Tasks, t.record())
-		}
+	l := &o.layout
+	r := &work.Occurrence{Number: o.number, FirstPart: int32(l.firstPart), Parts: int32(l.parts)}
+	if l.parts == 0 {
+		r.Tasks = o.recordTasks(0, math.MaxInt)
+		shorten(r.GetTasks())
 	}
 	return r
 }
@@ -100,7 +119,7 @@
 		r.State = work.TaskState_TASK_STATE_LEAVING
 	case t.worker != nil:
 		r.State = work.TaskState_TASK_STATE_STARTED
-	case t.state == taskDone:
+	case t.done():
 		r.State = work.TaskState_TASK_STATE_DONE
 	}
 	return r
@@ -109,7 +128,7 @@
 // removeJob removes an ended job without runs and retains its final state.
 func (p *Pool) removeJob(now citron.Instant, j *job) {
 	delete(p.jobs, j.id)
-	p.ended[j.id] = endedJob{now.Boot, j.state, j.nextOccurrence, now.Wall.UnixMilli()}
+	p.ended[j.id] = endedJob{now.Boot, j.state, j.nextOccurrence, now.Wall.UnixMilli(), j.parts}
 	for _, o := range j.open {
 		p.removeSteps(o)
 	}
@@ -139,9 +158,9 @@
 	p.lastExpiry = now
 	for id, j := range p.ended {
 		if now-j.at > p.Options.Retention+retentionMargin && len(e.Expired) < maxExpiredJobs {
-			e.Expired = append(e.Expired, id)
+			e.Expired = append(e.Expired, ExpiredJob{id, j.parts})
 			delete(p.ended, id)
 		}
 	}
-	slices.Sort(e.Expired)
+	slices.SortFunc(e.Expired, func(a, b ExpiredJob) int { return cmp.Compare(a.ID, b.ID) })
 }
--- a/citron/pool/report.go
+++ b/citron/pool/report.go
@@ -93,7 +93,7 @@
 func (p *Pool) markRunning(j *job) {
 	if j.state == work.State_STATE_QUEUED {
 		j.state = work.State_STATE_RUNNING
-		p.dirty[j] = true
+		p.changeJob(j)
 	}
 }
 
--- a/citron/pool/rewrite.go
+++ b/citron/pool/rewrite.go
@@ -21,6 +21,8 @@
 	// next is the number of the first occurrence that has not begun.
 	next    int32
 	endedMs int64
+	// parts is an upper bound on the indexes of the parts of its progress.
+	parts int
 }
 
 // Rewrite makes the following calls of Plan record the progress of every job again, so that no earlier record is
@@ -33,7 +35,7 @@
 	}
 	p.rewriteQueue = slices.AppendSeq(slices.Collect(maps.Keys(p.jobs)), maps.Keys(p.ended))
 	slices.Sort(p.rewriteQueue)
-	p.rewriting = true
+	p.rewriteParts, p.rewriting = nil, true
 	return true
 }
 
@@ -43,7 +45,19 @@
 		return nil
 	}
 	size := 0
-	for len(p.rewriteQueue) > 0 && size < maxRewriteBytes {
+	for size < maxRewriteBytes {
+		if len(p.rewriteParts) > 0 {
+			before := len(e.Records)
+			if err := p.rewritePart(e); err != nil {
+				return err
+			}
+			size += citron.SizeOf(e.Records[before:])
+			continue
+		}
+		if len(p.rewriteQueue) == 0 {
+			p.rewriting, e.Rewritten = false, true
+			break
+		}
 		id := p.rewriteQueue[0]
 		p.rewriteQueue = p.rewriteQueue[1:]
 		r := p.currentProgress(id)
@@ -56,9 +70,36 @@
 		}
 		size += len(k.Value)
 		e.Records, e.Visible = append(e.Records, k), append(e.Visible, false)
+		if j := p.jobs[id]; j != nil {
+			e.list(j)
+			p.rewriteParts = allParts(j)
+		}
 	}
-	if len(p.rewriteQueue) == 0 {
-		p.rewriting, e.Rewritten = false, true
+	return nil
+}
+
+// occurrencePart is the n-th part of the progress of an occurrence.
+type occurrencePart struct {
+	occurrence *occurrence
+	n          int
+}
+
+// allParts returns the parts of all open occurrences of a job.
+func allParts(j *job) (list []occurrencePart) {
+	for _, o := range j.open {
+		for n := range o.layout.parts {
+			list = append(list, occurrencePart{o, n})
+		}
+	}
+	return list
+}
+
+// rewritePart adds the next of rewriteParts to e. Its index may belong to another occurrence once its own is closed.
+func (p *Pool) rewritePart(e *Effects) error {
+	next := p.rewriteParts[0]
+	p.rewriteParts = p.rewriteParts[1:]
+	if o := next.occurrence; p.jobs[o.job.id] == o.job && slices.Contains(o.job.open, o) {
+		return p.appendPart(o, next.n, e)
 	}
 	return nil
 }
@@ -66,7 +107,7 @@
 // currentProgress returns the progress of a job, or nil if the job has been removed.
 func (p *Pool) currentProgress(id citron.JobID) *work.Progress {
 	if ended, ok := p.ended[id]; ok {
-		return &work.Progress{JobID: string(id), State: ended.state, NextOccurrence: ended.next, EndedMs: ended.endedMs}
+		return &work.Progress{JobID: string(id), State: ended.state, NextOccurrence: ended.next, EndedMs: ended.endedMs, Parts: int32(ended.parts)}
 	}
 	if j, ok := p.jobs[id]; ok {
 		return j.progress()
--- a/citron/pool/rig_test.go
+++ b/citron/pool/rig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -131,12 +132,28 @@
 	return &p
 }
 
+// parts returns the stored parts of the progress of a job.
+func (r *rig) parts(id string) (list []*work.Part) {
+	r.t.Helper()
+	for key, raw := range r.records {
+		if !strings.HasPrefix(key, PartKey+id+"/") {
+			continue
+		}
+		part := &work.Part{}
+		if err := proto.Unmarshal(raw, part); err != nil {
+			r.t.Fatal(err)
+		}
+		list = append(list, part)
+	}
+	return list
+}
+
 // accept passes a job with its stored progress to the pool.
 func (r *rig) accept(j *work.Job) {
 	if j.GetAcceptedMs() == 0 {
 		j.AcceptedMs = r.now.Wall.UnixMilli()
 	}
-	r.p.Accept(r.now, j, r.progress(j.GetID()))
+	r.p.Accept(r.now, j, r.progress(j.GetID()), r.parts(j.GetID())...)
 }
 
 func (r *rig) state(id string) work.State { return r.progress(id).GetState() }
--- a/citron/pool/sim_test.go
+++ b/citron/pool/sim_test.go
@@ -51,6 +51,8 @@
 	ignoresResizes
 	// hidesRestarts keeps the incarnations of workers from the holders.
 	hidesRestarts
+	// startsUnlisted starts tasks while the record that lists their parts is not stored.
+	startsUnlisted
 )
 
 const (
@@ -77,6 +79,8 @@
 	// stored is the newest progress record of each job; epoch is the highest epoch that the store has accepted.
 	stored map[string]*work.Progress
 	epoch  citron.Epoch
+	// splits is nil in simulations whose jobs fit into one record each.
+	splits *simSplits
 	// accepted lists the submitted jobs, all of which are in the store.
 	accepted  []*work.Job
 	cancelled map[string]bool
@@ -116,7 +120,8 @@
 	frozenUntil time.Duration
 	// storeCutUntil is the end of a partition between the holder and the store.
 	storeCutUntil time.Duration
-	storing       bool
+	// writes are the plans whose records are not stored, or not those of a plan before.
+	writes []*simWrite
 	// caughtUp is set once the holder has read all accepted jobs; before, it knows only some.
 	caughtUp  bool
 	knownJobs int
@@ -170,6 +175,12 @@
 	stopAt time.Duration
 }
 
+// simWrite is the append of the records of a plan.
+type simWrite struct {
+	effects Effects
+	stored  bool
+}
+
 // simulate runs one simulation without teams and returns the first violation of an invariant, empty if there is none.
 func simulate(seed uint64, m mutant) (violation string) {
 	return simulateTeams(seed, m, nil)
@@ -273,6 +284,7 @@
 		second.After = []int32{0}
 		j.Steps = append(j.Steps, second)
 	}
+	w.splits.widen(w, j)
 	j.Terms.Attempts = 4
 	j.Team = w.nextTeam()
 	j.AcceptedMs = w.now.Wall.UnixMilli()
@@ -320,6 +332,9 @@
 	advisers := &advice.Balancer{}
 	o := testOptions
 	o.KeepApart = w.keepApart
+	if w.splits != nil {
+		o.TasksPerRecord = simTasksPerRecord
+	}
 	if w.mutant == leaseTooShort {
 		o.Lease, o.MaxLease, o.StopGrace, o.AnswerTimeout = time.Second, time.Second, 0, 500*time.Millisecond
 	}
@@ -356,7 +371,7 @@
 func (h *simHolder) readJobs(upto int) {
 	for ; h.knownJobs < upto; h.knownJobs++ {
 		j := h.world.accepted[h.knownJobs]
-		h.pool.Accept(h.world.now, j, h.world.stored[j.GetID()])
+		h.pool.Accept(h.world.now, j, h.world.stored[j.GetID()], h.world.splits.partsOf(j.GetID())...)
 	}
 	for _, j := range h.world.accepted[:h.knownJobs] {
 		if id := j.GetID(); h.world.cancelled[id] && !h.knownCancels[id] {
@@ -378,7 +393,7 @@
 	}
 	h.updateWorkers()
 	h.poll()
-	if h.storing || h.pool.Fenced() {
+	if len(h.writes) > h.world.splits.overlap() || h.pool.Fenced() {
 		return
 	}
 	e, err := h.plan()
@@ -392,25 +407,31 @@
 	for _, s := range e.Stops {
 		h.send(func() { h.deliverStop(s) }, nil)
 	}
-	h.storing = true
+	write := &simWrite{effects: e}
+	h.writes = append(h.writes, write)
 	if h.world.mutant == startsBeforeRecord {
 		h.sendStarts(e.Starts)
 	}
 	if h.world.mutant == acksBeforeRecord {
 		h.pool.Committed(e)
 	}
-	h.store(e)
+	if h.world.mutant == startsUnlisted {
+		for _, o := range e.listed {
+			o.layout.listed = true
+		}
+	}
+	h.store(write)
 }
 
 // store retries an append until the store answers. A holder of an older epoch is refused and ends.
-func (h *simHolder) store(e Effects) {
-	w := h.world
+func (h *simHolder) store(write *simWrite) {
+	w, e := h.world, write.effects
 	w.schedule(10*time.Millisecond, func() {
 		if h.dead {
 			return
 		}
 		if w.now.Boot < h.storeCutUntil {
-			w.schedule(simStep, func() { h.store(e) })
+			w.schedule(simStep, func() { h.store(write) })
 			return
 		}
 		if w.epoch != h.pool.Epoch {
@@ -420,7 +441,13 @@
 		h.pool.ConfirmHeld(w.now.Boot)
 		if w.chance(0.05) && !w.recovering() {
 			// The append is not answered and is repeated up to 1.5 seconds later.
-			w.schedule(time.Duration(w.rng.IntN(1500))*time.Millisecond, func() { h.store(e) })
+			w.schedule(time.Duration(w.rng.IntN(1500))*time.Millisecond, func() { h.store(write) })
+			return
+		}
+		if w.splits != nil {
+			if h.storeSplit(e.Records) {
+				w.schedule(w.delay(), func() { h.stored(write) })
+			}
 			return
 		}
 		for _, r := range e.Records {
@@ -431,22 +458,23 @@
 			w.stored[progress.GetJobID()] = &progress
 			w.checkState(&progress)
 		}
-		w.schedule(5*time.Millisecond, func() { h.stored(e) })
+		w.schedule(5*time.Millisecond, func() { h.stored(write) })
 	})
 }
 
-func (h *simHolder) stored(e Effects) {
+func (h *simHolder) stored(write *simWrite) {
 	if h.dead {
 		return
 	}
 	if h.world.now.Boot < h.frozenUntil {
-		h.world.schedule(simStep, func() { h.stored(e) })
+		h.world.schedule(simStep, func() { h.stored(write) })
 		return
 	}
-	h.storing = false
-	h.pool.Committed(e)
+	for write.stored = true; len(h.writes) > 0 && h.writes[0].stored; h.writes = h.writes[1:] {
+		h.pool.Committed(h.writes[0].effects)
+	}
 	if h.world.mutant != startsBeforeRecord {
-		h.sendStarts(e.Starts)
+		h.sendStarts(write.effects.Starts)
 	}
 }
 
@@ -686,6 +714,7 @@
 		w.fail("BUDGET: %s started as run %d after four acknowledged failures", o.Task, o.Run)
 	}
 	w.checkCrashes(o.Task)
+	w.checkOrder(o.Task)
 	s.highestRun[o.Task], w.lastStart[o.Task] = o.Run, w.now.Boot
 	w.begun[jobOf(o.Task)] = true
 	s.runs[o.Task] = &simRun{run: o.Run, need: need, gang: members, endsAt: w.now.Boot + time.Duration(200+w.rng.IntN(1500))*time.Millisecond, willFail: w.chance(0.03)}
@@ -881,20 +910,50 @@
 			continue
 		}
 		for n, s := range j.GetSteps() {
-			missing := []citron.TaskRef{}
-			for i := range s.GetTasks() {
-				if ref := TaskName(id, 0, int32(n), i); !w.finished[ref] {
-					missing = append(missing, ref)
+			for o := range max(j.GetSchedule().GetRepeats(), 1) {
+				if ref := w.unfinishedIn(id, o, int32(n), s); ref != "" {
+					return ref
 				}
 			}
-			if len(missing) > 0 && (!s.GetGang() || len(missing) == int(s.GetTasks())) {
-				return missing[0]
-			}
 		}
 	}
 	return ""
 }
 
+// unfinishedIn returns a task of a step of one occurrence without an end as done, empty if there is none.
+func (w *world) unfinishedIn(id citron.JobID, occurrence, step int32, s *work.Step) citron.TaskRef {
+	missing := []citron.TaskRef{}
+	for i := range s.GetTasks() {
+		if ref := TaskName(id, occurrence, step, i); !w.finished[ref] {
+			missing = append(missing, ref)
+		}
+	}
+	if len(missing) > 0 && (!s.GetGang() || len(missing) == int(s.GetTasks())) {
+		return missing[0]
+	}
+	return ""
+}
+
+// checkOrder checks that the steps before that of a task are done.
+func (w *world) checkOrder(ref citron.TaskRef) {
+	var id string
+	var occurrence, step, index int32
+	if _, err := fmt.Sscanf(string(ref), "%4s.%d.%d.%d", &id, &occurrence, &step, &index); err != nil {
+		w.fail("task name %q cannot be parsed: %v", ref, err)
+		return
+	}
+	for _, j := range w.accepted {
+		if j.GetID() != id {
+			continue
+		}
+		for _, n := range j.GetSteps()[step].GetAfter() {
+			if missing := w.unfinishedIn(citron.JobID(id), occurrence, n, j.GetSteps()[n]); missing != "" {
+				w.fail("ORDER: %s started before the end of %s", ref, missing)
+			}
+		}
+	}
+}
+
 // jobOf returns the job of a task.
 func jobOf(ref citron.TaskRef) citron.JobID {
 	id, _, _ := strings.Cut(string(ref), ".")
--- a/citron/view/source.go
+++ b/citron/view/source.go
@@ -15,13 +15,19 @@
 	cancelRecord
 	progressRecord
 	recordKinds
+	// partRecord is a part of the progress; an entry has any number of them.
+	partRecord = recordKinds
 )
 
 // keyPrefixes are the prefixes of the keys by kind.
 var keyPrefixes = [recordKinds]string{pool.JobKey, pool.CancelKey, pool.ProgressKey}
 
-// parseKey splits the key of a record.
+// parseKey splits the key of a record. The key of a part also contains its index.
 func parseKey(key string) (kind recordKind, id citron.JobID, ok bool) {
+	if rest, found := strings.CutPrefix(key, pool.PartKey); found {
+		name, _, found := strings.Cut(rest, "/")
+		return partRecord, citron.JobID(name), found
+	}
 	if rest, found := strings.CutPrefix(key, pool.BriefKey); found {
 		return jobRecord, citron.JobID(rest), true
 	}
@@ -80,6 +86,11 @@
 					s.view.removeFrom(recordKind(kind), id, s.bit)
 				}
 			}
+			for _, part := range e.parts {
+				if part.sources&s.bit != 0 && !present[part.key] {
+					s.view.update(id, func(e *Entry) { e.removePart(part.key, s.bit) })
+				}
+			}
 		}
 	}
 }
--- a/citron/view/view.go
+++ b/citron/view/view.go
@@ -27,6 +27,8 @@
 	progressRemoved bool
 	// sources are the partitions that hold each of the records.
 	sources [recordKinds]sourceSet
+	// parts are those of the progress. The slice is replaced on each change, since copies of the entry share it.
+	parts []part
 }
 
 // remove removes the record of a kind.
@@ -202,6 +204,10 @@
 	if !ok {
 		return
 	}
+	if kind == partRecord {
+		v.applyPart(id, r, source)
+		return
+	}
 	if len(r.Value) == 0 {
 		v.update(id, func(e *Entry) {
 			e.sources[kind] &^= source
@@ -251,6 +257,9 @@
 			if e.announced != nil && !newer(e.announced, e.Progress) {
 				e.announced = nil
 			}
+			if e.partsUnused() {
+				e.parts = nil
+			}
 			return false
 		}, proto.Unmarshal(value, progress)
 	}
@@ -260,8 +269,14 @@
 	}, nil
 }
 
+// ordered is a record of which there may be several, the one with the highest epoch and number counts.
+type ordered interface {
+	GetEpoch() uint64
+	GetNumber() uint64
+}
+
 // newer reports whether a has a higher epoch than b, or the same epoch and a higher number.
-func newer(a, b *work.Progress) bool {
+func newer(a, b ordered) bool {
 	return cmp.Or(cmp.Compare(a.GetEpoch(), b.GetEpoch()), cmp.Compare(a.GetNumber(), b.GetNumber())) > 0
 }
 
@@ -285,7 +300,7 @@
 	}
 	before, queue := e.pending(), e.Spec.GetQueue()
 	f(e)
-	if e.Spec == nil && e.Progress == nil && !e.Cancelled {
+	if e.Spec == nil && e.Progress == nil && !e.Cancelled && len(e.parts) == 0 {
 		delete(s.jobs, id)
 	}
 	after := *e
