A record that the store refuses for good ends its job only

Cause: a refusal for good counted as no answer, so the holder repeated the append in each partition, gave up as one that does not reach the store, and the next holder did the same.

The append is halved until one record is left; if the store has accepted another append and refuses that record again, its job is failed, logged with the reason, and its starts are not sent. A store that refuses everything is at fault itself and is tried again. An unanswered append that is refused when it is repeated is no longer pending. Checkpoints are also dropped if they do not fit into the progress record together (before: counted for each occurrence).

--- a/citron/entry/relay.go
+++ b/citron/entry/relay.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -49,7 +48,7 @@
 	if !d.relaysOrders() {
 		return nil
 	}
-	e, known := d.view.Get(jobOf(task))
+	e, known := d.view.Get(task.Job())
 	if !known {
 		return nil
 	}
@@ -135,15 +134,9 @@
 	return hops
 }
 
-// jobOf returns the job of a task.
-func jobOf(task citron.TaskRef) citron.JobID {
-	id, _, _ := strings.Cut(string(task), ".")
-	return citron.JobID(id)
-}
-
 // payloadOf returns the payload of a task. Ok is false if its job has not been read here.
 func (d *Daemon) payloadOf(task citron.TaskRef) (payload string, ok bool) {
-	e, known := d.view.Get(jobOf(task))
+	e, known := d.view.Get(task.Job())
 	return e.Spec.GetPayload(), known && !e.Spec.GetPayloadOmitted()
 }
 
--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -85,6 +84,8 @@
 	maxClaimed int
 	merge      merge
 	writes     writes
+	// unstorable holds the jobs with a record that the store has refused for good.
+	unstorable map[citron.JobID]bool
 	// storeTimeout adapts the timeout of a probe to how quickly the store answers.
 	storeTimeout waits.Timeout
 	// appendLatency is that of the last answered append.
@@ -170,6 +171,18 @@
 	h.requestPlan()
 }
 
+// setAside fails the jobs of records that the store has refused for good. No start of theirs is sent any more.
+func (h *Holder) setAside(refused []citron.KeyedRecord) {
+	for _, r := range refused {
+		id := pool.JobOfRecord(r.Key)
+		if h.unstorable == nil {
+			h.unstorable = map[citron.JobID]bool{}
+		}
+		h.unstorable[id] = true
+		h.Pool.Fail(h.Timer.Now(), id, "the store refuses the record of its progress")
+	}
+}
+
 // requestPlan requests a plan without waiting for maxPlanInterval.
 func (h *Holder) requestPlan() {
 	select {
@@ -236,6 +249,9 @@
 func (h *Holder) stored(e pool.Effects) {
 	h.publish(e)
 	for _, s := range e.Starts {
+		if h.unstorable[s.Order.Task.Job()] {
+			continue
+		}
 		h.exchanges.Go(func(ctx context.Context) { h.start(ctx, s) })
 	}
 }
@@ -351,8 +367,7 @@
 	if !o.PayloadOmitted {
 		return
 	}
-	id, _, _ := strings.Cut(string(o.Task), ".")
-	if e, known := h.View.Get(citron.JobID(id)); known && !e.Spec.GetPayloadOmitted() {
+	if e, known := h.View.Get(o.Task.Job()); known && !e.Spec.GetPayloadOmitted() {
 		o.Payload, o.PayloadOmitted = e.Spec.GetPayload(), false
 	}
 }
--- a/citron/holder/partition_log.go
+++ b/citron/holder/partition_log.go
@@ -79,16 +79,58 @@
 const maxAppendBytes = 64 << 10
 
 // store stores the records of a plan, in several appends if they are many. The records of a plan are independent of each
-// other.
-func (h *Holder) store(ctx context.Context, records []citron.KeyedRecord) error {
+// other. It returns those that the store refuses for good.
+func (h *Holder) store(ctx context.Context, records []citron.KeyedRecord) (refused []citron.KeyedRecord, err error) {
 	for len(records) > 0 {
 		n := prefixWithin(records, maxAppendBytes)
-		if err := h.append(ctx, records[:n:n]); err != nil {
-			return err
+		found, err := h.storeBatch(ctx, records[:n:n])
+		if err != nil {
+			return refused, err
+		}
+		refused, records = append(refused, found...), records[n:]
+	}
+	return refused, nil
+}
+
+// storeBatch stores records in one append unless some are refused for good, which it returns. A record is at fault only if it is refused
+// again after the store has accepted another append; otherwise the store is.
+func (h *Holder) storeBatch(ctx context.Context, records []citron.KeyedRecord) (refused []citron.KeyedRecord, err error) {
+	for accepts := false; ; {
+		err := h.append(ctx, records)
+		switch {
+		case !errors.Is(err, citron.ErrUnstorable):
+			return nil, err
+		case len(records) > 1:
+			return h.storeHalves(ctx, records)
+		case accepts:
+			h.reportFailure("append", fmt.Errorf("record %s of %d bytes: %w", records[0].Key, records[0].Size(), err))
+			return records, nil
+		}
+		switch err := h.append(ctx, nil); {
+		case err == nil:
+			accepts = true
+		case errors.Is(err, citron.ErrUnstorable):
+			h.reportFailure("append", err)
+			timer.Pause(ctx, h.Timer, appendRetry)
+			if ctx.Err() != nil {
+				return nil, ctx.Err()
+			}
+		default:
+			return nil, err
 		}
-		records = records[n:]
 	}
-	return nil
+}
+
+// storeHalves stores each half of the records with storeBatch.
+func (h *Holder) storeHalves(ctx context.Context, records []citron.KeyedRecord) (refused []citron.KeyedRecord, err error) {
+	half := len(records) / 2
+	for _, some := range [][]citron.KeyedRecord{records[:half:half], records[half:]} {
+		found, err := h.storeBatch(ctx, some)
+		if refused = append(refused, found...); err != nil {
+			return refused, err
+		}
+	}
+	return refused, nil
 }
 
 // prefixWithin returns the number of records, from the first one on, that together have at most a number of bytes; at least
@@ -117,7 +159,7 @@
 			return nil
 		}
 		var sequence *citron.SequenceError
-		if errors.Is(err, citron.ErrFenced) || ctx.Err() != nil || errors.As(err, &sequence) && l.sequenceKnown {
+		if errors.Is(err, citron.ErrFenced) || errors.Is(err, citron.ErrUnstorable) || ctx.Err() != nil || errors.As(err, &sequence) && l.sequenceKnown {
 			return err
 		}
 		h.reportFailure("append", err)
@@ -227,9 +269,13 @@
 	}
 	pending := l.pending
 	_, err = h.appendOnce(ctx, l, pending)
-	return err == nil && slices.EqualFunc(pending, records, func(a, b citron.KeyedRecord) bool {
+	same := slices.EqualFunc(pending, records, func(a, b citron.KeyedRecord) bool {
 		return a.Key == b.Key && bytes.Equal(a.Value, b.Value)
-	}), err
+	})
+	if errors.Is(err, citron.ErrUnstorable) && !same {
+		return false, nil // It is not pending any more. Its records have been stored, or refused, elsewhere.
+	}
+	return err == nil && same, err
 }
 
 // appendOnce appends to one partition without a retry. A store that is slow is waited for; a partition that is silent while others
@@ -255,6 +301,8 @@
 		l.unanswered, l.pending = false, nil
 	case errors.As(err, &sequence) && !l.sequenceKnown:
 		l.sequence = sequence.Expected
+	case errors.Is(err, citron.ErrUnstorable):
+		l.unanswered, l.pending = false, nil // All copies are the same.
 	case errors.Is(err, citron.ErrUnavailable):
 		l.unanswered, l.pending = true, records
 	}
--- a/citron/holder/partition_log_test.go
+++ b/citron/holder/partition_log_test.go
@@ -181,7 +181,7 @@
 	for n := range 5 {
 		records = append(records, citron.KeyedRecord{Key: fmt.Sprintf("k%d", n), Value: make([]byte, maxAppendBytes/2)})
 	}
-	if err := h.store(context.Background(), records); err != nil {
+	if refused, err := h.store(context.Background(), records); err != nil || len(refused) > 0 {
 		t.Fatal(err)
 	}
 	// Two values of half the size exceed the limit by their keys.
@@ -189,7 +189,7 @@
 		t.Errorf("appends %v, want %v", s.appends, want)
 	}
 	s.appends = nil
-	if err := h.store(context.Background(), append(record("a"), record("b")...)); err != nil {
+	if refused, err := h.store(context.Background(), append(record("a"), record("b")...)); err != nil || len(refused) > 0 {
 		t.Fatal(err)
 	}
 	if want := []string{"0:5:a"}; !slices.Equal(s.appends, want) {
--- a/citron/holder/writes.go
+++ b/citron/holder/writes.go
@@ -62,6 +62,8 @@
 	// done is set once the records are stored, failed once that has failed.
 	done, failed bool
 	err          error
+	// refused are the records that the store has refused for good.
+	refused []citron.KeyedRecord
 }
 
 // slow reports whether the store is so slow that plans should not wait for each other.
@@ -154,7 +156,7 @@
 		if w.log != nil {
 			w.err = h.storeIn(ctx, w.log, w.records)
 		} else {
-			w.err = h.store(ctx, w.records)
+			w.refused, w.err = h.store(ctx, w.records)
 		}
 		h.writes.ended <- w
 	})
@@ -226,11 +228,13 @@
 	if err := h.settleOpening(ctx); err != nil {
 		return err
 	}
-	if err := h.store(ctx, h.failedRecords()); err != nil {
+	refused, err := h.store(ctx, h.failedRecords())
+	if err != nil {
 		return err
 	}
 	for _, w := range slices.Clone(h.writes.list) {
 		if w.failed && !w.done {
+			w.refused = refused
 			h.finish(ctx, w)
 		}
 	}
@@ -263,6 +267,7 @@
 // are stored too, since an end may be recorded by an earlier plan.
 func (h *Holder) finish(ctx context.Context, w *write) {
 	w.done = true
+	h.setAside(w.refused)
 	for _, e := range w.effects {
 		h.stored(e)
 	}
--- a/citron/platform.go
+++ b/citron/platform.go
@@ -12,6 +12,8 @@
 var (
 	// ErrRejected means that the remote side rejected the request and it had no effect.
 	ErrRejected = errors.New("request rejected, nothing was done")
+	// ErrUnstorable means that the store refuses the records themselves and will do so again.
+	ErrUnstorable = errors.New("records refused for good")
 	// ErrFenced means that another daemon has already used a higher epoch.
 	ErrFenced = errors.New("fenced by a higher epoch")
 	// ErrConflict means that the condition of an append does not hold.
@@ -46,6 +48,12 @@
 	Topic string
 )
 
+// Job returns the job that a task belongs to.
+func (t TaskRef) Job() JobID {
+	id, _, _ := strings.Cut(string(t), ".")
+	return JobID(id)
+}
+
 // Capacity is an amount of resources that a worker has or a task needs.
 type Capacity struct {
 	MilliCores   int64
@@ -223,7 +231,7 @@
 // Every method returns ErrRejected if the store rejected the request and ErrUnavailable if the effect is unknown.
 type Store interface {
 	// Append adds records atomically and returns the offset after the last one. It returns ErrFenced for a lower epoch
-	// and ErrConflict if the condition does not hold.
+	// and ErrConflict if the condition does not hold, and ErrUnstorable if it does not accept the records at any time.
 	Append(ctx context.Context, p Partition, records []KeyedRecord, c Condition) (Offset, error)
 	// Read returns records starting at from and waits up to wait for the first one. It returns ErrRecordsDeleted if
 	// records at from have been deleted.
--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -72,6 +72,15 @@
 	}
 }
 
+// Fail ends a job as failed and stops its tasks.
+func (p *Pool) Fail(now citron.Instant, id citron.JobID, reason string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if j, ok := p.jobs[id]; ok && !j.terminal {
+		p.endJob(now.Boot, j, work.State_STATE_FAILED, reason)
+	}
+}
+
 // openDue opens the occurrences of scheduled jobs that are due.
 func (p *Pool) openDue(now citron.Instant) {
 	p.scheduled = slices.DeleteFunc(p.scheduled, func(j *job) bool { return j.terminal })
--- a/citron/pool/end.go
+++ b/citron/pool/end.go
@@ -38,9 +38,8 @@
 	if p.allJobsKnown {
 		return true
 	}
-	name, _, _ := strings.Cut(string(ref), ".")
-	_, open := p.jobs[citron.JobID(name)]
-	_, ended := p.ended[citron.JobID(name)]
+	_, open := p.jobs[ref.Job()]
+	_, ended := p.ended[ref.Job()]
 	return open || ended
 }
 
--- a/citron/pool/parts.go
+++ b/citron/pool/parts.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -17,10 +18,12 @@
 const (
 	// PartKey is the prefix for parts of the progress of large jobs, followed by a job id, a slash and the index of the part.
 	PartKey = "part/"
-	// tasksPerRecord is the default of Options.TasksPerRecord.
+	// RecordBytesPerTask is what a record of the store must hold for each task, so that a checkpoint of hundreds of bytes fits.
+	RecordBytesPerTask = 1 << 10
+	// maxTaskBytes is the part of RecordBytesPerTask that tasks take on average at most; the rest is for the job and the occurrences.
+	maxTaskBytes = 960
+	// tasksPerRecord is the default of Options.TasksPerRecord, for records of 256 KiB.
 	tasksPerRecord = 256
-	// maxTasksBytes bounds the tasks in one record. The store accepts records of 256 KiB.
-	maxTasksBytes = 240 << 10
 )
 
 // NameOfPart returns the key of a part of the progress of a job.
@@ -28,6 +31,13 @@
 	return fmt.Sprintf("%s%s/%d", PartKey, id, index)
 }
 
+// JobOfRecord returns the job of a record that a pool writes.
+func JobOfRecord(key string) citron.JobID {
+	_, name, _ := strings.Cut(key, "/")
+	id, _, _ := strings.Cut(name, "/")
+	return citron.JobID(id)
+}
+
 // layout tells which records hold the tasks of an occurrence. The zero value is the progress record of the job.
 type layout struct {
 	// firstPart is the index of the first of a number of parts, each of which holds perPart tasks but for the last.
@@ -139,7 +149,7 @@
 	}
 	p.recordNumber++
 	r.Epoch, r.Number = uint64(p.Epoch), p.recordNumber
-	shorten(r.GetTasks())
+	p.Options.shorten(r.GetTasks())
 	value, err := proto.Marshal(r)
 	if err != nil {
 		return err
@@ -151,12 +161,12 @@
 
 // shorten drops the checkpoints if the tasks are too large for a record. A task whose run is lost then starts from its beginning, unless
 // its worker tells the checkpoint.
-func shorten(tasks []*work.Task) {
+func (o *Options) shorten(tasks []*work.Task) {
 	size := 0
 	for _, t := range tasks {
 		size += proto.Size(t)
 	}
-	if size <= maxTasksBytes {
+	if size <= o.tasksPerRecord()*maxTaskBytes {
 		return
 	}
 	for _, t := range tasks {
--- a/citron/pool/parts_test.go
+++ b/citron/pool/parts_test.go
@@ -158,7 +158,8 @@
 	if !r.p.Rewrite() {
 		t.Fatal("no rewrite although all jobs are known")
 	}
-	for !r.plan().Rewritten {
+	for rewritten := false; !rewritten; {
+		rewritten = r.plan().Rewritten
 	}
 	if got := len(r.parts("j")); got != before || r.progress("j") == nil {
 		t.Errorf("%d parts, want %d and the progress", got, before)
@@ -168,10 +169,12 @@
 // TestLongCheckpointsAreDropped guards against a worker whose checkpoints make a record too large for the store.
 func TestLongCheckpointsAreDropped(t *testing.T) {
 	long := strings.Repeat("x", storeRecordBytes/100)
-	for _, tasks := range []int32{100, 300} {
+	for _, tasks := range []int32{60, 100, 300} {
 		r := newRig(t)
 		r.workers(20)
-		r.accept(newJob("j", newStep(tasks, 1)))
+		j := newJob("j", newStep(tasks, 1))
+		j.Schedule = &work.Schedule{FirstMs: r.now.Wall.UnixMilli() - 4000, IntervalMs: 1000, Repeats: 3}
+		r.accept(j)
 		for _, s := range r.plan().Starts {
 			r.p.findTask(s.Order.Task).checkpoint = long
 			r.p.changeTask(r.p.findTask(s.Order.Task))
--- a/citron/pool/record.go
+++ b/citron/pool/record.go
@@ -48,7 +48,7 @@
 
 // appendProgress adds the progress record of a job to e. Ended is set if no run of the job is left.
 func (p *Pool) appendProgress(now citron.Instant, j *job, ended bool, e *Effects) error {
-	r := j.progress()
+	r := j.progress(&p.Options)
 	if ended {
 		r.EndedMs = now.Wall.UnixMilli()
 	}
@@ -64,14 +64,17 @@
 }
 
 // progress returns the record of a job. For an ended job it has only the occurrences whose runs are being stopped.
-func (j *job) progress() *work.Progress {
+func (j *job) progress(options *Options) *work.Progress {
 	r := &work.Progress{JobID: string(j.id), State: j.state, NextOccurrence: j.nextOccurrence, Parts: int32(j.parts)}
+	var tasks []*work.Task
 	for _, o := range j.open {
 		if j.terminal && !o.busy() {
 			continue
 		}
 		r.Open = append(r.Open, o.record())
+		tasks = append(tasks, r.GetOpen()[len(r.GetOpen())-1].GetTasks()...)
 	}
+	options.shorten(tasks)
 	return r
 }
 
@@ -96,7 +99,6 @@
 	r := &work.Occurrence{Number: o.number, FirstPart: int32(l.firstPart), Parts: int32(l.parts)}
 	if l.parts == 0 {
 		r.Tasks = o.recordTasks(0, math.MaxInt)
-		shorten(r.GetTasks())
 	}
 	return r
 }
--- a/citron/pool/rewrite.go
+++ b/citron/pool/rewrite.go
@@ -110,7 +110,7 @@
 		return &work.Progress{JobID: string(id), State: ended.state, NextOccurrence: ended.next, EndedMs: ended.endedMs, Parts: int32(ended.parts)}
 	}
 	if j, ok := p.jobs[id]; ok {
-		return j.progress()
+		return j.progress(&p.Options)
 	}
 	return nil
 }
--- a/citron/pool/sim_crash_test.go
+++ b/citron/pool/sim_crash_test.go
@@ -27,7 +27,7 @@
 		return false
 	}
 	for n, j := range w.accepted {
-		if j.GetID() == string(jobOf(ref)) {
+		if j.GetID() == string(ref.Job()) {
 			return n%crashingJobs == 0 && ref == TaskName(citron.JobID(j.GetID()), 0, 0, 0)
 		}
 	}
@@ -82,7 +82,7 @@
 
 func (w *world) recordFailure(ref citron.TaskRef, how citron.EndKind) {
 	if w.crashes != nil && how == citron.EndFailed {
-		w.crashes.failedRuns[jobOf(ref)]++
+		w.crashes.failedRuns[ref.Job()]++
 	}
 }
 
@@ -93,7 +93,7 @@
 		return
 	}
 	for ref, n := range w.crashes.under {
-		if jobOf(ref) == id && n >= 2 {
+		if ref.Job() == id && n >= 2 {
 			return
 		}
 	}
--- a/citron/pool/sim_quota_test.go
+++ b/citron/pool/sim_quota_test.go
@@ -107,7 +107,7 @@
 
 // teamOf returns the team of a task's job.
 func (w *world) teamOf(ref citron.TaskRef) string {
-	n := slices.IndexFunc(w.accepted, func(j *work.Job) bool { return j.GetID() == string(jobOf(ref)) })
+	n := slices.IndexFunc(w.accepted, func(j *work.Job) bool { return j.GetID() == string(ref.Job()) })
 	if n < 0 {
 		return ""
 	}
--- a/citron/pool/sim_test.go
+++ b/citron/pool/sim_test.go
@@ -716,7 +716,7 @@
 	w.checkCrashes(o.Task)
 	w.checkOrder(o.Task)
 	s.highestRun[o.Task], w.lastStart[o.Task] = o.Run, w.now.Boot
-	w.begun[jobOf(o.Task)] = true
+	w.begun[o.Task.Job()] = true
 	s.runs[o.Task] = &simRun{run: o.Run, need: need, gang: members, endsAt: w.now.Boot + time.Duration(200+w.rng.IntN(1500))*time.Millisecond, willFail: w.chance(0.03)}
 	w.crashAfterStart(s, o.Task)
 }
@@ -954,12 +954,6 @@
 	}
 }
 
-// jobOf returns the job of a task.
-func jobOf(ref citron.TaskRef) citron.JobID {
-	id, _, _ := strings.Cut(string(ref), ".")
-	return citron.JobID(id)
-}
-
 // checkAllEnded reports a job that has not ended after the time without faults.
 func (w *world) checkAllEnded() {
 	for _, j := range w.accepted {
--- a/citron/pool/speed_test.go
+++ b/citron/pool/speed_test.go
@@ -155,7 +155,7 @@
 
 // begin draws the run time of a started run. A gang is as slow as its slowest member.
 func (l *speedLoad) begin(s Start) {
-	id := jobOf(s.Order.Task)
+	id := s.Order.Task.Job()
 	j := l.open[id]
 	ran := float64(j.queue.run) * math.Exp(0.15*l.random.NormFloat64()) / l.speeds[s.Worker.ID]
 	drawn := l.random.Float64()
@@ -178,7 +178,7 @@
 	}
 	l.pending = append(l.pending, pendingEnd{at, s})
 	for n := range l.pending {
-		if j.queue.gang && jobOf(l.pending[n].start.Order.Task) == id {
+		if j.queue.gang && l.pending[n].start.Order.Task.Job() == id {
 			l.pending[n].at = j.gangEnd
 		}
 	}
@@ -214,7 +214,7 @@
 
 // finish reports the end of a run and counts the value of its job.
 func (l *speedLoad) finish(s Start, counts bool) {
-	id := jobOf(s.Order.Task)
+	id := s.Order.Task.Job()
 	j := l.open[id]
 	l.end(s, citron.EndDone)
 	if j.left--; j.left > 0 || !counts {
