A job that does not fit into a record of the store is refused at once

What callers saw: a body of nearly the allowed size (262,144 bytes) can make a job record that is larger than the store accepts, by its terms and its id. The store refused it, and with it the jobs of other callers in the same append; all waited for their deadline and got 504.

TestJobThatTheStoreCannotHoldIsRefusedAtOnce failed before (1 append of 1,000 bytes or more, no refusal; now 0 appends).

--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -80,6 +80,8 @@
 	// DirectWorkers is the number of workers up to which the holder sends all orders itself; 0 means defaultDirectWorkers. Of
 	// more workers, other daemons relay most orders.
 	DirectWorkers int
+	// RecordBytes is the size of the largest record that the store accepts; 0 means that it is not known.
+	RecordBytes int
 	// MachineLease is the minimum time between the upkeep orders of two holders; UpkeepDuration is how long one upkeep
 	// lasts.
 	MachineLease, UpkeepDuration time.Duration
@@ -201,7 +203,8 @@
 	}
 	d.Intake = &intake.Service{
 		View: &d.view, Writer: writer, Tails: d.jobs, ProgressTails: d.progressInUse, Timer: d.Timer,
-		Stored: d.forwardToHolder, Lookup: d.lookup, CountElsewhere: d.countElsewhere,
+		MaxRecordBytes: d.Settings.RecordBytes,
+		Stored:         d.forwardToHolder, Lookup: d.lookup, CountElsewhere: d.countElsewhere,
 	}
 	d.Log.Emit(event.DaemonStarted, event.Fields{"Incarnation": d.self.Incarnation, "Peer": d.Settings.PeerAddress})
 	d.components = append(d.components, d.peers.Serve(d.run, listener, &server{d: d}))
--- a/citron/intake/intake.go
+++ b/citron/intake/intake.go
@@ -42,10 +42,15 @@
 	CountElsewhere func(ctx context.Context, q citron.QueueName) (n int, ok bool)
 	// Stored, if set, is called with each record that the store has acknowledged.
 	Stored func(citron.KeyedRecord)
+	// MaxRecordBytes is the size of the largest record that the store accepts; 0 means that it is not known.
+	MaxRecordBytes int
 	// Caller sends the requests; the zero value may use every job.
 	Caller Caller
 }
 
+// recordOverhead is the number of bytes that the store counts for a record beside its key and value.
+const recordOverhead = 1
+
 // Submit stores a job. It is idempotent. The id of a job that the caller may not use is refused.
 func (s *Service) Submit(ctx context.Context, job *work.Job) *citron.Refusal {
 	if e, known := s.View.Get(citron.JobID(job.GetID())); known {
@@ -55,7 +60,12 @@
 	if err != nil {
 		return citron.NewNotRunRefusal(citron.RefusalBadBody, 0, "the job cannot be stored: %v", err)
 	}
-	if refused := s.write(ctx, citron.KeyedRecord{Key: pool.JobKey + job.GetID(), Value: value}); refused != nil {
+	r := citron.KeyedRecord{Key: pool.JobKey + job.GetID(), Value: value}
+	// A record that the store refuses would fail all others in its append.
+	if size := r.Size() + recordOverhead; s.MaxRecordBytes > 0 && size > s.MaxRecordBytes {
+		return citron.NewNotRunRefusal(citron.RefusalBodyTooLarge, 0, "the job takes %d bytes in the store, which accepts %d", size, s.MaxRecordBytes)
+	}
+	if refused := s.write(ctx, r); refused != nil {
 		return refused
 	}
 	// The job of another team may have been read meanwhile. The first record counts.
--- a/citron/intake/intake_test.go
+++ b/citron/intake/intake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/citroncross/citroncross/citron/tail"
 	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/citron/view"
+	"github.com/citroncross/citroncross/schema/record"
 	"github.com/citroncross/citroncross/schema/work"
 )
 
@@ -119,3 +121,31 @@
 		t.Errorf("count refused (%v) although the store answers", refused)
 	}
 }
+
+// TestJobThatTheStoreCannotHoldIsRefusedAtOnce guards against a record that the store refuses together with all others in its append, while
+// their callers wait for an answer.
+func TestJobThatTheStoreCannotHoldIsRefusedAtOnce(t *testing.T) {
+	const most = 1000
+	for _, size := range []int{most, most / 2} {
+		store := &countingStore{}
+		s := &Service{View: &view.View{}, Writer: &Writer{Store: store, Timer: timer.System{}, Partitions: []citron.Partition{{Topic: "jobs"}}}, MaxRecordBytes: most}
+		refused := s.Submit(context.Background(), &work.Job{ID: "j", Payload: strings.Repeat("x", size)})
+		switch tooLarge := size == most; {
+		case tooLarge && (refused == nil || refused.Number != citron.RefusalBodyTooLarge || refused.Outcome != record.Outcome_OUTCOME_NOT_RUN || store.appends > 0):
+			t.Errorf("job of %d bytes: refusal %v, %d appends, want a refusal at once", size, refused, store.appends)
+		case !tooLarge && (refused != nil || store.appends != 1):
+			t.Errorf("job of %d bytes: refusal %v, %d appends, want it to be stored", size, refused, store.appends)
+		}
+	}
+}
+
+// countingStore accepts and counts appends.
+type countingStore struct {
+	citron.Store
+	appends int
+}
+
+func (s *countingStore) Append(context.Context, citron.Partition, []citron.KeyedRecord, citron.Condition) (citron.Offset, error) {
+	s.appends++
+	return 0, nil
+}
