--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -245,9 +246,9 @@
 	return h.write(ctx, e)
 }
 
-// stored continues with what required the records of a plan to be stored.
-func (h *Holder) stored(e pool.Effects) {
-	h.publish(e)
+// stored continues with what required the records of a plan to be stored. The refused ones are not.
+func (h *Holder) stored(e pool.Effects, refused []citron.KeyedRecord) {
+	h.publish(e, refused)
 	for _, s := range e.Starts {
 		if h.unstorable[s.Order.Task.Job()] {
 			continue
@@ -309,10 +310,10 @@
 	return err
 }
 
-// publish calls Published for the records that change what callers see.
-func (h *Holder) publish(e pool.Effects) {
+// publish calls Published for the stored records that change what callers see.
+func (h *Holder) publish(e pool.Effects, refused []citron.KeyedRecord) {
 	for n, r := range e.Records {
-		if e.Visible[n] {
+		if e.Visible[n] && !slices.ContainsFunc(refused, func(other citron.KeyedRecord) bool { return other.Key == r.Key }) {
 			h.Published(r)
 		}
 	}
--- a/citron/holder/refused_test.go
+++ b/citron/holder/refused_test.go
@@ -55,6 +55,8 @@
 	citron.Workers
 	mu    sync.Mutex
 	tasks []citron.TaskRef
+	// unstored counts the records that callers were shown although they are not stored.
+	unstored int
 }
 
 func (w *startedTasks) Start(_ context.Context, _ *citron.WorkerEntry, o citron.StartOrder) (citron.StartOutcome, time.Duration, error) {
@@ -72,7 +74,11 @@
 func newRefusedHolder(s *refusingStore, w *startedTasks) *Holder {
 	clock := &timer.Immediate{}
 	clock.Advance(time.Hour)
-	h := &Holder{Store: s, Workers: w, Timer: simTimer{clock}, Producer: "p", Pool: pool.New(pool.Options{Lease: time.Minute, MaxLease: time.Minute, AnswerTimeout: time.Minute, StartTimeout: time.Second}, 1, &advice.Balancer{}), Published: func(citron.KeyedRecord) {}}
+	h := &Holder{Store: s, Workers: w, Timer: simTimer{clock}, Producer: "p", Pool: pool.New(pool.Options{Lease: time.Minute, MaxLease: time.Minute, AnswerTimeout: time.Minute, StartTimeout: time.Second}, 1, &advice.Balancer{}), Published: func(r citron.KeyedRecord) {
+		if string(s.stored[r.Key]) != string(r.Value) {
+			w.unstored++
+		}
+	}}
 	h.ProgressTails = []*tail.Tail{{}}
 	h.openLogs = []*partitionLog{{tail: h.ProgressTails[0]}}
 	renew(h, citron.WorkerReport{})
@@ -95,7 +101,7 @@
 		t.Fatal(err)
 	}
 	h.setAside(refused)
-	h.stored(e)
+	h.stored(e, refused)
 	<-h.exchanges.Idle()
 	h.Pool.Committed(e)
 }
@@ -132,6 +138,27 @@
 	}
 }
 
+// TestRefusedStateIsNotPublished guards against callers who are shown a state that the next holder does not know.
+func TestRefusedStateIsNotPublished(t *testing.T) {
+	refusals := 0
+	s := &refusingStore{stored: map[string][]byte{}, refuses: func(r citron.KeyedRecord) bool {
+		var p work.Progress
+		running := r.Key == pool.ProgressKey+"bad" && proto.Unmarshal(r.Value, &p) == nil && p.GetState() == work.State_STATE_RUNNING
+		if running {
+			refusals++
+		}
+		return running
+	}}
+	w := &startedTasks{}
+	h := newRefusedHolder(s, w)
+	for range 3 {
+		storePlan(t, h)
+	}
+	if refusals == 0 || w.unstored > 0 {
+		t.Errorf("%d refusals, %d records were published that are not stored, want none", refusals, w.unstored)
+	}
+}
+
 // TestStoreThatRefusesEverythingIsAtFault guards against a failing store that makes the holder end all jobs.
 func TestStoreThatRefusesEverythingIsAtFault(t *testing.T) {
 	s := &refusingStore{stored: map[string][]byte{}, broken: 50, refuses: func(citron.KeyedRecord) bool { return false }}
--- a/citron/holder/writes.go
+++ b/citron/holder/writes.go
@@ -269,7 +269,7 @@
 	w.done = true
 	h.setAside(w.refused)
 	for _, e := range w.effects {
-		h.stored(e)
+		h.stored(e, w.refused)
 	}
 	for len(h.writes.list) > 0 && h.writes.list[0].done {
 		first := h.writes.list[0]
