A new holder is not told of jobs whose specification it has not read

Cause: View.SetListener passed every known entry at first, also one of which only the progress had been read, while changes are passed only with a specification. Pool.Accept took it for a job without an id and steps.

Change: SetListener leaves such entries out, they are passed when their specification is read; Accept no longer relies on a step being there, since a record may be malformed.

TestListenerIsToldOfNoJobWithoutItsSpec and TestRecordOfAJobWithoutStepsIsHarmless failed before (told of 1 job without its specification; panic).

--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -48,7 +48,7 @@
 		return
 	}
 	for _, o := range slices.Clone(j.open) {
-		if o.done() {
+		if len(o.steps) > 0 && o.done() {
 			p.advance(now.Boot, o.steps[0]) // The former holder was lost before it had recorded the end.
 		}
 	}
--- a/citron/pool/parts_test.go
+++ b/citron/pool/parts_test.go
@@ -214,3 +214,10 @@
 		t.Errorf("%d records, want 1", len(e.Records))
 	}
 }
+
+// TestRecordOfAJobWithoutStepsIsHarmless guards against a record that ends one holder after the other.
+func TestRecordOfAJobWithoutStepsIsHarmless(t *testing.T) {
+	r := newRig(t)
+	r.p.Accept(r.now, &work.Job{ID: "j"}, &work.Progress{JobID: "j", State: work.State_STATE_RUNNING, NextOccurrence: 1, Open: []*work.Occurrence{{Tasks: []*work.Task{{Run: 1}}}}})
+	r.plan()
+}
--- a/citron/view/view.go
+++ b/citron/view/view.go
@@ -151,7 +151,7 @@
 	return n
 }
 
-// SetListener calls f with every known job and then with every changed one, until the listener is replaced; nil removes
+// SetListener calls f with every job whose spec is known and then with every changed one, until the listener is replaced; nil removes
 // it. A change may be passed twice.
 func (v *View) SetListener(f func(id citron.JobID, e Entry)) {
 	v.mu.Lock()
@@ -162,7 +162,9 @@
 	}
 	for n := range v.shards {
 		for id, e := range v.shards[n].copyJobs() {
-			f(id, e)
+			if e.Spec != nil {
+				f(id, e)
+			}
 		}
 	}
 }
--- a/citron/view/view_test.go
+++ b/citron/view/view_test.go
@@ -143,3 +143,20 @@
 		t.Errorf("spec %v, %d pending; want the payload and 1", e.Spec, v.Pending("q"))
 	}
 }
+
+// TestListenerIsToldOfNoJobWithoutItsSpec guards against a new holder that ends at the progress of a job which it has not read yet.
+func TestListenerIsToldOfNoJobWithoutItsSpec(t *testing.T) {
+	v := &View{}
+	apply(v, newRecord(t, pool.ProgressKey+"a", &work.Progress{JobID: "a", State: work.State_STATE_RUNNING, NextOccurrence: 1, Open: []*work.Occurrence{{}}}))
+	apply(v, newRecord(t, pool.JobKey+"b", &work.Job{ID: "b", Queue: "q"}))
+	told := map[citron.JobID]int{}
+	v.SetListener(func(id citron.JobID, e Entry) {
+		if told[id]++; e.Spec == nil {
+			t.Errorf("told of job %s without its spec", id)
+		}
+	})
+	apply(v, newRecord(t, pool.JobKey+"a", &work.Job{ID: "a", Queue: "q"}))
+	if told["a"] != 1 || told["b"] != 1 {
+		t.Errorf("told of a %d times and of b %d times, want once each", told["a"], told["b"])
+	}
+}
