Tests of keys wait until the teams are in force

Run in 44 processes beside each other (load 110), 8 of some 100 rounds of the package hung or failed otherwise than by an address in use: 5 in TestFirstOfTwoTeamsKeepsItsJob, 2 in TestStrictRevocationAtADaemonWithoutTheConfiguration, 1 in TestHolderIsKilledWhileAPartitionIsUnresponsive.

Cause of the first two, by a trace of the records of 23 hanging plays (of 320): with the configuration before, which has no teams, every key is accepted, so waiting for "a" and "b" to be accepted showed nothing. The job was submitted without a team in 18 of them. In 5 the slow append was repeated in another partition, and docs/design/keys.md says that records in different partitions have no order. The cause of the third is not known; 160 further runs at that load did not show it.

Change: the tests wait until a request without a key is refused; only the first partition takes appends, and an id is used only if neither record was appended twice. waitUntil fails after 3 minutes and prints the daemons' logs.

--- a/citronlab/site/keys_test.go
+++ b/citronlab/site/keys_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -81,7 +82,7 @@
 	c.strict = true
 	c.launch(0)
 	c.site.PublishTeams(2, teamsWithKeys("a"), "quick")
-	c.waitForKeys(map[string]int{"a": http.StatusOK})
+	c.waitForKeys(map[string]int{"a": http.StatusOK, "": http.StatusUnauthorized})
 	c.site.Store.SetFailures(func(_, topic, _ string) Failure {
 		if topic == "keyed.op" {
 			return Unresponsive
@@ -94,14 +95,22 @@
 }
 
 // Two teams submit one id to daemons that do not know of each other's job yet. The first record in the store must count at
-// every daemon, also at one that is started later.
+// every daemon, also at one that is started later. Records in different partitions have no order (docs/design/keys.md), so only the
+// first partition takes appends, and an id is used only if neither record was appended twice.
 func TestFirstOfTwoTeamsKeepsItsJob(t *testing.T) {
 	c := startCell(t, "127.0.0.55", 3)
 	c.site.PublishTeams(2, teamsWithKeys("a"), "quick", "bulk")
-	c.waitForKeys(map[string]int{"a": http.StatusOK, "b": http.StatusOK})
+	// Without a team in the configuration every key is accepted, and so is none.
+	c.waitForKeys(map[string]int{"a": http.StatusOK, "b": http.StatusOK, "": http.StatusUnauthorized})
 	holder := c.holder()
 	first, second := (holder+1)%3, (holder+2)%3
-	c.site.Store.SetFailures(func(call, topic, _ string) Failure {
+	var appends atomic.Int64
+	c.site.Store.SetFailures(func(call, topic, part string) Failure {
+		if call == "log-append" && topic == jobsTopic {
+			if appends.Add(1); part != "0" {
+				return Busy
+			}
+		}
 		if call == "log-read" && topic == jobsTopic {
 			return Unresponsive
 		}
@@ -119,7 +128,8 @@
 		// A read that began before the failures may still show the first job to the second daemon; then another id is used.
 		tries++
 		id = fmt.Sprintf("%016x", 0xaa00+tries)
-		return keyed("a", first, http.MethodPost) == http.StatusOK && keyed("b", second, http.MethodPost) == http.StatusOK
+		appends.Store(0)
+		return keyed("a", first, http.MethodPost) == http.StatusOK && keyed("b", second, http.MethodPost) == http.StatusOK && appends.Load() == 2
 	})
 	c.site.Store.SetFailures(nil)
 	belongsToFirst := func(front int) bool {
--- a/citronlab/site/site_test.go
+++ b/citronlab/site/site_test.go
@@ -27,7 +27,7 @@
 )
 
 // The tests of this package run real daemons against the stand-in on loopback. They poll until a condition holds and
-// assert safety only; a condition that never holds is ended by the timeout of go test.
+// assert safety only; a condition that does not hold within maxWait fails the test.
 
 // cell is a site with daemons.
 type cell struct {
@@ -60,6 +60,12 @@
 	return b.text.Write(p)
 }
 
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 // startCell starts a site and daemons, and waits until a daemon holds the pool.
 func startCell(t *testing.T, ip string, daemons int) *cell {
 	t.Helper()
@@ -83,7 +89,7 @@
 			t.Error(err)
 		}
 		if t.Failed() {
-			t.Log(c.log.text.String())
+			t.Log(c.log.String())
 		}
 	})
 	c.site.PublishConfig(1, "quick", "bulk")
@@ -153,11 +159,20 @@
 	return -1
 }
 
+// maxWait bounds how long a test waits for one condition, so that the logs of a daemon that is stuck are printed before go test
+// ends all tests of the package.
+const maxWait = 3 * time.Minute
+
 // waitUntil polls until a condition holds.
 func (c *cell) waitUntil(holds func() bool) {
+	c.t.Helper()
+	began := c.site.Timer.Now().Boot
 	tick, stop := c.site.Timer.Every(10 * time.Millisecond)
 	defer stop()
 	for !holds() {
+		if c.site.Timer.Now().Boot-began > maxWait {
+			c.t.Fatalf("a condition does not hold after %v", maxWait)
+		}
 		<-tick
 	}
 }
