Soak with jobs of random shape

So the progress of a job in several records is also written and read by real processes that are killed, frozen and cut off. Gangs and services are left out, since the stand-in's workers end each task by itself; late orders of up to 12 s are not in yet.

--- a/citronlab/soak/caller.go
+++ b/citronlab/soak/caller.go
@@ -79,11 +79,10 @@
 
 // submit tries to submit a job until it is accepted, and cancels 1 of 12 accepted jobs.
 func (c *caller) submit(ctx context.Context, id string) {
-	kind := jobKinds[c.rng.IntN(len(jobKinds))]
-	j := &job{tasks: kind.tasks, refused: true}
+	j, body := c.newJob()
 	c.jobs[id] = j
 	for range submitAttempts {
-		status := c.request(http.MethodPost, id, kind.body)
+		status := c.request(http.MethodPost, id, body)
 		if status != http.StatusTooManyRequests && status != http.StatusServiceUnavailable {
 			j.refused = false
 		}
--- a/citronlab/soak/soak.go
+++ b/citronlab/soak/soak.go
@@ -30,6 +30,8 @@
 	Seed uint64
 	// Daemons and Workers are the numbers of daemons and workers.
 	Daemons, Workers int
+	// Shapes makes callers submit jobs of random shape instead of a few kinds.
+	Shapes bool
 	// Duration is how long faults are injected.
 	Duration time.Duration
 	// CompletionTimeout is how long all work may take to end after the last fault has ended.
--- a/citronlab/soak/soak_test.go
+++ b/citronlab/soak/soak_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -38,6 +41,41 @@
 	}
 }
 
+// Guards against shapes that are refused, so that the soak would test nothing.
+func TestRandomShapesAreWithinTheLimits(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	wide, repeated := 0, 0
+	for range 1000 {
+		tasks, body := randomShape(rng)
+		var job struct {
+			Steps   []step `json:"steps"`
+			Repeats int    `json:"repeat_count"`
+		}
+		if err := json.Unmarshal([]byte(body), &job); err != nil {
+			t.Fatal(err)
+		}
+		sum := 0
+		for n, s := range job.Steps {
+			sum += s.Count
+			if slices.ContainsFunc(s.After, func(earlier int) bool { return earlier < 0 || earlier >= n }) {
+				t.Errorf("step %d runs after %v", n, s.After)
+			}
+		}
+		if sum *= max(job.Repeats, 1); sum != tasks {
+			t.Errorf("%s has %d tasks, reported as %d", body, sum, tasks)
+		}
+		if tasks > 256 {
+			wide++
+		}
+		if job.Repeats > 0 {
+			repeated++
+		}
+	}
+	if wide == 0 || repeated == 0 {
+		t.Errorf("%d jobs take several records and %d repeat, want some", wide, repeated)
+	}
+}
+
 func TestCheckerReportsViolations(t *testing.T) {
 	a, b := &site.Instance{ID: "a", Timer: clock}, &site.Instance{ID: "b", Timer: clock}
 	started := func(i *site.Instance, run int, at time.Duration) site.Event {
