review: show that a late acknowledgement reaches an executor's next life (case 6, TWICE)

Cause: a hold call names the executor by its id and acknowledges ends by a number that starts anew with each life. One that is carried out late makes the next life under the same id forget ends that no answer has listed; the holder then takes the runs as lost and starts their tasks again, though they have ended done.

Case: 24 executors, three daemons, short tasks. Half of the hold calls get no answer for 5.5 s and are carried out 2 to 12 s later, and three executors crash meanwhile and are back after 2 s under their ids; six times.

The case that was review/7 (fill jobs beside serving tasks) is dropped: it is the other direction of review/4, which names it.

--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -59,7 +59,9 @@
 	cloudAt  string
 	daemons  []*daemon
 	cloud    *cloud
-	closed   chan struct{}
+	// lateUntil is the end of the time in which hold calls are carried out late.
+	lateUntil time.Time
+	closed    chan struct{}
 }
 
 // seen is what was seen of one task.
@@ -209,6 +211,9 @@
 		return
 	}
 	s := b.seenOf(e.task)
+	if !e.listed {
+		b.log("end %d of %s, %s run %d done, is taken note of; no answer has listed it", e.number, l.id, e.task, e.run)
+	}
 	if done := s.doneAt[l]; s.lastStart.After(done) && !s.ackedDone {
 		b.violate("TWICE: %s was started after run %d had ended done on %s, which is taken note of now", e.task, e.run, l.id)
 	}
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -18,10 +18,10 @@
 
 // scenarios maps the names of the scenarios to what they do; an error means that the case could not run.
 var scenarios = map[string]func(*bed) error{
+	"acked":   ackedScenario,
 	"relay":   relayScenario,
 	"wave":    waveScenario,
 	"gang":    gangScenario,
-	"fills":   fillsScenario,
 	"reserve": reserveScenario,
 }
 
--- a/review/bed/waiting.go
+++ b/review/bed/waiting.go
@@ -6,15 +6,8 @@
 	"time"
 )
 
-// Doses of the fills scenario.
-const (
-	fillsWorkers = 48
-	lostForGood  = 7
-	fillJobs     = 10
-	// finishAfter is finish_s of the settings, waitsFor how long a job may then have nothing running although there is room.
-	finishAfter = 14 * time.Second
-	waitsFor    = 3 * time.Second
-)
+// waitsFor is how long a job may have nothing running although there is room.
+const waitsFor = 3 * time.Second
 
 // pool starts a number of workers and a small deployment of daemons.
 func (b *bed) pool(workers, daemons int) error {
@@ -46,45 +39,6 @@
 	return n
 }
 
-// fillsScenario loses some workers for good, so that a task with a target runs on each of the others, and submits jobs that fill.
-func fillsScenario(b *bed) error {
-	if err := b.pool(fillsWorkers, 6); err != nil {
-		return err
-	}
-	replicas := fillsWorkers - lostForGood
-	serving := "d000000000000001"
-	if !b.submit(serving, stepBody{Count: replicas, CPU: 4000, MemMB: 2000, AntiAffinity: 1, LongRunning: true, TargetMs: 2000, Image: "serve"}, taskSpec{startup: startup}, b.fronts()) {
-		return errors.New("the service was not accepted")
-	}
-	if !waitFor(10*time.Second, func() bool { return b.working(serving) == replicas }) {
-		return errors.New("the service does not run")
-	}
-	if b.trouble {
-		b.mu.Lock()
-		lost := b.rng.Perm(len(b.lives))[:lostForGood]
-		b.mu.Unlock()
-		for _, n := range lost {
-			b.crash(b.lives[n], "lost for good")
-		}
-		if !waitFor(20*time.Second, func() bool { return b.working(serving) == replicas }) {
-			return errors.New("the service does not run again")
-		}
-	}
-	time.Sleep(5 * time.Second)
-	b.note("%d tasks of the service run, each on a worker of its own", b.working(serving))
-	var ids []string
-	for n := range fillJobs {
-		id := fmt.Sprintf("%016x", 0xe000000000000000+uint64(n))
-		if b.submit(id, stepBody{Count: 2, CPU: 2000, MemMB: 1000, EstimateMs: 500, Fills: true, Image: "fill"}, taskSpec{runTime: 500 * time.Millisecond}, b.fronts()) {
-			ids = append(ids, id)
-		}
-	}
-	b.note("end of the traffic")
-	time.Sleep(finishAfter)
-	b.checkWaiting(ids)
-	return nil
-}
-
 // checkWaiting checks that no job has nothing running for waitsFor.
 func (b *bed) checkWaiting(ids []string) {
 	idle := map[string]bool{}
--- a/review/bed/worker.go
+++ b/review/bed/worker.go
@@ -61,6 +61,8 @@
 	run    int
 	how    string
 	lapsed bool
+	// listed is set once an answer has listed the end.
+	listed bool
 }
 
 // life is one life of a worker: one executor process.
@@ -145,6 +147,12 @@
 	case call == "run-stop":
 		l.token = o.Token
 		l.stop(o)
+	case call == "hold" && b.holdLate():
+		b.log("hold at %s born %d, acked_upto %d, gets no answer", l.id, l.born, o.Acked)
+		b.mu.Unlock()
+		go b.carryOutLate(l.id, o)
+		<-r.Context().Done()
+		return
 	case call == "hold":
 		l.token = o.Token
 		l.extend(o)
@@ -228,6 +236,32 @@
 	})
 }
 
+// carryOutLate carries out a hold call seconds later, whatever life the worker is in by then.
+func (b *bed) carryOutLate(id string, o order) {
+	b.mu.Lock()
+	delay := lateFrom + time.Duration(b.rng.Int64N(int64(lateTo-lateFrom)))
+	b.mu.Unlock()
+	time.Sleep(delay)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, l := range b.lives {
+		if l.id != id || l.gone || o.Token < l.token {
+			continue
+		}
+		l.token = o.Token
+		l.extend(o)
+		if o.Acked > 0 {
+			b.log("late hold at %s born %d: acked_upto %d, of %d ends so far", l.id, l.born, o.Acked, l.endCount)
+		}
+		l.acknowledge(o.Acked)
+	}
+}
+
+// holdLate reports whether a hold call gets no answer. The lock is held.
+func (b *bed) holdLate() bool {
+	return time.Now().Before(b.lateUntil) && b.rng.Float64() < lateShare
+}
+
 // wait waits for an end while there is none to list. The lock is held, but not during the wait.
 func (l *life) wait(r *http.Request, d time.Duration) {
 	if len(l.ends) > 0 || d <= 0 {
@@ -252,6 +286,7 @@
 		running = append(running, []any{r.task, r.number, "", r.percent(now), 1000})
 	}
 	for _, e := range l.ends[:min(len(l.ends), maxEndsListed)] {
+		e.listed = true
 		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
 	}
 	return map[string]any{"clock_ms": l.clock().Milliseconds(), "born": l.born, "running": running, "ended": ended}
