--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -7,6 +7,8 @@
 	"os/signal"
 	"path/filepath"
 	"syscall"
+
+	"github.com/citroncross/citroncross/citron/serve"
 )
 
 // Exit codes.
@@ -31,6 +33,7 @@
 	record := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	seed := flag.Uint64("seed", 1, "seed of random choices")
 	flag.Parse()
+	serve.DisableFrameworkLogs()
 	scenario := scenarios[flag.Arg(0)]
 	if scenario == nil {
 		fmt.Fprintln(os.Stderr, "no such scenario:", flag.Arg(0))
