A relayed order expires on the clock of the daemon that relays it

Cause: with more than 64 workers the holder sends starts through other daemons and waits 0.5 s. An order that was in the connection to a daemon that stood still for 4 s got a fresh timeout when that daemon went on. The worker's deadline, on which the package relied, is a time on the clock of a former life of the worker. Ruled out: late execution by the workers (the stand-in of the case has none), the holder's own connections (they end with the worker's life).

Change: relaying daemons tell their boot clock with each message, the first as soon as a stream is open; the holder's estimate of it is never ahead but for drift. Each order carries the reading at which its sender stops waiting, also when it is passed on to another daemon, and is answered as not sent from then on. A daemon that tells no clock is not used as a relay.

TestSilentDaemonIsAvoided renews a lease first, so that its time limit of 100 ms does not contain the opening of the stream.

--- a/citron/relay/fuzz_test.go
+++ b/citron/relay/fuzz_test.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/schema/link"
 )
 
@@ -26,7 +27,7 @@
 		if proto.Unmarshal(raw, &orders) == nil {
 			var log []string
 			workers := &fakeWorkers{mu: &sync.Mutex{}, log: &log}
-			stream := &serverStream{server: &Server{Workers: workers, Payload: func(citron.TaskRef) (string, bool) { return "", true }}, reports: map[citron.Worker]*baseReport{}}
+			stream := &serverStream{server: &Server{Workers: workers, Timer: &timer.Manual{}, Payload: func(citron.TaskRef) (string, bool) { return "", true }}, reports: map[citron.Worker]*baseReport{}}
 			for _, o := range orders.GetOrders() {
 				if a := stream.carryOut(t.Context(), o); a.GetNumber() != o.GetNumber() {
 					t.Errorf("answer %v to order %v", a, o)
--- a/citron/relay/relay.go
+++ b/citron/relay/relay.go
@@ -2,8 +2,8 @@
 // processor do not limit the number of workers. Each worker gets its orders through a few daemons; the daemon that accepted
 // a job adds the payload to the starts of its tasks.
 //
-// A relayed order is as safe as one that is delayed by the network: the worker refuses it after its deadline or once a
-// higher epoch has been used.
+// Once its sender does not wait for the answer any more, a daemon does not send an order: each order says when it expires on the
+// clock of the daemon that relays it. So a daemon that was suspended does not carry out what has been given up meanwhile.
 package relay
 
 import (
@@ -127,7 +127,11 @@
 			continue
 		}
 		o.Via = string(hop.Via)
-		if a, err = w.exchange(ctx, hop.VM, o); err != nil {
+		a, err = w.exchange(ctx, hop.VM, o)
+		if errors.Is(err, citron.ErrRejected) {
+			continue
+		}
+		if err != nil {
 			return nil, eris.Wrapf(err, "relay through %s", hop.VM)
 		}
 		switch a.GetResult() {
@@ -138,6 +142,7 @@
 			return nil, eris.Wrapf(w.workerError(path{hop, to.ID}, a), "relay through %s", hop.VM)
 		}
 	}
+	// A session that could not be used is no error: the order goes another way.
 	return nil, nil
 }
 
@@ -166,21 +171,32 @@
 	return now >= w.avoidDaemon[p.hop.VM] && now >= w.avoidDaemon[p.hop.Via] && now >= w.avoidRelay[p]
 }
 
-// exchange sends an order through a daemon and returns the answer.
+// exchange sends an order through a daemon and returns the answer. It returns ErrRejected if the order was not sent.
 func (w *Workers) exchange(ctx context.Context, vm citron.VMName, o *link.Order) (a *link.Answer, err error) {
 	s := w.session(vm)
+	if err = s.awaitClock(ctx, w.Timer); err != nil {
+		w.avoid(ctx, vm)
+		return nil, err
+	}
 	if limit, ok := ctx.Deadline(); ok {
-		o.TimeoutMs = max(time.Until(limit)-answerSlack, time.Millisecond).Milliseconds()
+		timeout := max(time.Until(limit)-answerSlack, time.Millisecond)
+		o.TimeoutMs, o.ExpiresMs = timeout.Milliseconds(), s.expiry(w.Timer.Now().Boot+timeout).Milliseconds()
 	}
 	if a, err = s.exchange(ctx, o); err == nil {
 		return a, nil
 	}
+	w.avoid(ctx, vm)
+	return nil, errors.Join(citron.ErrUnavailable, err)
+}
+
+// avoid keeps the next orders from a daemon that has not answered, unless the exchange was cancelled.
+func (w *Workers) avoid(ctx context.Context, vm citron.VMName) {
+	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		w.avoidDaemon[vm] = w.Timer.Now().Boot + avoidDaemonFor
-	}
-	return nil, errors.Join(citron.ErrUnavailable, err)
+	w.avoidDaemon[vm] = w.Timer.Now().Boot + avoidDaemonFor
 }
 
 // Forward passes an order that another daemon has sent on to a daemon, with the payload of its task.
--- a/citron/relay/relay_test.go
+++ b/citron/relay/relay_test.go
@@ -67,22 +67,80 @@
 	holder  *Workers
 	// unknown is the name of a daemon that does not know the payload.
 	unknown citron.VMName
+	// suspended holds for each daemon that is suspended a channel that is closed when it goes on.
+	suspended map[citron.VMName]chan struct{}
+	// answers delivers all answers of the daemons.
+	answers chan *link.Answer
 	cancel  context.CancelFunc
 }
 
+// suspend suspends a daemon until resume is called.
+func (r *rig) suspend(vm citron.VMName) (resume func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	suspended := make(chan struct{})
+	r.suspended[vm] = suspended
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.suspended, vm)
+		close(suspended)
+	}
+}
+
+// awaitAnswer returns the answer to the order with a number.
+func (r *rig) awaitAnswer(number uint64) *link.Answer {
+	for a := range r.answers {
+		if a.GetNumber() == number {
+			return a
+		}
+	}
+	return nil
+}
+
 // carrier serves orders as one daemon.
 type carrier struct {
 	link.UnimplementedLinkServer
 	server *Server
+	rig    *rig
+	vm     citron.VMName
 }
 
 func (c *carrier) CarryOrders(stream link.Link_CarryOrdersServer) error {
-	return c.server.Serve(stream)
+	return c.server.Serve(&suspendableStream{Link_CarryOrdersServer: stream, carrier: c})
+}
+
+// suspendableStream delivers no orders while its daemon is suspended; they wait in the connection.
+type suspendableStream struct {
+	link.Link_CarryOrdersServer
+	carrier *carrier
+}
+
+func (s *suspendableStream) Recv() (*link.Orders, error) {
+	orders, err := s.Link_CarryOrdersServer.Recv()
+	r := s.carrier.rig
+	r.mu.Lock()
+	suspended := r.suspended[s.carrier.vm]
+	r.mu.Unlock()
+	if suspended != nil {
+		<-suspended
+	}
+	return orders, err
+}
+
+func (s *suspendableStream) Send(answers *link.Answers) error {
+	for _, a := range answers.GetAnswers() {
+		select {
+		case s.carrier.rig.answers <- a:
+		default: // Few tests read them.
+		}
+	}
+	return s.Link_CarryOrdersServer.Send(answers)
 }
 
 func newRig(t *testing.T, daemons ...citron.VMName) *rig {
 	t.Helper()
-	r := &rig{t: t, workers: map[citron.VMName]*fakeWorkers{}, streams: map[citron.VMName]link.LinkClient{}}
+	r := &rig{t: t, workers: map[citron.VMName]*fakeWorkers{}, streams: map[citron.VMName]link.LinkClient{}, suspended: map[citron.VMName]chan struct{}{}, answers: make(chan *link.Answer, 16)}
 	for _, vm := range daemons {
 		r.via = append(r.via, Hop{VM: vm})
 	}
@@ -122,7 +180,7 @@
 	}
 	w := &fakeWorkers{name: string(vm), mu: &r.mu, log: &r.log}
 	server := grpc.NewServer()
-	link.RegisterLinkServer(server, &carrier{server: &Server{Workers: w, Timer: timer.System{}, Payload: func(task citron.TaskRef) (string, bool) {
+	link.RegisterLinkServer(server, &carrier{rig: r, vm: vm, server: &Server{Workers: w, Timer: timer.System{}, Payload: func(task citron.TaskRef) (string, bool) {
 		return "payload of " + string(task), vm != r.unknown
 	}, Forward: func(ctx context.Context, via citron.VMName, o *link.Order, payload string) (*link.Answer, error) {
 		return r.holder.Forward(ctx, via, o, payload)
@@ -257,6 +315,9 @@
 // A relaying daemon that is paused answers nothing. Orders must not wait for it again and again.
 func TestSilentDaemonIsAvoided(t *testing.T) {
 	r := newRig(t, "a", "b")
+	if _, err := r.renew(citron.RenewOrder{}); err != nil {
+		t.Fatal(err)
+	}
 	paused := make(chan struct{})
 	defer close(paused)
 	r.workers["a"].start = func(context.Context, citron.StartOrder) (citron.StartOutcome, error) {
@@ -271,6 +332,49 @@
 	}
 }
 
+// A daemon that was suspended finds orders in its connections that the holder has given up. By then the task may have run
+// elsewhere, and the worker may have restarted under its id.
+func TestExpiredOrderIsNotCarriedOut(t *testing.T) {
+	for name, via := range map[string][]Hop{"to the worker": {{VM: "a"}}, "to another daemon": {{VM: "a", Via: "b"}}} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, "a", "b")
+			r.via = via
+			if outcome, err := r.start(orderTimeout); err != nil || outcome != citron.Started {
+				t.Fatalf("outcome %d, error %v; want Started", outcome, err)
+			}
+			resume := r.suspend("a")
+			if outcome, err := r.start(100 * time.Millisecond); outcome != citron.StartUnknown || !errors.Is(err, errNoAnswer) || errors.Is(err, citron.ErrRejected) {
+				t.Errorf("outcome %d, error %v; want StartUnknown and errNoAnswer", outcome, err)
+			}
+			resume()
+			if a := r.awaitAnswer(2); a.GetResult() != link.OrderResult_ORDER_RESULT_NOT_SENT {
+				t.Errorf("answer %v, want not sent", a)
+			}
+			if got := r.sent(); len(got) != 1 {
+				t.Errorf("orders %q, want the first one only", got)
+			}
+		})
+	}
+}
+
+// A daemon of an earlier version does not tell its clock, so that its orders would not expire.
+func TestOrdersAvoidADaemonWithoutAClock(t *testing.T) {
+	r := newRig(t, "a")
+	resume := r.suspend("a")
+	defer resume()
+	s := newSession()
+	r.holder.mu.Lock()
+	r.holder.sessions = map[citron.VMName]*session{"a": s}
+	r.holder.avoidDaemon, r.holder.avoidRelay = map[citron.VMName]time.Duration{}, map[path]time.Duration{}
+	r.holder.mu.Unlock()
+	if _, err := r.renew(citron.RenewOrder{}); err != nil {
+		t.Fatal(err)
+	}
+	if want := []string{"holder: renew w, acked 0, deadline 0s"}; !slices.Equal(r.sent(), want) {
+		t.Errorf("orders %q, want %q", r.sent(), want)
+	}
+}
+
 func TestEndedStreamLeavesOrdersInDoubtAndIsOpenedAgain(t *testing.T) {
 	r := newRig(t, "a")
 	reached := make(chan struct{})
--- a/citron/relay/server.go
+++ b/citron/relay/server.go
@@ -102,6 +102,10 @@
 
 // sendAnswers sends the queued answers until the stream ends.
 func (t *serverStream) sendAnswers(ctx context.Context, stream grpc.BidiStreamingServer[link.Orders, link.Answers]) {
+	// The first message tells the clock, without which the other daemon sends no orders.
+	if stream.Send(&link.Answers{ClockMs: t.clockMs()}) != nil {
+		return
+	}
 	for {
 		select {
 		case <-t.wakeup:
@@ -115,15 +119,23 @@
 		if len(answers) == 0 {
 			continue
 		}
-		if stream.Send(&link.Answers{Answers: answers}) != nil {
+		if stream.Send(&link.Answers{Answers: answers, ClockMs: t.clockMs()}) != nil {
 			return
 		}
 		timer.Pause(ctx, t.server.Timer, sendInterval)
 	}
 }
 
+// clockMs returns the clock on which orders expire.
+func (t *serverStream) clockMs() int64 {
+	return t.server.Timer.Now().Boot.Milliseconds()
+}
+
 // carryOut sends an order to its worker and returns the answer.
 func (t *serverStream) carryOut(ctx context.Context, o *link.Order) *link.Answer {
+	if expires := o.GetExpiresMs(); expires != 0 && t.clockMs() >= expires {
+		return &link.Answer{Number: o.GetNumber(), Result: link.OrderResult_ORDER_RESULT_NOT_SENT, Error: "the order has expired"}
+	}
 	to := &citron.WorkerEntry{ID: citron.Worker(o.GetWorker()), Address: o.GetAddress()}
 	switch {
 	case o.GetStart() != nil:
@@ -145,6 +157,9 @@
 	}
 	if via := citron.VMName(o.GetVia()); via != "" {
 		a, err := t.server.Forward(ctx, via, o, payload)
+		if errors.Is(err, citron.ErrRejected) {
+			return &link.Answer{Number: o.GetNumber(), Result: link.OrderResult_ORDER_RESULT_NOT_SENT, Error: err.Error()}
+		}
 		if err != nil {
 			return failure(o, err)
 		}
--- a/citron/relay/session.go
+++ b/citron/relay/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -15,6 +16,9 @@
 // each of which costs more than what it contains.
 const sendInterval = 12 * time.Millisecond
 
+// maxClockWait is the longest wait for the first message of another daemon, without which no order has a time limit there.
+const maxClockWait = 100 * time.Millisecond
+
 // maxQueued is the maximum number of orders that wait to be sent on one stream.
 const maxQueued = 4096
 
@@ -30,6 +34,9 @@
 	pending map[uint64]pendingOrder
 	// reports are the last reports that have been received, by worker.
 	reports map[citron.Worker]*baseReport
+	// clock is that of the other daemon. clockKnown is closed once it has been read or the stream has ended.
+	clock      remoteClock
+	clockKnown chan struct{}
 	// err is set once the stream has ended.
 	err error
 }
@@ -42,7 +49,34 @@
 }
 
 func newSession() *session {
-	return &session{wakeup: make(chan struct{}, 1), pending: map[uint64]pendingOrder{}, reports: map[citron.Worker]*baseReport{}}
+	return &session{
+		wakeup: make(chan struct{}, 1), clockKnown: make(chan struct{}),
+		pending: map[uint64]pendingOrder{}, reports: map[citron.Worker]*baseReport{},
+	}
+}
+
+// awaitClock waits until the clock of the other daemon has been read. After an error no order has been sent.
+func (s *session) awaitClock(ctx context.Context, clock citron.Timer) (err error) {
+	due, stop := clock.After(maxClockWait)
+	defer stop()
+	select {
+	case <-s.clockKnown:
+	case <-due:
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.clock.known {
+		return errors.Join(citron.ErrRejected, errNoAnswer, s.err)
+	}
+	return nil
+}
+
+// expiry returns the reading of the other daemon's clock at a local boot time, or an earlier one.
+func (s *session) expiry(local time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.clock.at(local)
 }
 
 // exchange queues an order and waits for its answer.
@@ -100,6 +134,7 @@
 				s.fail(err)
 				return
 			}
+			s.recordClock(clock.Now().Boot, millis(answers.GetClockMs()))
 			s.deliver(answers.GetAnswers())
 		}
 	})
@@ -133,6 +168,19 @@
 	return orders
 }
 
+// recordClock records a reading of the other daemon's clock; 0 is none.
+func (s *session) recordClock(now, reading time.Duration) {
+	if reading == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.clock.known && s.err == nil {
+		close(s.clockKnown)
+	}
+	s.clock.record(now, reading)
+}
+
 // deliver passes answers to the exchanges that wait for them. A report that nobody waits for is not used as a base either,
 // so that the next one is complete.
 func (s *session) deliver(answers []*link.Answer) {
@@ -157,6 +205,9 @@
 		return
 	}
 	s.err = err
+	if !s.clock.known {
+		close(s.clockKnown)
+	}
 	for number, waiting := range s.pending {
 		delete(s.pending, number)
 		close(waiting.answer)
