A run of a gang is one attempt

Cause: the pool added up the failed ends of all members and compared the sum with the attempts. The members of one run share its number, which was not looked at, neither when ends were reported nor when records were restored. Ruled out as causes of their own: ends that are reported to two holders, ends of a former run that arrive late, crashes (counted for each member by run number, no sum).

Change: citron/tries counts runs by number; a gang has such a count beside those of its members.

--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -190,7 +190,11 @@
 		t := s.tasks[r.GetIndex()]
 		t.restoreRun(r.GetRun())
 		t.failedRuns, t.checkpoint = r.GetFailedRuns(), r.GetCheckpoint()
-		s.counts.failures += len(t.failedRuns)
+		if s.spec.GetGang() {
+			for _, run := range t.failedRuns {
+				s.gangFailures.Record(run)
+			}
+		}
 		t.crashes = crash.History{Runs: r.GetCrashedRuns(), Suspicions: r.GetSuspectedRuns()}
 		p.watchSuspect(t)
 		s.gangRun = max(s.gangRun, t.run)
--- a/citron/pool/counts.go
+++ b/citron/pool/counts.go
@@ -16,8 +16,6 @@
 	waiting, waitingAgain, active, assigned int
 	// firstWaiting is an index before which no task waits.
 	firstWaiting int
-	// failures counts the failed runs.
-	failures int
 	// failedOn holds the workers that a task of the step avoids.
 	failedOn map[citron.Worker]bool
 	// onWorker counts the assigned tasks by worker for steps that limit them, inRack by rack for steps that prefer one rack. Both are
--- a/citron/pool/end.go
+++ b/citron/pool/end.go
@@ -237,21 +237,19 @@
 	p.countFailure(now, t, t.run)
 }
 
-// countFailure counts a failed run, at most once, and ends the job if it has no attempts left. The failures of all
-// members of a gang are added up.
+// countFailure records a failed run and ends the job if it has no attempts left.
 func (p *Pool) countFailure(now time.Duration, t *task, run int32) {
 	s := t.step
-	if s.spec.GetService() || s.job.terminal || slices.Contains(t.failedRuns, run) {
+	if s.spec.GetService() || s.job.terminal || !t.failedRuns.Record(run) {
 		return
 	}
-	t.failedRuns = append(t.failedRuns, run)
-	s.counts.failures++
 	p.changeTask(t)
-	failures := len(t.failedRuns)
+	used := &t.failedRuns
 	if s.spec.GetGang() {
-		failures = s.counts.failures
+		used = &s.gangFailures
+		used.Record(run)
 	}
-	if attempts := int(s.job.spec.GetTerms().GetAttempts()); failures >= max(attempts, 1) {
+	if used.Exhausted(int(s.job.spec.GetTerms().GetAttempts())) {
 		p.endJob(now, s.job, work.State_STATE_FAILED, "a task has used up its attempts")
 	}
 }
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -18,6 +18,7 @@
 	"github.com/citroncross/citroncross/citron/quota"
 	"github.com/citroncross/citroncross/citron/share"
 	"github.com/citroncross/citroncross/citron/speed"
+	"github.com/citroncross/citroncross/citron/tries"
 	"github.com/citroncross/citroncross/schema/work"
 )
 
@@ -359,8 +360,9 @@
 	explainedAt time.Duration
 	// quotaHeldAt is when the gang last held quota that it could not use yet.
 	quotaHeldAt time.Duration
-	// gangRun is the run number shared by all members of a gang.
-	gangRun int32
+	// gangRun is the run number shared by all members of a gang, gangFailures are the runs in which a member failed.
+	gangRun      int32
+	gangFailures tries.Failures
 }
 
 // permit is a ticket with which a worker may run a step until it expires.
@@ -397,8 +399,7 @@
 	// of the worker, 0 if it is not known.
 	worker      *worker
 	incarnation citron.Incarnation
-	// failedRuns are the numbers of the failed runs; each counts as an attempt.
-	failedRuns []int32
+	failedRuns  tries.Failures
 	// crashes are the crashes of workers under the task.
 	crashes crash.History
 	// completedEarlier is set if an earlier run completed the task while the newest run is still being stopped.
