A token fences each order that a worker has not answered

Cause: an order names a worker by its id, and deadline, numbers of ends, seen runs and seen tokens begin anew with each life under that id.

Change: citron/fence raises the token of a worker with each start or renewal without an answer and with each new life, so that a life that has received a later order refuses what came before. The report of a new life reaches the pool only after an order with such a token, and nothing is placed there before. A start for a former life is not repeated.

--- a/citron/entry/claims.go
+++ b/citron/entry/claims.go
@@ -11,6 +11,7 @@
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/claim"
 	"github.com/citroncross/citroncross/citron/event"
+	"github.com/citroncross/citroncross/citron/fence"
 	"github.com/citroncross/citroncross/citron/holder"
 	"github.com/citroncross/citroncross/citron/pool"
 	"github.com/citroncross/citroncross/citron/tail"
@@ -115,7 +116,7 @@
 	h := &holding{epoch: epoch, cancel: cancel, ended: ended, holder: &holder.Holder{
 		Store:          d.Store,
 		Producer:       producer,
-		Workers:        d.orders,
+		Workers:        &fence.Workers{To: d.orders, Tokens: fence.Tokens{Epoch: epoch}},
 		Relayed:        d.relaysOrders,
 		Timer:          d.Timer,
 		View:           &d.view,
@@ -197,7 +198,7 @@
 	if !loaded || d.newestClaim() != newest {
 		return
 	}
-	epoch := newest.Epoch + 1
+	epoch := fence.NextEpoch(newest.Epoch)
 	d.mu.Lock()
 	partitions := d.claimedPartitions()
 	d.mu.Unlock()
--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -43,9 +43,10 @@
 	Store citron.Store
 	// Producer is the name under which the pool appends to the store.
 	Producer string
-	Workers  citron.Workers
-	Timer    citron.Timer
-	View     *view.View
+	// Workers sends the orders with tokens of this epoch.
+	Workers citron.Workers
+	Timer   citron.Timer
+	View    *view.View
 	// ProgressTails follow the partitions with the progress of the pool's jobs, JobTails those with the accepted jobs.
 	ProgressTails []*tail.Tail
 	JobTails      []*tail.Tail
@@ -344,6 +345,9 @@
 		if unanswered == unresponsiveTries {
 			h.Pool.MarkUnresponsive(s.Worker.ID)
 		}
+		if errors.Is(err, citron.ErrFormerLife) {
+			break
+		}
 	}
 	if unanswered > 0 && outcome != citron.Started && outcome != citron.StartFenced && outcome != citron.StartGone {
 		// The refusal applies to the last try only; an earlier unanswered one may have started the run.
--- a/citron/holder/start_test.go
+++ b/citron/holder/start_test.go
@@ -178,3 +178,41 @@
 		t.Errorf("the holder ended with %v, want that it is fenced", context.Cause(ctx))
 	}
 }
+
+// restarted refuses each start because a later life of the worker has answered.
+type restarted struct {
+	citron.Workers
+	tries int
+}
+
+func (r *restarted) Start(context.Context, *citron.WorkerEntry, citron.StartOrder) (citron.StartOutcome, time.Duration, error) {
+	r.tries++
+	return citron.StartUnknown, 0, errors.Join(citron.ErrRejected, citron.ErrFormerLife)
+}
+
+// A start that was meant for a life of the worker that has ended must not be repeated until it times out, and its task may start
+// elsewhere, since no try was sent.
+func TestStartForAFormerLifeIsNotRepeated(t *testing.T) {
+	clock := &timer.Immediate{}
+	clock.Advance(time.Hour)
+	p := pool.New(pool.Options{Lease: 4 * time.Second, StartTimeout: 1500 * time.Millisecond, AnswerTimeout: 2 * time.Second}, 1, &advice.Balancer{})
+	p.MarkAllJobsKnown()
+	p.UpdateWorkers(clock.Now(), []citron.WorkerEntry{{ID: "w", Address: "a", Service: "s", Capacity: citron.Capacity{MilliCores: 1000}}})
+	p.Renewed(clock.Now(), "w", clock.Now().Boot, citron.WorkerReport{}, time.Second)
+	p.Accept(clock.Now(), &work.Job{ID: "j", Steps: []*work.Step{{Tasks: 1, MilliCores: 1000}}, Terms: &work.Terms{Service: "s"}}, nil)
+	e, err := p.Plan(clock.Now())
+	if err != nil || len(e.Starts) != 1 {
+		t.Fatalf("first plan has %d starts, error %v; want 1 start", len(e.Starts), err)
+	}
+	orders := &restarted{}
+	h := &Holder{Workers: orders, Timer: clock, Pool: p, replan: make(chan struct{}, 1)}
+	h.start(context.Background(), e.Starts[0])
+	if orders.tries != 1 {
+		t.Errorf("%d tries, want 1", orders.tries)
+	}
+	clock.Advance(100 * time.Millisecond)
+	p.Renewed(clock.Now(), "w", clock.Now().Boot, citron.WorkerReport{}, time.Second)
+	if again, err := p.Plan(clock.Now()); err != nil || len(again.Starts) != 1 {
+		t.Errorf("starts %v, error %v; want the task to start again", again.Starts, err)
+	}
+}
--- a/citron/platform.go
+++ b/citron/platform.go
@@ -20,6 +20,8 @@
 	ErrConflict = errors.New("append condition does not hold")
 	// ErrRefused means that nothing listens at the remote address, for example since the process has ended.
 	ErrRefused = errors.New("connection refused")
+	// ErrFormerLife means that an order was not sent, since the life of the worker that it was meant for has ended.
+	ErrFormerLife = errors.New("the worker has restarted since")
 	// ErrWorkerGone means that a worker has restarted or left; its runs have ended.
 	ErrWorkerGone = errors.New("worker has restarted or left")
 )
@@ -260,7 +262,8 @@
 	PayloadOmitted bool
 	Checkpoint     string
 	Ticket         string
-	Epoch          Epoch
+	// Epoch is the fencing token, as in the other orders.
+	Epoch Epoch
 	// Deadline is on the worker's clock; the worker refuses an order that arrives later.
 	Deadline time.Duration
 }
--- a/citron/pool/restart_test.go
+++ b/citron/pool/restart_test.go
@@ -328,13 +328,41 @@
 	}
 }
 
-func TestHiddenRestartsViolateInvariants(t *testing.T) {
+// violates reports whether a simulation of a mutant whose workers restart under their ids violates an invariant.
+func violates(m mutant) bool {
 	for seed := range uint64(simulationSeeds) {
-		w := newWorld(seed, hidesRestarts, nil)
+		w := newWorld(seed, m, nil)
 		w.keepIDs()
+		w.losesAnswers = true
 		if w.run() != "" {
-			return
+			return true
 		}
 	}
-	t.Error("no simulation without incarnations violated an invariant, want at least one")
+	return false
+}
+
+// Guards against orders to one life of a worker that take effect in the next: each worker carries half of its orders out
+// seconds later for a while, and crashes in that time.
+func TestInvariantsHoldWhileOrdersReachTheNextLife(t *testing.T) {
+	for seed := range uint64(simulationSeeds) {
+		w := newWorld(seed, noMutant, nil)
+		w.keepIDs()
+		w.losesAnswers = true
+		if violation := w.run(); violation != "" {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+	}
+}
+
+func TestHiddenRestartsViolateInvariants(t *testing.T) {
+	if !violates(hidesRestarts) {
+		t.Error("no simulation without incarnations violated an invariant, want at least one")
+	}
+}
+
+// Guards against simulations whose late orders do not reach the next life of a worker.
+func TestTokensThatAreNotRaisedViolateInvariants(t *testing.T) {
+	if !violates(keepsTokens) {
+		t.Error("no simulation with one token for each holder violated an invariant, want at least one")
+	}
 }
--- a/citron/pool/sim_test.go
+++ b/citron/pool/sim_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/advice"
+	"github.com/citroncross/citroncross/citron/fence"
 	"github.com/citroncross/citroncross/schema/work"
 )
 
@@ -53,6 +54,8 @@
 	hidesRestarts
 	// startsUnlisted starts tasks while the record that lists their parts is not stored.
 	startsUnlisted
+	// keepsTokens does not raise the token of a worker after an unanswered order.
+	keepsTokens
 )
 
 const (
@@ -96,6 +99,9 @@
 	failures map[citron.TaskRef]int
 	// keepsIDs makes workers restart under their id.
 	keepsIDs bool
+	// losesAnswers makes workers leave half of the orders unanswered until lateUntil, carry them out later, and crash meanwhile.
+	losesAnswers bool
+	lateUntil    time.Duration
 	// failsTogether makes workers fail all that they start for some seconds.
 	failsTogether bool
 	// resizes makes the capacity of workers shrink and grow.
@@ -120,6 +126,7 @@
 	pool        *Pool
 	dead        bool
 	frozenUntil time.Duration
+	tokens      fence.Tokens
 	// storeCutUntil is the end of a partition between the holder and the store.
 	storeCutUntil time.Duration
 	// writes are the plans whose records are not stored, or not those of a plan before.
@@ -162,6 +169,8 @@
 	failsUntil time.Duration
 	// down is set from a crash to the restart.
 	down bool
+	// reached is set once the present life has received an order that the newest holder sent to it.
+	reached bool
 	// formerUntil is the end of a partition during which only holders up to formerEpoch reach the worker.
 	formerUntil time.Duration
 	formerEpoch citron.Epoch
@@ -302,6 +311,9 @@
 			w.workers[w.rng.IntN(len(w.workers))].failsUntil = w.now.Boot + 2*time.Second
 		}
 	}
+	if w.losesAnswers && w.chance(0.004) {
+		w.loseAnswers()
+	}
 	newest := w.holders[len(w.holders)-1]
 	switch w.rng.IntN(1200) {
 	case 0, 1:
@@ -330,14 +342,36 @@
 		// The holder is partitioned from the store but still reaches a worker that its successor does not reach.
 		newest.storeCutUntil = w.now.Boot + time.Duration(w.rng.IntN(9000))*time.Millisecond
 		s := w.workers[w.rng.IntN(len(w.workers))]
-		s.formerEpoch, s.formerUntil = newest.pool.Epoch, w.now.Boot+time.Duration(w.rng.IntN(12_000))*time.Millisecond
+		s.formerEpoch, s.formerUntil = fence.NextEpoch(newest.pool.Epoch)-1, w.now.Boot+time.Duration(w.rng.IntN(12_000))*time.Millisecond
 		w.schedule(700*time.Millisecond, w.claim)
 	}
 }
 
+// loseAnswers makes orders late for some seconds, in which two workers crash.
+func (w *world) loseAnswers() {
+	w.lateUntil = w.now.Boot + 5500*time.Millisecond
+	for range 2 {
+		s := w.workers[w.rng.IntN(len(w.workers))]
+		w.schedule(time.Duration(w.rng.IntN(5500))*time.Millisecond, func() {
+			if !s.down {
+				s.crash(time.Duration(200+w.rng.IntN(2000)) * time.Millisecond)
+			}
+		})
+	}
+}
+
+// late reports whether an order that is sent now is carried out seconds later.
+func (w *world) late(usually float64) bool {
+	share := usually
+	if w.now.Boot < w.lateUntil {
+		share = 0.5
+	}
+	return !w.recovering() && w.chance(share)
+}
+
 // claim adds a holder with a new epoch. The store refuses the former holder from now on.
 func (w *world) claim() {
-	w.epoch++
+	w.epoch = fence.NextEpoch(w.epoch)
 	advisers := &advice.Balancer{}
 	o := testOptions
 	o.KeepApart = w.keepApart
@@ -347,7 +381,7 @@
 	if w.mutant == leaseTooShort {
 		o.Lease, o.MaxLease, o.StopGrace, o.AnswerTimeout = time.Second, time.Second, 0, 500*time.Millisecond
 	}
-	h := &simHolder{world: w, pool: New(o, w.epoch, advisers), polling: map[citron.Worker]bool{}, knownCancels: map[string]bool{}, ordered: map[citron.TaskRef]int32{}}
+	h := &simHolder{world: w, tokens: fence.Tokens{Epoch: w.epoch}, pool: New(o, w.epoch, advisers), polling: map[citron.Worker]bool{}, knownCancels: map[string]bool{}, ordered: map[citron.TaskRef]int32{}}
 	h.pool.ConfirmHeld(w.now.Boot)
 	w.holders = append(w.holders, h)
 	h.updateWorkers()
@@ -414,6 +448,7 @@
 		h.checkKinds()
 	}
 	for _, s := range e.Stops {
+		s.Order.Epoch = h.nextToken(s.Worker.ID)
 		h.send(func() { h.deliverStop(s) }, nil)
 	}
 	write := &simWrite{effects: e}
@@ -489,51 +524,83 @@
 
 func (h *simHolder) sendStarts(starts []Start) {
 	for _, s := range starts {
-		answered := false
-		lost := h.world.loseLate(s.Worker.ID)
-		h.send(func() {
-			if lost() {
+		h.sendStart(s)
+	}
+}
+
+// nextToken returns the token of the next order to a worker.
+func (h *simHolder) nextToken(id citron.Worker) citron.Epoch {
+	if h.world.mutant == keepsTokens {
+		return h.pool.Epoch
+	}
+	token, _ := h.tokens.Next(id)
+	return token
+}
+
+// fences reports whether an order with a token fences the orders to former lives of the worker that has answered it.
+func (h *simHolder) fences(id citron.Worker, incarnation citron.Incarnation, token citron.Epoch) bool {
+	return h.tokens.RecordLife(id, incarnation, token) || h.world.mutant == keepsTokens
+}
+
+// sendStart sends a start order, and sends it again if a later order has overtaken it.
+func (h *simHolder) sendStart(s Start) {
+	w := h.world
+	if h.tokens.Outlived(s.Worker.ID, s.Worker.Incarnation) && w.mutant != keepsTokens {
+		h.pool.Started(w.now, s, citron.StartLate, 0)
+		return
+	}
+	s.Order.Epoch = h.nextToken(s.Worker.ID)
+	answered := false
+	lost := w.loseLate(s.Worker.ID)
+	h.send(func() {
+		if lost() {
+			return
+		}
+		worker := w.findWorker(s.Worker.ID)
+		if worker != nil && w.now.Boot < worker.cutUntil {
+			// The network delivers the order after the partition.
+			w.schedule(worker.cutUntil-w.now.Boot+w.delay(), func() {
+				if !lost() {
+					w.findWorker(s.Worker.ID).handleStart(s)
+				}
+			})
+			return
+		}
+		outcome, clock := worker.handleStart(s)
+		w.schedule(w.delay(), func() {
+			if answered {
 				return
 			}
-			worker := h.world.findWorker(s.Worker.ID)
-			if worker != nil && h.world.now.Boot < worker.cutUntil {
-				// The network delivers the order after the partition.
-				h.world.schedule(worker.cutUntil-h.world.now.Boot+h.world.delay(), func() {
-					if !lost() {
-						h.world.findWorker(s.Worker.ID).handleStart(s)
-					}
-				})
+			answered = true
+			if outcome == citron.StartFenced && h.tokens.Superseded(s.Worker.ID, s.Order.Epoch) {
+				h.sendStart(s)
 				return
 			}
-			outcome, clock := worker.handleStart(s)
-			h.world.schedule(h.world.delay(), func() {
-				if !answered {
-					answered = true
-					h.pool.Started(h.world.now, s, outcome, clock)
-				}
-			})
-		}, func() {
-			if !answered {
-				answered = true
-				outcome := citron.StartUnknown
-				if h.world.mutant == ordersAsStarts {
-					outcome = citron.Started
-				}
-				h.pool.Started(h.world.now, s, outcome, 0)
-			}
+			h.pool.Started(w.now, s, outcome, clock)
 		})
-	}
+	}, func() {
+		if !answered {
+			answered = true
+			h.tokens.RecordUnanswered(s.Worker.ID, s.Order.Epoch)
+			outcome := citron.StartUnknown
+			if w.mutant == ordersAsStarts {
+				outcome = citron.Started
+			}
+			h.pool.Started(w.now, s, outcome, 0)
+		}
+	})
 }
 
-// loseLate returns whether an order to a worker that is sent now is lost: it does not outlive its connection, and thus not
-// its timeout if the worker has restarted since.
+// loseLate returns whether an order to a worker that is sent now is lost. An order that outlives the life of the worker
+// that it was sent to is carried out by the next one. Until an order of the newest holder has reached that life, no holder can
+// keep it from that, so such orders are lost unless they are prompt.
 func (w *world) loseLate(id citron.Worker) (lost func() bool) {
 	s, sent := w.findWorker(id), w.now.Boot
 	if s == nil || !w.keepsIDs {
 		return func() bool { return false }
 	}
 	life := s.startedAt
-	return func() bool { return s.startedAt != life && w.now.Boot-sent > 500*time.Millisecond }
+	return func() bool { return s.startedAt != life && !s.reached && w.now.Boot-sent > 500*time.Millisecond }
 }
 
 func (h *simHolder) deliverStop(s Stop) {
@@ -554,7 +621,7 @@
 func (h *simHolder) send(do, timeout func()) {
 	w := h.world
 	d := w.delay()
-	if !w.recovering() && w.chance(0.04) {
+	if w.late(0.04) {
 		d = time.Duration(500+w.rng.IntN(11000)) * time.Millisecond
 	}
 	w.schedule(d, do)
@@ -583,40 +650,65 @@
 			continue
 		}
 		h.polling[id] = true
-		sent := w.now.Boot
+		o.Epoch = h.nextToken(id)
 		answered := false
-		w.schedule(w.delay(), func() {
-			s := w.findWorker(id)
-			if s == nil {
-				answered = true
-				h.pool.Gone(w.now, &entry)
-				return
-			}
-			if s.down {
-				h.pool.MarkRefused(w.now, id)
+		if w.keepsIDs && w.late(0.02) {
+			h.renewLate(id, o)
+		} else {
+			h.renew(&entry, o, &answered)
+		}
+		w.schedule(400*time.Millisecond, func() {
+			if answered {
 				return
 			}
-			if !s.reachableBy(o.Epoch) || w.chance(0.02) && !w.recovering() || s.fence(o.Epoch) {
-				return
+			h.polling[id] = false
+			if w.keepsIDs {
+				h.pool.MarkUnresponsive(id)
+				h.tokens.RecordUnanswered(id, o.Epoch)
 			}
-			report, clock := s.handleRenew(o)
-			w.schedule(w.delay(), func() {
-				answered = true
-				h.polling[id] = false
-				if !h.dead && w.now.Boot >= h.frozenUntil {
-					h.pool.Renewed(w.now, id, sent, report, clock)
-				}
-			})
 		})
-		w.schedule(400*time.Millisecond, func() {
-			if !answered {
-				h.polling[id] = false
-				if w.keepsIDs {
-					h.pool.MarkUnresponsive(id)
-				}
+	}
+}
+
+// renew delivers a renew order, unless it is lost, and passes the answer to the pool.
+func (h *simHolder) renew(entry *citron.WorkerEntry, o citron.RenewOrder, answered *bool) {
+	w, id, sent := h.world, entry.ID, h.world.now.Boot
+	w.schedule(w.delay(), func() {
+		s := w.findWorker(id)
+		if s == nil {
+			*answered = true
+			h.pool.Gone(w.now, entry)
+			return
+		}
+		if s.down {
+			h.pool.MarkRefused(w.now, id)
+			return
+		}
+		if !s.reachableBy(o.Epoch) || w.chance(0.02) && !w.recovering() || s.fence(o.Epoch) {
+			return
+		}
+		s.reached = s.reached || sent > s.startedAt && h.pool.Epoch == w.epoch
+		report, clock := s.handleRenew(o)
+		w.schedule(w.delay(), func() {
+			*answered = true
+			h.polling[id] = false
+			if !h.dead && w.now.Boot >= h.frozenUntil && h.fences(id, report.Incarnation, o.Epoch) {
+				h.pool.Renewed(w.now, id, sent, report, clock)
 			}
 		})
-	}
+	})
+}
+
+// renewLate lets a worker carry out a renew order seconds later, in the life that it has by then.
+func (h *simHolder) renewLate(id citron.Worker, o citron.RenewOrder) {
+	w := h.world
+	lost := w.loseLate(id)
+	w.schedule(time.Duration(2000+w.rng.IntN(10_000))*time.Millisecond, func() {
+		s := w.findWorker(id)
+		if s != nil && !lost() && s.reachableBy(o.Epoch) && !s.fence(o.Epoch) {
+			s.handleRenew(o)
+		}
+	})
 }
 
 // restart begins a new incarnation of the worker without runs.
@@ -627,7 +719,7 @@
 		s.entry.ID = citron.Worker(fmt.Sprintf("i-%d", s.world.incarnations))
 		s.entry.Address = string(s.entry.ID)
 	}
-	s.down = false
+	s.down, s.reached = false, false
 	s.startedAt, s.epoch, s.leaseEnd, s.acked, s.lastExpiredEnd = s.world.now.Boot, 0, 0, 0, 0
 	s.tellIncarnation()
 	s.list()
--- a/citronlab/site/instance.go
+++ b/citronlab/site/instance.go
@@ -35,6 +35,8 @@
 	// need returns what a task needs; nil disables the capacity check.
 	need       func(task string) citron.Capacity
 	loseAnswer func(call string) bool
+	// postpone, if set, reports whether a call is not answered and is carried out later.
+	postpone func(call string, o order) bool
 	// highestToken is the highest fencing token seen.
 	highestToken uint64
 	leaseEnd     time.Duration
@@ -201,6 +203,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if i.postpone != nil && i.postpone(call, o) {
+		<-r.Context().Done()
+		return
+	}
 	i.mu.Lock()
 	i.endDueRuns()
 	reason := i.checkToken(o)
--- a/citronlab/site/site.go
+++ b/citronlab/site/site.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -47,7 +48,10 @@
 
 	mu        sync.Mutex
 	instances []*Instance
-	servers   []*http.Server
+	// lateShare is the share of the orders that are carried out late, which lateChoices selects.
+	lateShare   float64
+	lateChoices *rand.Rand
+	servers     []*http.Server
 	// ended holds a channel for each server and goroutine, on which its end is reported.
 	ended         []<-chan error
 	ctx           context.Context
@@ -107,6 +111,7 @@
 // start serves and registers an instance.
 func (s *Site) start(i *Instance) error {
 	i.Timer, i.RunTime, i.Watch, i.Born = s.Timer, s.RunTime, s.Watch, s.Timer.Now().Wall.UnixMilli()
+	i.postpone = func(call string, o order) bool { return s.postpone(i, call, o) }
 	address, err := s.serve(i)
 	if err == nil && s.ProxyWorker != nil {
 		address, err = s.ProxyWorker(i.ID, address)
--- a/citronlab/soak/faults.go
+++ b/citronlab/soak/faults.go
@@ -4,12 +4,15 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/fence"
 	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/citronlab/site"
 	"github.com/citroncross/citroncross/schema/work"
@@ -78,6 +81,35 @@
 	}},
 }
 
+// lateOrders makes workers leave orders unanswered and carry them out seconds later. At the end two workers restart under their
+// ids, so that many of these orders reach another life.
+var lateOrders = fault{"late orders", 5500 * time.Millisecond, func(s *soak, rng *rand.Rand) (string, func() error, error) {
+	s.site.LateOrders(0.5, rng.Uint64())
+	return "half of the orders are late", func() error {
+		s.site.LateOrders(0, 0)
+		instances := s.site.Instances()
+		for range 2 {
+			i := instances[rng.IntN(len(instances))]
+			if i.Gone() {
+				continue
+			}
+			i.Crash()
+			if err := s.site.RestartInstance(i); err != nil {
+				return err
+			}
+		}
+		return nil
+	}, nil
+}}
+
+// kinds returns the faults of a run.
+func (s *soak) kinds() []fault {
+	if s.LateOrders {
+		return append(slices.Clone(faults), lateOrders, lateOrders, lateOrders)
+	}
+	return faults
+}
+
 // disturbProxy sets a random mode other than Pass on a proxy and returns its name.
 func disturbProxy(p *Proxy, rng *rand.Rand) string {
 	mode := Delay + Mode(rng.IntN(int(numModes-Delay)))
@@ -157,7 +189,7 @@
 // may resume before another daemon takes over the pool; such a loss has no recovery.
 func (s *soak) measureRecoveries() {
 	for _, l := range s.losses {
-		if at, ok := s.checker.firstStartAfter(l.epoch); ok {
+		if at, ok := s.checker.firstStartAfter(uint64(fence.NextEpoch(citron.Epoch(l.epoch)) - 1)); ok {
 			s.report.Recoveries = append(s.report.Recoveries, Recovery{Cause: l.cause, Duration: at - l.at})
 		}
 	}
@@ -172,7 +204,7 @@
 // injectFaults injects random faults, which can overlap, for the duration of the run and ends them all.
 func (s *soak) injectFaults(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(s.Seed, 1))
-	started := clock.Now().Boot
+	started, kinds := clock.Now().Boot, s.kinds()
 	var pending []pendingEnd
 	reportError := func(err error) {
 		if err != nil {
@@ -192,7 +224,7 @@
 			break
 		}
 		if now >= nextFault {
-			f := faults[rng.IntN(len(faults))]
+			f := kinds[rng.IntN(len(kinds))]
 			duration := time.Duration(rng.Int64N(int64(f.maxDuration)))
 			description, end, err := f.inject(s, rng)
 			reportError(err)
--- a/citronlab/soak/soak.go
+++ b/citronlab/soak/soak.go
@@ -32,6 +32,8 @@
 	Daemons, Workers int
 	// Shapes makes callers submit jobs of random shape instead of a few kinds.
 	Shapes bool
+	// LateOrders makes workers carry out orders up to 12 s late, in the life that they have by then.
+	LateOrders bool
 	// Duration is how long faults are injected.
 	Duration time.Duration
 	// CompletionTimeout is how long all work may take to end after the last fault has ended.
