Orders through a session whose clock is known start no timer

Found by reading the diff: awaitClock subscribed to the timer for each relayed order, though it waits only for the first message of a stream.

--- a/citron/relay/session.go
+++ b/citron/relay/session.go
@@ -57,12 +57,16 @@
 
 // awaitClock waits until the clock of the other daemon has been read. After an error no order has been sent.
 func (s *session) awaitClock(ctx context.Context, clock citron.Timer) (err error) {
-	due, stop := clock.After(maxClockWait)
-	defer stop()
 	select {
 	case <-s.clockKnown:
-	case <-due:
-	case <-ctx.Done():
+	default:
+		due, stop := clock.After(maxClockWait)
+		defer stop()
+		select {
+		case <-s.clockKnown:
+		case <-due:
+		case <-ctx.Done():
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
