A new life in the list of workers wakes the poll of the worker

The holder asks an idle worker every 5 s only, so that no order had reached the new life when a start of the former one arrived at 12.874 s with the lowest token. The next report stopped it at 13.308 s.

Change: the pool tells which workers a list shows in another life, and the holder sends them a renew order at once.

TestPollOfARestartedWorkerIsWoken fails without the wake-up (seen).

--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -159,7 +159,9 @@
 
 // UpdateWorkers passes the platform's list of workers to the pool.
 func (h *Holder) UpdateWorkers(entries []citron.WorkerEntry) {
-	h.Pool.UpdateWorkers(h.Timer.Now(), entries)
+	for _, id := range h.Pool.UpdateWorkers(h.Timer.Now(), entries) {
+		h.wakePoll(id)
+	}
 	h.requestPlan()
 }
 
--- a/citron/holder/start_test.go
+++ b/citron/holder/start_test.go
@@ -216,3 +216,22 @@
 		t.Errorf("starts %v, error %v; want the task to start again", again.Starts, err)
 	}
 }
+
+// Guards against late orders that reach the next life of an idle worker: it is polled every few seconds only, and until then it has not
+// received an order that fences them.
+func TestPollOfARestartedWorkerIsWoken(t *testing.T) {
+	clock := &timer.Manual{}
+	clock.Advance(time.Hour)
+	p := pool.New(pool.Options{}, 1, &advice.Balancer{})
+	idle := &poll{wakeup: make(chan struct{}, 1)}
+	h := &Holder{Timer: clock, Pool: p, replan: make(chan struct{}, 1), polls: map[citron.Worker]*poll{"w": idle}}
+	for _, step := range []struct {
+		incarnation citron.Incarnation
+		woken       int
+	}{{1, 0}, {1, 0}, {2, 1}} {
+		h.UpdateWorkers([]citron.WorkerEntry{{ID: "w", Address: "a", Incarnation: step.incarnation}})
+		if got := len(idle.wakeup); got != step.woken {
+			t.Errorf("incarnation %d: woken %d times, want %d", step.incarnation, got, step.woken)
+		}
+	}
+}
--- a/citron/pool/report.go
+++ b/citron/pool/report.go
@@ -21,8 +21,9 @@
 	stopCheckInterval = 50 * time.Millisecond
 )
 
-// UpdateWorkers applies a new list of workers from the platform.
-func (p *Pool) UpdateWorkers(now citron.Instant, entries []citron.WorkerEntry) {
+// UpdateWorkers applies a new list of workers from the platform. It returns the workers that it shows in another life, to which
+// a renew order should be sent at once: until then, late orders to the former life can reach this one.
+func (p *Pool) UpdateWorkers(now citron.Instant, entries []citron.WorkerEntry) (restarted []citron.Worker) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.listVersion++
@@ -33,10 +34,14 @@
 		if w == nil {
 			w = p.ensureWorker(now.Boot, e.ID)
 		}
+		former := w.incarnation
 		if !p.beginLife(now.Boot, w, e.Incarnation, 0, "its entry") {
 			w.listed = true
 			continue
 		}
+		if former != 0 && w.incarnation != former {
+			restarted = append(restarted, e.ID)
+		}
 		if e.Draining && (!w.entry.Draining || e.Remaining != w.entry.Remaining) {
 			w.leavesAt = now.Boot + e.Remaining
 		}
@@ -53,6 +58,7 @@
 			p.removeWorker(w)
 		}
 	}
+	return restarted
 }
 
 // Started applies a worker's answer to a start order.
