--- a/citron/fence/fence.go
+++ b/citron/fence/fence.go
@@ -1,5 +1,5 @@
-// Package fence decides the fencing tokens of the orders to workers, so that an order without an answer cannot take effect
-// after a later one. It performs no I/O and reads no clock.
+// Package fence decides the fencing tokens of orders to workers, so that an order without an answer cannot take effect
+// after a later one. Tokens decides without I/O or clocks; Workers sends orders with the tokens.
 //
 // An order that was not answered may still be carried out, seconds later and by the next life of the worker under the same
 // id. A worker refuses a token below the highest that it has seen. So each order after an unanswered one carries a higher
@@ -26,17 +26,17 @@
 	Epoch citron.Epoch
 
 	mu      sync.Mutex
-	workers map[citron.Worker]*tokens
+	workers map[citron.Worker]*workerTokens
 }
 
-// tokens are those of one worker.
-type tokens struct {
+// workerTokens are the tokens of the orders to one worker.
+type workerTokens struct {
 	// raised is the distance of the next token from the epoch.
 	raised citron.Epoch
 	// incarnation is the newest life of the worker that has answered, 0 if none has told.
 	incarnation citron.Incarnation
-	// since is the token that an order must have that tells of this life.
-	since citron.Epoch
+	// fencedFrom is the lowest token that fences all orders to the former lives.
+	fencedFrom citron.Epoch
 }
 
 // Next returns the token of the next order to a worker. Ok is false once the holder has used up its tokens.
@@ -63,12 +63,12 @@
 	w := t.of(id)
 	if incarnation != 0 && w.incarnation != 0 && incarnation != w.incarnation {
 		w.raised++ // The orders that are under way may have the present token.
-		w.since = t.Epoch + w.raised
+		w.fencedFrom = t.Epoch + w.raised
 	}
 	if incarnation != 0 {
 		w.incarnation = incarnation
 	}
-	return token >= w.since
+	return token >= w.fencedFrom
 }
 
 // Outlived reports whether a later life of a worker than the given one has answered. A start for the former must not reach it.
@@ -88,13 +88,13 @@
 }
 
 // of returns the tokens of a worker. They are kept while the holder lasts: a worker that comes back has seen them.
-func (t *Tokens) of(id citron.Worker) *tokens {
+func (t *Tokens) of(id citron.Worker) *workerTokens {
 	if t.workers == nil {
-		t.workers = map[citron.Worker]*tokens{}
+		t.workers = map[citron.Worker]*workerTokens{}
 	}
 	w := t.workers[id]
 	if w == nil {
-		w = &tokens{}
+		w = &workerTokens{}
 		t.workers[id] = w
 	}
 	return w
