Refusals and queued log lines are bounded in bytes

What callers saw: nothing, until the process ran out of memory. A body of one number with 262,000 digits is refused with a reason that repeats the number, in the answer and in line 609. Up to 4,096 such lines waited for the reader of the log, 1 GB.

Cause: reasons quote errors of the decoder without a limit, and the queue of the log counted lines, not bytes.

Change: a reason is cut at 512 bytes where refusals are made; the queue holds 4 MiB of lines, further ones are omitted and counted as before.

--- a/citron/errors.go
+++ b/citron/errors.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/citroncross/citroncross/schema/record"
@@ -94,7 +95,7 @@
 	return &Refusal{
 		Number:     number,
 		Outcome:    record.Outcome_OUTCOME_NOT_RUN,
-		Reason:     fmt.Sprintf(format, args...),
+		Reason:     shorten(fmt.Sprintf(format, args...)),
 		RetryAfter: retryAfter,
 	}
 }
@@ -104,10 +105,21 @@
 	return &Refusal{
 		Number:  number,
 		Outcome: record.Outcome_OUTCOME_UNKNOWN,
-		Reason:  fmt.Sprintf(format, args...),
+		Reason:  shorten(fmt.Sprintf(format, args...)),
 	}
 }
 
+// maxReasonBytes limits a reason, which may quote what the caller has sent and is logged.
+const maxReasonBytes = 512
+
+// shorten cuts a reason that is too long.
+func shorten(reason string) string {
+	if len(reason) <= maxReasonBytes {
+		return reason
+	}
+	return strings.ToValidUTF8(reason[:maxReasonBytes], "") + "..."
+}
+
 // OutcomeText returns the value of the Citron-Outcome header.
 func OutcomeText(outcome record.Outcome) string {
 	switch outcome {
--- a/citron/event/async_writer.go
+++ b/citron/event/async_writer.go
@@ -8,8 +8,11 @@
 	"sync/atomic"
 )
 
-// maxQueuedLines is the number of lines that may wait for a slow reader; further lines are omitted and counted.
-const maxQueuedLines = 4096
+// maxQueuedLines and maxQueuedBytes limit the lines that may wait for a slow reader; further lines are omitted and counted.
+const (
+	maxQueuedLines = 4096
+	maxQueuedBytes = 4 << 20
+)
 
 // AsyncWriter writes lines in the background, so that a slow reader of the log does not block its callers.
 type AsyncWriter struct {
@@ -17,8 +20,10 @@
 	// result holds the first write error once every line is written.
 	result  chan error
 	omitted atomic.Int64
-	mu      sync.RWMutex
-	closed  bool
+	// queued is the size of the lines in the queue in bytes.
+	queued atomic.Int64
+	mu     sync.RWMutex
+	closed bool
 }
 
 // NewAsyncWriter returns a writer to out; Close ends its goroutine.
@@ -35,9 +40,16 @@
 	if w.closed {
 		return len(line), nil
 	}
+	size := int64(len(line))
+	if w.queued.Add(size) > maxQueuedBytes {
+		w.queued.Add(-size)
+		w.omitted.Add(1)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
+		w.queued.Add(-size)
 		w.omitted.Add(1)
 	}
 	return len(line), nil
@@ -66,6 +78,7 @@
 	}
 	for line := range w.lines {
 		_, err := out.Write(line)
+		w.queued.Add(-int64(len(line)))
 		keepFirst(err)
 		if n := w.omitted.Swap(0); n > 0 {
 			_, err = fmt.Fprintf(out, "{\"Omitted\":%d,\"msg\":\"lines left out, the reader is slow\"}\n", n)
--- a/citron/event/async_writer_test.go
+++ b/citron/event/async_writer_test.go
@@ -17,6 +17,25 @@
 	return w.Buffer.Write(p)
 }
 
+// Guards against long lines that fill the memory while nobody reads the log.
+func TestQueuedLinesAreLimitedInBytes(t *testing.T) {
+	out := &blockedWriter{opened: make(chan struct{})}
+	w := NewAsyncWriter(out)
+	line := bytes.Repeat([]byte("x"), 64<<10)
+	for range maxQueuedLines {
+		if _, err := w.Write(line); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if queued := w.queued.Load(); queued > maxQueuedBytes {
+		t.Errorf("%d bytes are queued, want at most %d", queued, maxQueuedBytes)
+	}
+	close(out.opened)
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Guards against a reader that stops reading the log and so blocks the daemon.
 func TestSlowReaderBlocksNoWriter(t *testing.T) {
 	out := &blockedWriter{opened: make(chan struct{})}
