Requests to all HTTP ports share a budget of memory

What callers saw: a daemon that clients had pressed ended, since its memory was used up.

Cause: a connection could hold 16 KiB of header (a megabyte when decoded), a body of 256 KiB in a growing buffer and what decoding makes of it, all at once and on half of the descriptors; nothing added that up. Connections that waited to be accepted received data that nobody counted. Ruled out as cures: a constant for each connection (a single large request would not be served in calm), a limit of connections alone (docs/design/clients.md, Weighed).

Change: budget.NewPlan divides memory_mb and max_fds; budget.Budget decides which request gets memory, waits, ends for others or is refused; budget.Connections which connection closes for a new one. serve.Guard applies them in both HTTP servers' code: it counts header lines as they are read, bodies as they grow, and decoding before it begins; sets the size of receive buffers; and never stops accepting. A refusal is 503, number 211, with Retry-After, before anything has been done. The heap is limited so that memory is given back. Counted in citron_shed_requests_total and citron_request_bytes, logged as 704 at most once a second for each port and reason.

The process lives, an ordinary job and the readiness are answered afterwards, and one request of each form is answered with 200 in calm. The tests that did not fail before: TestManyHeaderLinesAtTheOtherPorts/Ready, TestLargeBodiesOfRefusedRequestsThatStop, TestSingleLargeRequestsAreServed.

--- a/citron/errors.go
+++ b/citron/errors.go
@@ -46,6 +46,7 @@
 	RefusalNoSlot          RefusalNumber = 208
 	RefusalConfigStale     RefusalNumber = 209
 	RefusalBacklog         RefusalNumber = 210
+	RefusalNoMemory        RefusalNumber = 211
 	RefusalAlreadyRan      RefusalNumber = 301
 	RefusalInProgress      RefusalNumber = 302
 	RefusalOtherTeamsJob   RefusalNumber = 303
--- a/citron/event/catalog.go
+++ b/citron/event/catalog.go
@@ -111,6 +111,7 @@
 	// RequestIncomplete is emitted for senders that are slow, disconnected or do not send HTTP.
 	RequestIncomplete = register(702, logrus.InfoLevel, "connection closed without a complete request")
 	ServerError       = register(703, logrus.WarnLevel, "HTTP server error")
+	RequestsShed      = register(704, logrus.WarnLevel, "connections closed or requests refused so that others are served")
 )
 
 var catalog []Event
--- a/citron/serve/serve.go
+++ b/citron/serve/serve.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/zeromicro/go-zero/core/logx"
@@ -14,9 +13,6 @@
 	"github.com/zeromicro/go-zero/rest"
 )
 
-// headerTimeout limits reading the headers of one request.
-const headerTimeout = 5 * time.Second
-
 // Server is an HTTP server on one listener.
 type Server struct {
 	http         *http.Server
@@ -31,9 +27,29 @@
 	stat.DisableLog()
 }
 
-// Start starts a server for routes on a listener.
+// Start starts a server for routes on a listener, for clients that are trusted.
 func Start(listener net.Listener, routes []rest.Route) (s *Server, err error) {
 	defer func() { err = eris.Wrap(err, "start HTTP server") }()
+	if s, err = newServer(routes); err != nil {
+		return nil, err
+	}
+	s.http = &http.Server{Handler: s.drainHandler, ReadHeaderTimeout: headerTimeout}
+	s.ended = Run(s.http, listener)
+	return s, nil
+}
+
+// Start starts a server for routes on a listener.
+func (g *Guard) Start(listener net.Listener, routes []rest.Route) (s *Server, err error) {
+	defer func() { err = eris.Wrap(err, "start guarded HTTP server") }()
+	if s, err = newServer(routes); err != nil {
+		return nil, err
+	}
+	s.http, s.ended = g.Run(listener, s.drainHandler)
+	return s, nil
+}
+
+// newServer returns a server with the handler of the routes.
+func newServer(routes []rest.Route) (*Server, error) {
 	DisableFrameworkLogs()
 	engine, err := rest.NewServer(rest.RestConf{}, rest.WithNotFoundHandler(http.NotFoundHandler()))
 	if err != nil {
@@ -44,10 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s = &Server{drainHandler: &DrainHandler{Handler: http.HandlerFunc(handler.Serve)}}
-	s.http = &http.Server{Handler: s.drainHandler, ReadHeaderTimeout: headerTimeout}
-	s.ended = Run(s.http, listener)
-	return s, nil
+	return &Server{drainHandler: &DrainHandler{Handler: http.HandlerFunc(handler.Serve)}}, nil
 }
 
 // Run serves on a listener and reports its end on the returned channel; nil if the server was closed or shut down.
--- a/citron/stats/stats.go
+++ b/citron/stats/stats.go
@@ -98,6 +98,11 @@
 	s.counter(`citron_silent_connections_total{Port=%q}`, port).Inc()
 }
 
+// CountShedRequest counts a connection to a port that was closed, or a request that was refused, so that others are served.
+func (s *Set) CountShedRequest(port, reason string) {
+	s.counter(`citron_shed_requests_total{Port=%q,Reason=%q}`, port, reason).Inc()
+}
+
 // ObserveAccept records the HTTP status with which a submitted job was answered, and how long the answer took.
 func (s *Set) ObserveAccept(queue citron.QueueName, status int, took time.Duration) {
 	s.counter(`citron_job_answers_total{Queue=%q,Status="%d"}`, queue, status).Inc()
--- a/citrond/main.go
+++ b/citrond/main.go
@@ -109,6 +109,7 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	signal.Ignore(syscall.SIGHUP)
+	settings.LimitHeap()
 	d := platform.New(settings, os.Stdout)
 	if err := d.Start(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/citronlab/site/site.go
+++ b/citronlab/site/site.go
@@ -288,6 +288,8 @@
 	Store string
 	// DirectWorkers is the setting direct_workers; 0 leaves it to its default.
 	DirectWorkers int
+	// MemoryMb and MaxFiles are the limits of the process; 0 sets none.
+	MemoryMb, MaxFiles int
 }
 
 // WriteSettings writes the settings file of a daemon and returns its path.
@@ -306,6 +308,9 @@
 front = %q
 ready = %q
 metrics = %q
+[limits]
+memory_mb = %d
+max_fds = %d
 [bounds]
 hold_max_ms = 6000
 lease_ms = 300
@@ -318,7 +323,7 @@
 address = %q
 [cloud]
 address = %q
-`, n.Name, s.IP, n.PeerPort, n.PeerPort, s.policyAddress, n.DirectWorkers, n.Front, n.Ready, n.Metrics, n.Store, s.cloudAddress)
+`, n.Name, s.IP, n.PeerPort, n.PeerPort, s.policyAddress, n.DirectWorkers, n.Front, n.Ready, n.Metrics, n.MemoryMb, n.MaxFiles, n.Store, s.cloudAddress)
 	file = filepath.Join(folder, n.Name+".toml")
 	return file, os.WriteFile(file, []byte(text), 0o600)
 }
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -16,8 +16,10 @@
 # because they are single-threaded and visit many states.
 go test -count=1 -timeout 20m $(skip_args) ./citron/shard/... ./citron/pool/... ./citron/holder/...
 simulations='TestClaimedPartitionsHoldEverythingAcknowledged|TestPartitionSimulationDetectsEachMutant'
-concurrent=$(go list ./schema/... ./citron/... ./citrond/... ./citronctl/... ./citronlab/... ./platform/... | grep -vE '/citron/(shard|pool)$')
+concurrent=$(go list ./schema/... ./citron/... ./citrond/... ./citronctl/... ./citronlab/... ./platform/... | grep -vE '/citron/(shard|pool)$|/citronlab/crowd$')
 go test -race -count=1 -timeout 20m $(skip_args "$simulations") $concurrent
+# The tests of crowds measure the memory of a daemon's process; they run one at a time, apart from the others.
+go test -count=1 -timeout 20m $(skip_args) ./citronlab/crowd
 # Runs each fuzz target a fixed number of times.
 fuzz() { go test -run '^$' -fuzz "^$1\$" -fuzztime 2000x "$2"; }
 fuzz FuzzRead ./citron/conf
