--- a/citron/conf/daemon.go
+++ b/citron/conf/daemon.go
@@ -17,6 +17,12 @@
 	maxBytes   = 1 << 32
 	maxCount   = 1 << 31
 	maxMinutes = 30 * 24 * 60
+
+	minMemoryMb  = 96
+	maxMemoryMb  = 1 << 20
+	minOpenFiles = 256
+	// bodiesInMemory is the number of largest bodies whose size the memory must be, so that its share for requests holds some.
+	bodiesInMemory = 32
 )
 
 // DaemonDefaults returns the settings that apply if a file does not set them.
@@ -34,6 +40,8 @@
 			DrainMs:             20_000,
 			IntentKeepMinutes:   24 * 60,
 			SnapshotMinutes:     10,
+			MemoryMb:            512,
+			OpenFiles:           4096,
 		},
 		Ownership: &prefs.Ownership{
 			LeaseMs:      2000,
@@ -110,6 +118,8 @@
 		{"Limits.DrainMs", l.GetDrainMs(), 1, maxMs},
 		{"Limits.IntentKeepMinutes", l.GetIntentKeepMinutes(), 1, maxMinutes},
 		{"Limits.SnapshotMinutes", l.GetSnapshotMinutes(), 1, maxMinutes},
+		{"Limits.MemoryMb", l.GetMemoryMb(), max(minMemoryMb, bodiesInMemory*l.GetBodyBytes()>>20), maxMemoryMb},
+		{"Limits.OpenFiles", l.GetOpenFiles(), minOpenFiles, maxCount},
 		{"Ownership.LeaseMs", o.GetLeaseMs(), 100, maxMs},
 		{"Ownership.RenewMs", o.GetRenewMs(), 10, maxMs},
 		{"Ownership.DriftPercent", o.GetDriftPercent(), 1, 100},
--- a/citron/daemon/build.go
+++ b/citron/daemon/build.go
@@ -242,6 +242,7 @@
 	d.tracker.ListFailed = func(err error) { d.log.Emit(event.ListFailed, event.Fields{"Error": err}) }
 	d.tracker.VMGone = func(name citron.VMName) { d.log.Emit(event.VMGone, event.Fields{"Name": name}) }
 	d.tracker.Changed = d.updateVMs
+	d.stats.RegisterGauge("citron_request_bytes", func() float64 { return float64(d.requests.Held()) })
 	d.stats.RegisterGauge("citron_owned_shards", func() float64 { return float64(d.manager.Owned()) })
 	d.stats.RegisterGauge("citron_open_jobs", func() float64 { return float64(d.jobs.OpenJobs()) })
 	d.stats.RegisterGauge("citron_kept_intents", func() float64 { return float64(d.intents.Count()) })
--- a/citron/daemon/daemon.go
+++ b/citron/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/admin"
 	"github.com/citroncross/citroncross/citron/batch"
+	"github.com/citroncross/citroncross/citron/budget"
 	"github.com/citroncross/citroncross/citron/calls"
 	"github.com/citroncross/citroncross/citron/event"
 	"github.com/citroncross/citroncross/citron/feed"
@@ -43,6 +45,8 @@
 	appendTimeout = 2 * time.Second
 	// missedHeartbeats is the number of heartbeat periods without a heartbeat after which a daemon counts as not alive.
 	missedHeartbeats = 3
+	// bodyTimeout bounds the time to receive the body of a call or a job, which may be large.
+	bodyTimeout = 30 * time.Second
 	// connectionsPerEndpoint is the maximum number of connections to one endpoint; its slots limit them further.
 	connectionsPerEndpoint = 64
 )
@@ -79,7 +83,11 @@
 	ctx          context.Context
 	cancel       context.CancelFunc
 	callerServer *serve.Server
-	adminServer  *serve.Server
+	// requests is the memory that the requests to all HTTP ports share.
+	requests        budget.Budget
+	peerConnections budget.Connections
+	observer        *serve.Recorder
+	adminServer     *serve.Server
 	// components holds, by name, the channel on which each background component reports its end.
 	components map[string]<-chan error
 
@@ -109,6 +117,8 @@
 		components:    map[string]<-chan error{},
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.observer = &serve.Recorder{Timer: d.timer, Log: d.log, Stats: d.stats}
+	d.requests.Total = plan(settings).Requests
 	d.connectPlatform()
 	if err := d.connectPeers(); err != nil {
 		return nil, err
@@ -127,16 +137,19 @@
 	if err != nil {
 		return err
 	}
-	adminListener, err := net.Listen("tcp", d.settings.GetAdminAddress())
+	adminListener, err := serve.Listen(d.settings.GetAdminAddress(), int(budget.ReceiveBytes))
 	if err != nil {
 		return err
 	}
-	callerListener, err := net.Listen("tcp", d.settings.GetCallerAddress())
+	callerListener, err := serve.Listen(d.settings.GetCallerAddress(), int(budget.ReceiveBytes))
 	if err != nil {
 		return err
 	}
+	plan := plan(d.settings)
+	d.peerConnections.Max = plan.Peers
+	peerListener = serve.LimitConnections(peerListener, &d.peerConnections, func() { d.observer.Shed("peers", serve.ShedConnections) })
 	d.components["peers"] = d.mesh.Serve(d.ctx, peerListener, &peerServer{d: d})
-	if d.adminServer, err = serve.Start(adminListener, admin.Routes(d, d.stats)); err != nil {
+	if d.adminServer, err = d.guard("admin", plan.Side).Start(adminListener, admin.Routes(d, d.stats)); err != nil {
 		return err
 	}
 	d.components["admin"] = d.adminServer.Ended()
@@ -151,13 +164,30 @@
 		Stats:     d.stats,
 		Log:       d.log,
 	}
-	if d.callerServer, err = serve.Start(callerListener, f.Routes()); err != nil {
+	if d.callerServer, err = d.guard("callers", plan.Callers).Start(callerListener, f.Routes()); err != nil {
 		return err
 	}
 	d.components["callers"] = d.callerServer.Ended()
 	return nil
 }
 
+// plan divides the memory and the descriptors of the process.
+func plan(settings *prefs.Daemon) budget.Plan {
+	return budget.NewPlan(budget.Bytes(settings.GetLimits().GetMemoryMb())<<20, int(settings.GetLimits().GetOpenFiles()))
+}
+
+// LimitHeap makes the runtime collect garbage and return memory before the process reaches the limit in the settings.
+func LimitHeap(settings *prefs.Daemon) {
+	debug.SetMemoryLimit(int64(plan(settings).Heap))
+}
+
+// guard returns the guard of a port. The requests to all ports share the memory of d.requests.
+func (d *Daemon) guard(port string, connections int) *serve.Guard {
+	g := &serve.Guard{Port: port, Timer: d.timer, Budget: &d.requests, BodyTimeout: bodyTimeout, Observer: d.observer}
+	g.Connections.Max = connections
+	return g
+}
+
 // startComponents starts the background components; each reports its end on a channel in d.components.
 func (d *Daemon) startComponents() {
 	d.components["appender"] = d.appender.Run(d.ctx)
--- a/citron/front/front.go
+++ b/citron/front/front.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -20,6 +19,7 @@
 	"github.com/citroncross/citroncross/citron/calls"
 	"github.com/citroncross/citroncross/citron/event"
 	"github.com/citroncross/citroncross/citron/jobs"
+	"github.com/citroncross/citroncross/citron/serve"
 	"github.com/citroncross/citroncross/citron/state"
 	"github.com/citroncross/citroncross/citron/stats"
 	"github.com/citroncross/citroncross/schema/admin"
@@ -176,16 +176,26 @@
 }
 
 func (f *Front) readBody(r *http.Request) ([]byte, *citron.Refusal) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, f.BodyBytes+1))
-	if err != nil {
-		return nil, citron.NewNotRunRefusal(citron.RefusalBadBody, 0, "the body ended early; send it again")
-	}
-	if int64(len(body)) > f.BodyBytes {
+	body, err := serve.ReadBody(r, f.BodyBytes)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
 		return nil, citron.NewNotRunRefusal(citron.RefusalBodyTooLarge, 0, "the body has more than %d bytes; send less", f.BodyBytes)
+	case serve.IsNoMemory(err):
+		return nil, noMemory()
+	case err != nil:
+		return nil, citron.NewNotRunRefusal(citron.RefusalBadBody, 0, "the body ended early; send it again")
 	}
 	return body, nil
 }
 
+// noMemoryRetry is when a caller may return whose request was refused because the memory for requests is used up.
+const noMemoryRetry = time.Second
+
+func noMemory() *citron.Refusal {
+	return citron.NewNotRunRefusal(citron.RefusalNoMemory, noMemoryRetry, "this daemon has no memory left for the request")
+}
+
 // recordRefusal counts and logs the refusal of a call.
 func (f *Front) recordRefusal(r calls.Request, refusal *citron.Refusal) {
 	f.Stats.CountRefusal(refusal.Number)
--- a/citron/front/jobs.go
+++ b/citron/front/jobs.go
@@ -10,6 +10,7 @@
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/jobs"
+	"github.com/citroncross/citroncross/citron/serve"
 	"github.com/citroncross/citroncross/schema/admin"
 	"github.com/citroncross/citroncross/schema/peer"
 	"github.com/citroncross/citroncross/schema/record"
@@ -18,6 +19,9 @@
 // jobTimeout limits one job request.
 const jobTimeout = 5 * time.Second
 
+// decodedPerByte is how often a byte of a job's body is held while it is decoded.
+const decodedPerByte = 4
+
 // submit accepts a job. It is idempotent: the same request id names the same job.
 func (f *Front) submit(w http.ResponseWriter, r *http.Request) {
 	team := pathvar.Vars(r)["team"]
@@ -49,6 +53,11 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	release, err := serve.Reserve(r, decodedPerByte*int64(len(body)))
+	if err != nil {
+		return nil, noMemory()
+	}
+	defer release()
 	var b admin.JobBody
 	if err := protojson.Unmarshal(body, &b); err != nil {
 		return nil, citron.NewNotRunRefusal(citron.RefusalBadBody, 0, "the body is no job: %v; see docs/CALLERS.md", err)
--- a/citron/mesh/mesh.go
+++ b/citron/mesh/mesh.go
@@ -19,6 +19,10 @@
 )
 
 const (
+	// maxHeaderList is the maximum size of the headers of a stream.
+	maxHeaderList = 8 << 10
+	// handshakeTimeout limits the handshake of an incoming connection.
+	handshakeTimeout = 3 * time.Second
 	// maxMessageBytes is the maximum size of a message on the peer port.
 	maxMessageBytes = 72 << 20
 	// maxRedialBackoff is the maximum backoff before a lost connection is dialled again, and the minimum timeout of a dial.
@@ -108,6 +112,8 @@
 	options := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
+		grpc.MaxHeaderListSize(maxHeaderList),
+		grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingIdle / 2, PermitWithoutStream: true}),
 	}
 	if m.Keys != nil {
--- a/citron/serve/guard.go
+++ b/citron/serve/guard.go
@@ -15,9 +15,8 @@
 )
 
 const (
-	// headerTimeout and bodyTimeout bound the time to receive the header and the body of a request.
-	headerTimeout = 3 * time.Second
-	bodyTimeout   = 3 * time.Second
+	// headerTimeout bounds the time to receive the header of a request.
+	headerTimeout = 5 * time.Second
 	// idleTimeout is how long a connection stays open without a request.
 	idleTimeout = 60 * time.Second
 	// maxHeader is the maximum size of a request header in bytes.
@@ -74,6 +73,8 @@
 	Timer       citron.Timer
 	Budget      *budget.Budget
 	Connections budget.Connections
+	// BodyTimeout bounds the time to receive the body of a request.
+	BodyTimeout time.Duration
 	Observer    Observer
 }
 
@@ -214,13 +215,13 @@
 	}
 }
 
-// receive passes requests on. A request with a body has bodyTimeout to send it, whether or not a handler reads it.
+// receive passes requests on. A body has BodyTimeout to arrive, whether or not a handler reads it.
 func (g *Guard) receive(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connectionOf(r)
 		c.used.Store(true)
 		if r.Body != nil && r.Body != http.NoBody {
-			_ = c.SetReadDeadline(g.Timer.Now().Wall.Add(bodyTimeout))
+			_ = c.SetReadDeadline(g.Timer.Now().Wall.Add(g.BodyTimeout))
 		} else if !c.received() {
 			panic(http.ErrAbortHandler)
 		}
--- a/citron/serve/guard_test.go
+++ b/citron/serve/guard_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/citroncross/citroncross/citron/budget"
 	"github.com/citroncross/citroncross/citron/timer"
@@ -34,7 +35,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g.Timer = timer.System{}
+	g.Timer, g.BodyTimeout = timer.System{}, time.Minute
 	server, ended := g.Run(listener, handler)
 	t.Cleanup(func() {
 		_ = server.Close()
--- a/citrond/main.go
+++ b/citrond/main.go
@@ -73,6 +73,7 @@
 	if code != exitOK {
 		return code
 	}
+	daemon.LimitHeap(settings)
 	d, err := daemon.New(settings, os.Stderr)
 	if err == nil {
 		err = d.Start()
