Messages of other daemons take their memory from a budget of their own

What callers saw: a daemon that ended, since its memory was used up.

Cause: gRPC admitted any number of streams on each of 1,024 connections, each with a window of 1 MiB and messages of up to 4 MiB, and headers of 16 MiB.

Change: a connection takes memory for the bytes of messages as it reads them and for each stream, from a sixteenth of memory_mb; what is received as a whole or has ended is given back. If it is used up, the same decision as for callers closes the connection with the most incomplete bytes. It is not the callers' budget, so that a crowd of callers cuts no daemons off from each other. Connections are limited to what another sixteenth holds, and the one that has been silent for the longest time gives way. At most 256 streams of a connection, headers of 8 KiB. Unknown methods have a handler, since without one the end of their streams is not reported.

TestStalledMessagesGiveTheirMemoryToOtherDaemons: 100 pings are answered beside 16 connections with 25 MB of incomplete messages, of 4 MiB.

--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -16,6 +16,7 @@
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/advice"
+	"github.com/citroncross/citroncross/citron/budget"
 	"github.com/citroncross/citroncross/citron/claim"
 	"github.com/citroncross/citroncross/citron/event"
 	"github.com/citroncross/citroncross/citron/holder"
@@ -82,6 +83,9 @@
 	DirectWorkers int
 	// RecordBytes is the size of the largest record that the store accepts; 0 means that it is not known.
 	RecordBytes int
+	// PeerConnections and PeerBytes limit what other daemons take of this one; 0 means the defaults of package peers.
+	PeerConnections int
+	PeerBytes       budget.Bytes
 	// MachineLease is the minimum time between the upkeep orders of two holders; UpkeepDuration is how long one upkeep
 	// lasts.
 	MachineLease, UpkeepDuration time.Duration
@@ -97,6 +101,8 @@
 	Timer    citron.Timer
 	Log      *event.Logger
 	Stats    *stats.Set
+	// PeerShed, if set, is called when a connection from another daemon is closed so that others are served.
+	PeerShed func()
 
 	// Intake answers callers.
 	Intake *intake.Service
@@ -170,6 +176,7 @@
 	d.run, d.cancel = context.WithCancel(context.Background())
 	d.self = citron.Member{VM: d.Settings.VM, Incarnation: citron.Incarnation(d.Timer.Now().Wall.UnixMilli())}
 	d.peers.Self, d.peers.Timer, d.peers.MilliCores = d.self, d.Timer, d.Settings.MilliCores
+	d.peers.MaxConnections, d.peers.MaxBytes, d.peers.Shed = d.Settings.PeerConnections, d.Settings.PeerBytes, d.PeerShed
 	d.peers.CountTraffic = func(call string, sent, received int) { d.Stats.CountTraffic("daemon", call, sent, received) }
 	d.peers.SharesReceived = func(s *link.ShareSummary) { d.applyShares(s) }
 	d.watch.ExtraTimeout = d.Settings.HolderExtraTimeout
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -13,7 +13,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
-	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
@@ -23,6 +22,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/budget"
 	"github.com/citroncross/citroncross/citron/claim"
 	"github.com/citroncross/citroncross/schema/link"
 	"github.com/citroncross/citroncross/schema/work"
@@ -44,9 +44,10 @@
 	maxUnanswered = 2
 	// handshakeTimeout limits the HTTP/2 handshake of an incoming connection.
 	handshakeTimeout = 3 * time.Second
-	// maxConnections is the maximum number of connections to the peer port: one from each daemon of a large cell, and
-	// some from operators.
-	maxConnections = 1024
+	// defaultConnections is the default of Peers.MaxConnections: one from each daemon of a large cell, and some from operators.
+	defaultConnections = 1024
+	// defaultBytes is the default of Peers.MaxBytes.
+	defaultBytes budget.Bytes = 64 << 20
 	// flowWindow is the flow control window of a stream and of a connection. A fixed one saves the pings with which gRPC
 	// would measure the bandwidth.
 	flowWindow = 1 << 20
@@ -62,6 +63,12 @@
 	Timer      citron.Timer
 	// CountTraffic, if set, counts the bytes of each message to and from other daemons.
 	CountTraffic func(call string, sent, received int)
+	// MaxConnections and MaxBytes limit the connections from other daemons, and what their requests may hold together. They
+	// have defaults.
+	MaxConnections int
+	MaxBytes       budget.Bytes
+	// Shed, if set, is called when a connection from another daemon is closed so that others are served.
+	Shed func()
 	// SharesReceived, if set, is called with each summary of the teams' backlogs that a holder sends.
 	SharesReceived func(*link.ShareSummary)
 
@@ -88,9 +95,21 @@
 // Serve serves requests of other daemons until the context ends and reports its end on the returned channel.
 func (p *Peers) Serve(ctx context.Context, listener net.Listener, server link.LinkServer) <-chan error {
 	ended := make(chan error, 1)
-	g := grpc.NewServer(grpc.InitialWindowSize(flowWindow), grpc.InitialConnWindowSize(flowWindow), grpc.StatsHandler(&traffic{count: p.CountTraffic}), grpc.ConnectionTimeout(handshakeTimeout), grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: probeAfter / 2, PermitWithoutStream: true}))
+	a := &accounts{shed: p.Shed}
+	a.Max, a.Total = cmp.Or(p.MaxConnections, defaultConnections), cmp.Or(p.MaxBytes, defaultBytes)
+	g := grpc.NewServer(
+		grpc.InitialWindowSize(flowWindow), grpc.InitialConnWindowSize(flowWindow),
+		grpc.MaxConcurrentStreams(maxStreams), grpc.MaxHeaderListSize(maxHeaderList),
+		grpc.StatsHandler(&traffic{count: p.CountTraffic}), grpc.StatsHandler(a),
+		grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: probeAfter / 2, PermitWithoutStream: true}),
+		// A handler of unknown methods reports the end of their streams, which is what gives their memory back.
+		grpc.UnknownServiceHandler(func(any, grpc.ServerStream) error {
+			return status.Error(codes.Unimplemented, "unknown method")
+		}),
+	)
 	link.RegisterLinkServer(g, server)
-	listener = netutil.LimitListener(listener, maxConnections)
+	listener = &accountedListener{Listener: listener, accounts: a}
 	stop := context.AfterFunc(ctx, g.Stop)
 	go func() {
 		defer stop()
