Tests of the budget fail without each part of it

The test of waiting requests now has one that must be refused before it closes, the memory is checked while the connection stays open, and a stream stays open beside the messages of other daemons. Waits of these tests end after a minute. The counter of shed connections of other daemons tells the reason.

--- a/citron/budget/budget.go
+++ b/citron/budget/budget.go
@@ -12,6 +12,17 @@
 // Bytes is an amount of memory.
 type Bytes int64
 
+// ShedReason says why a connection was closed or a request refused so that others are served.
+type ShedReason string
+
+// Reasons.
+const (
+	// ShedConnections means that too many connections were open.
+	ShedConnections ShedReason = "connections"
+	// ShedMemory means that the memory for requests was used up.
+	ShedMemory ShedReason = "memory"
+)
+
 // Budget is a number of bytes that all requests of a process share. It answers clients that send many large requests and
 // complete none: they get the room of other such requests, not that of small ones.
 type Budget struct {
--- a/citron/budget/budget_test.go
+++ b/citron/budget/budget_test.go
@@ -90,29 +90,41 @@
 // Guards against a waiting request that is told to end and waits on, and so never gives back what it holds.
 func TestWaitingRequestThatHasToEndIsRefused(t *testing.T) {
 	b := &Budget{Total: 1000}
-	first, _ := open(b)
-	waiting, waitingEnded := open(b)
-	mustTake(t, waiting, 450)
-	mustTake(t, first, 500)
-	first.Complete()
-	granted := waiting.Take(10)
-	mustBeGranted(t, granted)
-	third, thirdEnded := open(b)
-	blocked := third.Take(600)
-	if ok, isDecided := decided(blocked); ok || !isDecided {
-		t.Fatalf("more than can become free: granted %t, decided %t, want a refusal", ok, isDecided)
-	}
-	next := third.Take(300)
-	if !*waitingEnded || *thirdEnded {
-		t.Fatalf("ended: %t and %t, want the first", *waitingEnded, *thirdEnded)
-	}
-	if ok, isDecided := decided(waiting.Take(1)); ok || !isDecided {
+	first, firstEnded := open(b)
+	mustTake(t, first, 520)
+	second, secondEnded := open(b)
+	mustTake(t, second, 100)
+	waits := second.Take(480)
+	if _, isDecided := decided(waits); isDecided || !*firstEnded {
+		t.Fatal("the second request does not wait for the first")
+	}
+	third, _ := open(b)
+	next := third.Take(500)
+	if ok, isDecided := decided(waits); ok || !isDecided || !*secondEnded {
+		t.Fatalf("ended %t, granted %t, decided %t; want the end of the second request and a refusal", *secondEnded, ok, isDecided)
+	}
+	if ok, isDecided := decided(second.Take(1)); ok || !isDecided {
 		t.Error("a request that has to end got bytes")
 	}
-	waiting.Close()
+	first.Close()
+	second.Close()
 	mustBeGranted(t, next)
 }
 
+// Guards against a request that waits for more than can become free.
+func TestMoreThanCanBecomeFreeIsRefused(t *testing.T) {
+	b := &Budget{Total: 1000}
+	complete, _ := open(b)
+	mustTake(t, complete, 500)
+	complete.Complete()
+	stalled, stalledEnded := open(b)
+	mustTake(t, stalled, 450)
+	other, _ := open(b)
+	if ok, isDecided := decided(other.Take(600)); ok || !isDecided || *stalledEnded {
+		t.Errorf("granted %t, decided %t, stalled request ended %t; want a refusal alone", ok, isDecided, *stalledEnded)
+	}
+}
+
 func mustBeGranted(t *testing.T, granted <-chan bool) {
 	t.Helper()
 	if ok, isDecided := decided(granted); !ok || !isDecided {
--- a/citron/daemon/daemon.go
+++ b/citron/daemon/daemon.go
@@ -147,7 +147,7 @@
 	}
 	plan := plan(d.settings)
 	d.peerConnections.Max = plan.Peers
-	peerListener = serve.LimitConnections(peerListener, &d.peerConnections, func() { d.observer.Shed("peers", serve.ShedConnections) })
+	peerListener = serve.LimitConnections(peerListener, &d.peerConnections, func() { d.observer.Shed("peers", budget.ShedConnections) })
 	d.components["peers"] = d.mesh.Serve(d.ctx, peerListener, &peerServer{d: d})
 	if d.adminServer, err = d.guard("admin", plan.Side).Start(adminListener, admin.Routes(d, d.stats)); err != nil {
 		return err
--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -102,7 +102,7 @@
 	Log      *event.Logger
 	Stats    *stats.Set
 	// PeerShed, if set, is called when a connection from another daemon is closed so that others are served.
-	PeerShed func()
+	PeerShed func(budget.ShedReason)
 
 	// Intake answers callers.
 	Intake *intake.Service
--- a/citron/peers/accounts.go
+++ b/citron/peers/accounts.go
@@ -30,7 +30,7 @@
 	budget.Budget
 	budget.Connections
 	// shed, if set, is called when a connection is closed so that others are served.
-	shed func()
+	shed func(budget.ShedReason)
 
 	// open holds the accounted connections by their remote address.
 	open sync.Map
@@ -50,9 +50,11 @@
 			return nil, err
 		}
 		c := &accountedConn{Conn: accepted, accounts: l.accounts}
-		c.slot.Close, c.account.End, c.account.Budget = c.closeForOthers, c.closeForOthers, &l.accounts.Budget
+		c.slot.Close = func() { c.closeForOthers(budget.ShedConnections) }
+		c.account.Budget = &l.accounts.Budget
+		c.account.End = func() { c.closeForOthers(budget.ShedMemory) }
 		if !l.accounts.Admit(&c.slot) {
-			c.closeForOthers()
+			c.slot.Close()
 			continue
 		}
 		l.accounts.open.Store(accepted.RemoteAddr().String(), c)
@@ -73,9 +75,9 @@
 	streams int
 }
 
-func (c *accountedConn) closeForOthers() {
+func (c *accountedConn) closeForOthers(reason budget.ShedReason) {
 	if c.accounts.shed != nil {
-		c.accounts.shed()
+		c.accounts.shed(reason)
 	}
 	_ = c.Conn.Close()
 }
@@ -88,7 +90,7 @@
 	}
 	c.accounts.Touch(&c.slot)
 	if data := c.frames.countData(p[:n]); data > 0 && !<-c.account.Take(messageCopies*budget.Bytes(data)) {
-		c.closeForOthers()
+		c.closeForOthers(budget.ShedMemory)
 		return 0, citron.ErrUnavailable
 	}
 	return n, err
@@ -108,7 +110,7 @@
 	c.streams++
 	c.mu.Unlock()
 	if !<-c.account.Take(streamBytes) {
-		c.closeForOthers()
+		c.closeForOthers(budget.ShedMemory)
 	}
 }
 
--- a/citron/peers/accounts_test.go
+++ b/citron/peers/accounts_test.go
@@ -19,6 +19,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
+	"github.com/citroncross/citroncross/citron/budget"
 	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/schema/link"
 )
@@ -61,6 +62,12 @@
 	return &link.PingReply{VM: "a"}, nil
 }
 
+// CarryOrders keeps its stream open.
+func (pingServer) CarryOrders(stream grpc.BidiStreamingServer[link.Orders, link.Answers]) error {
+	<-stream.Context().Done()
+	return stream.Context().Err()
+}
+
 // stall opens a connection whose streams send all but the end of a message each.
 func stall(t *testing.T, address string, streams, size int) {
 	t.Helper()
@@ -107,7 +114,7 @@
 		t.Fatal(err)
 	}
 	var shed atomic.Int64
-	p := &Peers{Timer: timer.System{}, MaxConnections: 32, MaxBytes: 4 << 20, Shed: func() { shed.Add(1) }}
+	p := &Peers{Timer: timer.System{}, MaxConnections: 32, MaxBytes: 4 << 20, Shed: func(budget.ShedReason) { shed.Add(1) }}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := p.Serve(ctx, listener, pingServer{})
 	defer func() {
@@ -118,8 +125,12 @@
 	for range 16 {
 		stall(t, address, 8, 200<<10)
 	}
-	for shed.Load() == 0 {
-		runtime.Gosched()
+	clock := timer.System{}
+	// The deadline only ends a test that would hang.
+	for deadline := clock.Now().Boot + time.Minute; shed.Load() == 0; runtime.Gosched() {
+		if clock.Now().Boot > deadline {
+			t.Fatal("no connection was closed")
+		}
 	}
 	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
 	if err != nil {
@@ -145,7 +156,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &Peers{Timer: timer.System{}, MaxBytes: 1 << 20, Shed: func() { t.Error("a connection was closed") }}
+	p := &Peers{Timer: timer.System{}, MaxBytes: 1 << 20, Shed: func(budget.ShedReason) { t.Error("a connection was closed") }}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := p.Serve(ctx, listener, pingServer{})
 	defer func() {
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -68,7 +68,7 @@
 	MaxConnections int
 	MaxBytes       budget.Bytes
 	// Shed, if set, is called when a connection from another daemon is closed so that others are served.
-	Shed func()
+	Shed func(budget.ShedReason)
 	// SharesReceived, if set, is called with each summary of the teams' backlogs that a holder sends.
 	SharesReceived func(*link.ShareSummary)
 
--- a/citron/serve/body.go
+++ b/citron/serve/body.go
@@ -40,7 +40,7 @@
 	if !errors.Is(err, io.EOF) {
 		return nil, err
 	}
-	return body, received(r)
+	return body, finishBody(r)
 }
 
 // fill reads until the buffer is full.
@@ -53,8 +53,8 @@
 	return buffer, err
 }
 
-// received ends the time limit of a body and takes the memory of its trailer.
-func received(r *http.Request) error {
+// finishBody ends the time limit of a body and takes the memory of its trailer.
+func finishBody(r *http.Request) error {
 	c := connectionOf(r)
 	if c == nil {
 		return nil
--- a/citron/serve/guard.go
+++ b/citron/serve/guard.go
@@ -32,17 +32,6 @@
 	refusalTimeout = 100 * time.Millisecond
 )
 
-// ShedReason says why a connection was closed or a request refused.
-type ShedReason string
-
-// Reasons.
-const (
-	// ShedConnections means that the connection was closed for a new one, or refused since all others serve requests.
-	ShedConnections ShedReason = "connections"
-	// ShedMemory means that the memory for requests was used up.
-	ShedMemory ShedReason = "memory"
-)
-
 // ErrNoMemory means that a request is refused because the memory for requests is used up. It has not been handled.
 var ErrNoMemory error = noMemoryError{}
 
@@ -59,7 +48,7 @@
 // Observer is told what a guard does to clients.
 type Observer interface {
 	// Shed is called when a connection to a port is closed or a request refused so that others are served.
-	Shed(port string, reason ShedReason)
+	Shed(port string, reason budget.ShedReason)
 	// Incomplete is called when a connection to a port closes without any request.
 	Incomplete(port string, remote net.Addr)
 	// Failed is called with errors of the HTTP server.
@@ -121,7 +110,7 @@
 		if l.guard.Connections.Admit(&c.slot) {
 			return c, nil
 		}
-		l.guard.Observer.Shed(l.guard.Port, ShedConnections)
+		l.guard.Observer.Shed(l.guard.Port, budget.ShedConnections)
 		c.refuse()
 		_ = accepted.Close()
 	}
@@ -147,14 +136,14 @@
 func newConnection(accepted net.Conn, g *Guard) *connection {
 	c := &connection{Conn: accepted, guard: g}
 	c.inHeader.Store(true)
-	c.slot.Close = func() { c.shed(ShedConnections) }
+	c.slot.Close = func() { c.shed(budget.ShedConnections) }
 	c.account.Budget = g.Budget
-	c.account.End = func() { c.shed(ShedMemory) }
+	c.account.End = func() { c.shed(budget.ShedMemory) }
 	return c
 }
 
 // shed closes the connection so that others are served. Its request, if there is one, has not been handled.
-func (c *connection) shed(reason ShedReason) {
+func (c *connection) shed(reason budget.ShedReason) {
 	c.guard.Observer.Shed(c.guard.Port, reason)
 	_ = c.Conn.Close()
 }
@@ -181,7 +170,7 @@
 		return n, err
 	}
 	if !<-c.account.Take(budget.Bytes(lines)*headerLineBytes + headerByteCopies*budget.Bytes(n)) {
-		c.guard.Observer.Shed(c.guard.Port, ShedMemory)
+		c.guard.Observer.Shed(c.guard.Port, budget.ShedMemory)
 		c.refuse()
 		return 0, ErrNoMemory
 	}
@@ -211,7 +200,7 @@
 	c.guard.Connections.SetServing(&c.slot, false)
 	c.inHeader.Store(true)
 	if !<-c.account.Take(budget.Bytes(c.bufferedLines.Load()) * headerLineBytes) {
-		c.shed(ShedMemory)
+		c.shed(budget.ShedMemory)
 	}
 }
 
@@ -249,7 +238,7 @@
 		return func() {}, nil
 	}
 	if !<-c.account.Take(budget.Bytes(n)) {
-		c.guard.Observer.Shed(c.guard.Port, ShedMemory)
+		c.guard.Observer.Shed(c.guard.Port, budget.ShedMemory)
 		return nil, ErrNoMemory
 	}
 	return func() { c.account.Release(budget.Bytes(n)) }, nil
--- a/citron/serve/guard_test.go
+++ b/citron/serve/guard_test.go
@@ -24,9 +24,9 @@
 	shed, incomplete atomic.Int64
 }
 
-func (o *countingObserver) Shed(string, ShedReason)     { o.shed.Add(1) }
-func (o *countingObserver) Incomplete(string, net.Addr) { o.incomplete.Add(1) }
-func (o *countingObserver) Failed(string)               {}
+func (o *countingObserver) Shed(string, budget.ShedReason) { o.shed.Add(1) }
+func (o *countingObserver) Incomplete(string, net.Addr)    { o.incomplete.Add(1) }
+func (o *countingObserver) Failed(string)                  {}
 
 // guarded serves a handler on a loopback port and returns the address.
 func guarded(t *testing.T, g *Guard, handler http.HandlerFunc) string {
@@ -56,6 +56,20 @@
 	return conn
 }
 
+// waitTimeout only ends a test that would hang.
+const waitTimeout = time.Minute
+
+// waitFor waits until a condition holds.
+func waitFor(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	clock := timer.System{}
+	for deadline := clock.Now().Boot + waitTimeout; !holds(); runtime.Gosched() {
+		if clock.Now().Boot > deadline {
+			t.Fatalf("waited %v for %s", waitTimeout, what)
+		}
+	}
+}
+
 // status reads one answer and returns its status, 0 if there is none.
 func status(conn net.Conn) int {
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -127,9 +141,7 @@
 			for range 16 {
 				dial(t, address, text)
 			}
-			for o.shed.Load() == 0 {
-				runtime.Gosched()
-			}
+			waitFor(t, "a closed connection", func() bool { return o.shed.Load() > 0 })
 			conn := dial(t, address, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello")
 			if got := status(conn); got != http.StatusOK {
 				t.Errorf("status %d, want 200", got)
@@ -150,9 +162,7 @@
 	for range 12 {
 		dial(t, address, "")
 	}
-	for o.shed.Load() < 8 {
-		runtime.Gosched()
-	}
+	waitFor(t, "8 closed connections", func() bool { return o.shed.Load() >= 8 })
 	if got := status(dial(t, address, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")); got != http.StatusOK {
 		t.Errorf("status %d, want 200", got)
 	}
@@ -190,10 +200,12 @@
 	g := &Guard{Port: "test", Budget: &budget.Budget{Total: 8 << 20}, Observer: &countingObserver{}}
 	g.Connections.Max = 16
 	address := guarded(t, g, readAll)
+	// Of the last bytes that were read, the next header may have begun.
+	const mayBeBuffered = readBufferBytes * headerLineBytes / 4
 	conn := dial(t, address, "")
 	answers := bufio.NewReader(conn)
 	for _, text := range []string{
-		"POST / HTTP/1.1\r\nHost: x\r\n" + shortLines(100) + "Content-Length: 60000\r\n\r\n" + strings.Repeat("x", 60_000),
+		"POST / HTTP/1.1\r\nHost: x\r\n" + shortLines(2500) + "Content-Length: 60000\r\n\r\n" + strings.Repeat("x", 60_000),
 		"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("3\r\nabc\r\n", 10_000) + "0\r\na: b\r\n\r\n",
 		"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
 		"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", 70_000),
@@ -208,11 +220,10 @@
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			t.Fatal(err)
 		}
+		waitFor(t, "the memory of an answered request", func() bool { return g.Budget.Held() <= mayBeBuffered })
 	}
 	_ = conn.Close()
-	for g.Connections.Len() > 0 {
-		runtime.Gosched()
-	}
+	waitFor(t, "the end of the last connection", func() bool { return g.Connections.Len() == 0 })
 	if held := g.Budget.Held(); held != 0 {
 		t.Errorf("%d bytes are held after the last connection closed", held)
 	}
--- a/citron/serve/observe.go
+++ b/citron/serve/observe.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/budget"
 	"github.com/citroncross/citroncross/citron/event"
 	"github.com/citroncross/citroncross/citron/stats"
 )
@@ -26,7 +27,7 @@
 // shedKind is what the log lines about shed requests distinguish.
 type shedKind struct {
 	port   string
-	reason ShedReason
+	reason budget.ShedReason
 }
 
 // shedCount counts what was shed since the last log line.
@@ -36,7 +37,7 @@
 }
 
 // Shed counts a connection or request, and logs the number of them once in shedEventInterval.
-func (r *Recorder) Shed(port string, reason ShedReason) {
+func (r *Recorder) Shed(port string, reason budget.ShedReason) {
 	r.Stats.CountShedRequest(port, string(reason))
 	now := r.Timer.Now().Boot
 	r.mu.Lock()
