--- a/citronlab/soak/faults.go
+++ b/citronlab/soak/faults.go
@@ -104,10 +104,14 @@
 
 // kinds returns the faults of a run.
 func (s *soak) kinds() []fault {
+	kinds := slices.Clone(faults)
 	if s.LateOrders {
-		return append(slices.Clone(faults), lateOrders, lateOrders, lateOrders)
+		kinds = append(kinds, lateOrders, lateOrders, lateOrders)
 	}
-	return faults
+	if s.Crowds {
+		kinds = append(kinds, crowd, crowd, crowd)
+	}
+	return kinds
 }
 
 // disturbProxy sets a random mode other than Pass on a proxy and returns its name.
--- a/citronlab/soak/soak.go
+++ b/citronlab/soak/soak.go
@@ -34,6 +34,8 @@
 	Shapes bool
 	// LateOrders makes workers carry out orders up to 12 s late, in the life that they have by then.
 	LateOrders bool
+	// Crowds makes clients press on daemons with requests that stop short of their end.
+	Crowds bool
 	// Duration is how long faults are injected.
 	Duration time.Duration
 	// CompletionTimeout is how long all work may take to end after the last fault has ended.
@@ -89,7 +91,9 @@
 	daemons       []*daemon
 	callers       []*caller
 	losses        []holderLoss
-	report        Report
+	// stalledJobs are the ids of jobs that were never sent as a whole.
+	stalledJobs []string
+	report      Report
 }
 
 // Run runs the daemons under the faults and jobs of one seed.
@@ -164,10 +168,14 @@
 	if err != nil {
 		return err
 	}
+	memoryMb, maxFiles := 0, 0
+	if s.Crowds {
+		memoryMb, maxFiles = crowdMemoryMb, crowdFiles
+	}
 	name := fmt.Sprintf("entry-%d", n)
 	settings, err := s.site.WriteSettings(s.Folder, site.Node{
 		Name: name, Front: ports[0], Ready: ports[1], Metrics: ports[2], PeerPort: peerPort, Store: store.Address(),
-		DirectWorkers: s.directWorkers(),
+		DirectWorkers: s.directWorkers(), MemoryMb: memoryMb, MaxFiles: maxFiles,
 	})
 	if err != nil {
 		return err
@@ -223,6 +231,7 @@
 		}
 		s.checkJob(id, j, state)
 	}
+	s.checkStalledJobs()
 	s.report.Violations = append(s.report.Violations, s.checker.listViolations()...)
 	for _, i := range s.site.Instances() {
 		s.report.Violations = append(s.report.Violations, i.Violations()...)
--- a/citronlab/soakcmd.go
+++ b/citronlab/soakcmd.go
@@ -29,6 +29,7 @@
 	workers := clause.Flag("workers", "Number of workers.").Default("6").Int()
 	shapes := clause.Flag("shapes", "Submit jobs of random shape, some with hundreds of tasks.").Bool()
 	late := clause.Flag("late", "Let workers leave orders unanswered and carry them out up to 12 s later.").Bool()
+	crowds := clause.Flag("crowds", "Let many clients send requests that stop short of their end, and return when they are closed.").Bool()
 	duration := clause.Flag("for", "How long faults are injected for each seed.").Default("15s").Duration()
 	timeout := clause.Flag("quiet", "How long all work may take to end after the last fault.").Default("20s").Duration()
 	ip := clause.Flag("net", "Loopback IP address that nothing else uses.").Default("127.0.0.90").String()
@@ -41,7 +42,7 @@
 		for seed := *first; seed < *first+*seeds && ctx.Err() == nil; seed++ {
 			o := soak.Options{
 				Binary: *binary, Folder: filepath.Join(*folder, fmt.Sprint(seed)), IP: *ip, Seed: seed,
-				Daemons: *daemons, Workers: *workers, Shapes: *shapes, LateOrders: *late, Duration: *duration, CompletionTimeout: *timeout,
+				Daemons: *daemons, Workers: *workers, Shapes: *shapes, LateOrders: *late, Crowds: *crowds, Duration: *duration, CompletionTimeout: *timeout,
 			}
 			r, err := runSeed(ctx, o)
 			if err != nil {
