Crowds of whole, legal jobs that are accepted: two failing tests

What callers see: a daemon that ends, since the state of accepted jobs has used up its memory. With memory_mb 144 and 800 clients: bodies of 250 KB with 250 steps reach 149 MB in 6 s; bodies of 100 bytes with 20,000 tasks 2,005 MB, and 6,737 MB after the crowd.

Cause: every accepted job is held by all daemons until it has ended and for a while after; nothing bounds the sum. Tried: new jobs are refused, at all daemons, while the live heap beside requests is over three quarters of its limit. In 6 s the first test held (130 MB), in 40 s it reached 511 MB, the second one 6,737 MB: a job takes most of its memory after it has been accepted.

--- a/citronlab/crowd/crowd_test.go
+++ b/citronlab/crowd/crowd_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -385,3 +386,43 @@
 		})
 	}
 }
+
+// Guards against accepted jobs of legal size whose state uses up the memory.
+func TestWholeBodiesThatAreAccepted(t *testing.T) {
+	step := `{"count":1,"cpu":100,"mem_mb":16,"estimate_ms":50,"image":"` + strings.Repeat("x", 900) + `"}`
+	pressWithJobs(t, `{"spec":"s","steps":[`+strings.Repeat(step+",", 249)+step+`]}`)
+}
+
+// Guards against small bodies whose jobs have very many tasks.
+func TestWholeBodiesOfManyTasksThatAreAccepted(t *testing.T) {
+	pressWithJobs(t, `{"spec":"s","steps":[{"count":20000,"cpu":100,"mem_mb":16,"estimate_ms":50}]}`)
+}
+
+// pressWithJobs lets a crowd submit jobs with the same body and checks the daemon. Ordinary requests are answered afterwards, a job
+// also with 503 and Retry-After, since those that were accepted still have to run.
+func pressWithJobs(t *testing.T, body string) {
+	t.Helper()
+	d := startSiteDaemon(t)
+	var jobs atomic.Int64
+	most := press(t, d.process, crowdSize, d.front, repeating(func(int) []byte {
+		return []byte(head(http.MethodPost, int(jobs.Add(1)), contentLength(len(body))) + "\r\n" + body)
+	}))
+	d.check(t, most, memoryMb*mebibyte, maxFiles)
+	eventually(t, "an ordinary job after the crowd", func(attempt int) (bool, string) {
+		request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/quick/%016x", d.front, 1<<40+attempt), strings.NewReader(smallJob))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Host = "jobs.example"
+		answer, err := d.client.HTTP.Do(request)
+		if err != nil {
+			return false, err.Error()
+		}
+		_ = answer.Body.Close()
+		refused := answer.StatusCode == http.StatusServiceUnavailable && answer.Header.Get("Retry-After") != ""
+		return refused || answer.StatusCode == http.StatusOK, answer.Status
+	})
+	if u, ok := d.measure(); !ok || u.resident+u.unread > memoryMb*mebibyte {
+		t.Errorf("%d MB resident afterwards, the limit is %d MB", u.resident/mebibyte, memoryMb)
+	}
+}
