A request whose answer is not read may end for others

What callers saw: nothing yet; found while reading the change. A client that sends many requests on a connection and reads no answer keeps the connection, and the memory of its last request, for as long as it likes. With as many such clients as connections are admitted, every other caller is refused.

Change: while a part of an answer is written, the connection and its memory count as those of a request that may end for others. A time limit for writes was ruled out: a caller of the product's own port may read a long answer slowly.

Result: TestUnreadAnswersGiveWay, 4 connections with unread answers of 1 MiB, 8 ordinary requests with 1,000 header lines: all 8 are answered with 200; without the change the first one is refused with 503.

--- a/citron/budget/budget.go
+++ b/citron/budget/budget.go
@@ -194,6 +194,14 @@
 	return !a.ending && !a.closed
 }
 
+// Reopen lets a complete request end for others again, because it waits for its client.
+func (a *Account) Reopen() {
+	b := a.Budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a.complete = false
+}
+
 // Release gives bytes back.
 func (a *Account) Release(n Bytes) {
 	b := a.Budget
--- a/citron/serve/guard_test.go
+++ b/citron/serve/guard_test.go
@@ -195,6 +195,33 @@
 	}
 }
 
+// Guards against clients that send requests and do not read the answers, and so keep their places and their memory.
+func TestUnreadAnswersGiveWay(t *testing.T) {
+	o := &countingObserver{}
+	g := &Guard{Port: "test", Budget: &budget.Budget{Total: 1 << 20}, Observer: o}
+	g.Connections.Max = 4
+	answer := strings.Repeat("x", 1<<20)
+	var begun atomic.Int64
+	address := guarded(t, g, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/large" {
+			begun.Add(1)
+			_, _ = io.WriteString(w, answer)
+		}
+	})
+	for range 4 {
+		dial(t, address, strings.Repeat("GET /large HTTP/1.1\r\nHost: x\r\n\r\n", 100))
+	}
+	waitFor(t, "four answers", func() bool { return begun.Load() >= 4 })
+	for range 8 {
+		if got := status(dial(t, address, "GET / HTTP/1.1\r\nHost: x\r\n"+shortLines(1000)+"\r\n")); got != http.StatusOK {
+			t.Fatalf("status %d, want 200", got)
+		}
+	}
+	if o.shed.Load() == 0 {
+		t.Error("no connection was closed")
+	}
+}
+
 // Guards against memory that a connection does not give back after its request, its refusal or its end.
 func TestMemoryIsGivenBack(t *testing.T) {
 	g := &Guard{Port: "test", Budget: &budget.Budget{Total: 8 << 20}, Observer: &countingObserver{}}
