Accounting for bytes allocates nothing unless it waits

Cause: each message between daemons made a channel for the answer of the budget and changed a map twice, and eight events of each exchange looked up its connection. Ruled out: memory (peaks as before), connections (as many), collections before the limit of the heap (peaks of 94 MB, limit 124 MB).

Change: a channel is made only for a request that waits; accounts stand in a slice and know their place; only the three events that matter look up the connection. The decisions are the same.

--- a/citron/budget/budget.go
+++ b/citron/budget/budget.go
@@ -31,8 +31,9 @@
 
 	mu sync.Mutex
 	// held is the sum of all accounts.
-	held     Bytes
-	accounts map[*Account]bool
+	held Bytes
+	// accounts are those that hold bytes, in no order.
+	accounts []*Account
 	// begun numbers the requests in the order in which they first took bytes.
 	begun uint64
 	// waiting holds the accounts that wait for bytes of requests that are ending, first come first served.
@@ -45,8 +46,9 @@
 	// End is called when the request must end so that others get its bytes. It must not block and must lead to Close.
 	End func()
 
-	// The budget's lock guards the fields below.
+	// The budget's lock guards the fields below. Place is the index in Budget.accounts while the account holds bytes.
 	held  Bytes
+	place int
 	begun uint64
 	// complete is set once the request has been received as a whole; it does not end for others any more.
 	complete bool
@@ -61,55 +63,59 @@
 	granted chan bool
 }
 
-// Take asks for bytes. The channel delivers whether the account has got them; if not, the request is to be refused. It
-// delivers at once unless others have to end first.
-func (a *Account) Take(n Bytes) <-chan bool {
-	granted := make(chan bool, 1)
-	if n <= 0 {
-		granted <- true
-		return granted
+// Take takes bytes and reports whether the account has got them; if not, the request is to be refused. It waits while others
+// are ending for it.
+func (a *Account) Take(n Bytes) bool {
+	granted, waits := a.ask(n)
+	if waits != nil {
+		return <-waits
 	}
+	return granted
+}
+
+// ask asks for bytes. If others have to end first, the channel is set and delivers whether they were granted.
+func (a *Account) ask(n Bytes) (granted bool, waits <-chan bool) {
 	b := a.Budget
 	b.mu.Lock()
 	var ending []*Account
 	switch {
 	case a.ending || a.closed:
-		granted <- false
 	case len(b.waiting) == 0 && b.held+n <= b.Total:
 		b.grant(a, n)
-		granted <- true
+		granted = true
 	default:
 		var enough bool
 		if ending, enough = b.findRoom(a, n); !enough {
-			granted <- false
 			break
 		}
 		for _, e := range ending {
 			e.ending = true
 			b.refuseWaits(e)
 		}
-		b.waiting = append(b.waiting, &wait{a, n, granted})
+		w := &wait{a, n, make(chan bool, 1)}
+		b.waiting = append(b.waiting, w)
+		waits = w.granted
 		b.serveWaiting()
 	}
 	b.mu.Unlock()
 	for _, e := range ending {
 		e.End()
 	}
-	return granted
+	return granted, waits
 }
 
 // grant adds bytes to an account. It requires b.mu.
 func (b *Budget) grant(a *Account, n Bytes) {
+	if n <= 0 {
+		return
+	}
 	if a.held == 0 {
 		b.begun++
-		a.begun = b.begun
+		a.begun, a.place = b.begun, len(b.accounts)
+		b.accounts = append(b.accounts, a)
 	}
 	a.held += n
 	b.held += n
-	if b.accounts == nil {
-		b.accounts = map[*Account]bool{}
-	}
-	b.accounts[a] = true
 }
 
 // findRoom returns the requests that have to end for an account to get n bytes. Enough is false if the account itself is the
@@ -119,7 +125,7 @@
 	for _, w := range b.waiting {
 		missing += w.bytes
 	}
-	for other := range b.accounts {
+	for _, other := range b.accounts {
 		if other.ending {
 			missing -= other.held
 		}
@@ -151,7 +157,7 @@
 			first = c
 		}
 	}
-	for c := range b.accounts {
+	for _, c := range b.accounts {
 		if c != a && !c.complete && !c.ending && !except[c] {
 			consider(c)
 		}
@@ -212,13 +218,20 @@
 
 // release requires the budget's lock.
 func (a *Account) release(n Bytes) {
-	n = min(n, a.held)
+	b, n := a.Budget, min(n, a.held)
+	if n == 0 {
+		return
+	}
 	a.held -= n
-	a.Budget.held -= n
+	b.held -= n
 	if a.held == 0 {
-		delete(a.Budget.accounts, a)
+		last := len(b.accounts) - 1
+		moved := b.accounts[last]
+		b.accounts[a.place], moved.place = moved, a.place
+		b.accounts[last] = nil
+		b.accounts = b.accounts[:last]
 	}
-	a.Budget.serveWaiting()
+	b.serveWaiting()
 }
 
 // Reset gives all bytes back at the end of a request, for the next one of the same connection.
--- a/citron/budget/budget_test.go
+++ b/citron/budget/budget_test.go
@@ -13,11 +13,26 @@
 	return a, ended
 }
 
-// decided returns what a request for bytes has got; decided is false while it waits.
-func decided(granted <-chan bool) (ok, isDecided bool) {
+// answer is the answer to a request for bytes, which may come later.
+type answer struct {
+	granted bool
+	waits   <-chan bool
+}
+
+// ask asks for bytes without waiting.
+func ask(a *Account, n Bytes) answer {
+	granted, waits := a.ask(n)
+	return answer{granted, waits}
+}
+
+// decided returns what a request for bytes has got; isDecided is false while it waits.
+func decided(a answer) (granted, isDecided bool) {
+	if a.waits == nil {
+		return a.granted, true
+	}
 	select {
-	case ok = <-granted:
-		return ok, true
+	case granted = <-a.waits:
+		return granted, true
 	default:
 		return false, false
 	}
@@ -25,7 +40,7 @@
 
 func mustTake(t *testing.T, a *Account, n Bytes) {
 	t.Helper()
-	if ok, isDecided := decided(a.Take(n)); !ok || !isDecided {
+	if ok, isDecided := decided(ask(a, n)); !ok || !isDecided {
 		t.Fatalf("%d bytes: granted %t, decided %t", n, ok, isDecided)
 	}
 }
@@ -38,7 +53,7 @@
 	mustTake(t, first, 400)
 	mustTake(t, second, 500)
 	small, _ := open(b)
-	granted := small.Take(200)
+	granted := ask(small, 200)
 	if !*firstEnded || *secondEnded {
 		t.Fatalf("ended: first %t, second %t; want only the one that was received for the longest time", *firstEnded, *secondEnded)
 	}
@@ -61,11 +76,11 @@
 	mustTake(t, small, 10)
 	large, largeEnded := open(b)
 	mustTake(t, large, 900)
-	if ok, isDecided := decided(large.Take(900)); ok || !isDecided || *smallEnded {
+	if ok, isDecided := decided(ask(large, 900)); ok || !isDecided || *smallEnded {
 		t.Errorf("growth of the largest request: granted %t, decided %t, small one ended %t; want a refusal", ok, isDecided, *smallEnded)
 	}
 	other, _ := open(b)
-	_ = other.Take(200)
+	_ = ask(other, 200)
 	if !*largeEnded || *smallEnded {
 		t.Errorf("ended: large %t, small %t; want the large one", *largeEnded, *smallEnded)
 	}
@@ -80,7 +95,7 @@
 		t.Fatal("a request with room could not be completed")
 	}
 	other, _ := open(b)
-	if ok, isDecided := decided(other.Take(200)); ok || !isDecided || *ended {
+	if ok, isDecided := decided(ask(other, 200)); ok || !isDecided || *ended {
 		t.Errorf("granted %t, decided %t, complete request ended %t; want an immediate refusal", ok, isDecided, *ended)
 	}
 	complete.Reset()
@@ -94,16 +109,16 @@
 	mustTake(t, first, 520)
 	second, secondEnded := open(b)
 	mustTake(t, second, 100)
-	waits := second.Take(480)
+	waits := ask(second, 480)
 	if _, isDecided := decided(waits); isDecided || !*firstEnded {
 		t.Fatal("the second request does not wait for the first")
 	}
 	third, _ := open(b)
-	next := third.Take(500)
+	next := ask(third, 500)
 	if ok, isDecided := decided(waits); ok || !isDecided || !*secondEnded {
 		t.Fatalf("ended %t, granted %t, decided %t; want the end of the second request and a refusal", *secondEnded, ok, isDecided)
 	}
-	if ok, isDecided := decided(second.Take(1)); ok || !isDecided {
+	if ok, isDecided := decided(ask(second, 1)); ok || !isDecided {
 		t.Error("a request that has to end got bytes")
 	}
 	first.Close()
@@ -120,12 +135,12 @@
 	stalled, stalledEnded := open(b)
 	mustTake(t, stalled, 450)
 	other, _ := open(b)
-	if ok, isDecided := decided(other.Take(600)); ok || !isDecided || *stalledEnded {
+	if ok, isDecided := decided(ask(other, 600)); ok || !isDecided || *stalledEnded {
 		t.Errorf("granted %t, decided %t, stalled request ended %t; want a refusal alone", ok, isDecided, *stalledEnded)
 	}
 }
 
-func mustBeGranted(t *testing.T, granted <-chan bool) {
+func mustBeGranted(t *testing.T, granted answer) {
 	t.Helper()
 	if ok, isDecided := decided(granted); !ok || !isDecided {
 		t.Fatalf("granted %t, decided %t", ok, isDecided)
@@ -142,7 +157,7 @@
 		var ending []*Account
 		var crowd []*Account
 		type request struct {
-			granted <-chan bool
+			granted answer
 			bytes   Bytes
 		}
 		var waiting []request
@@ -154,13 +169,13 @@
 				ending = append(ending[:n], ending[n+1:]...)
 			case len(crowd) > 0 && rng.IntN(3) > 0:
 				a := crowd[rng.IntN(len(crowd))]
-				waiting = append(waiting, request{a.Take(Bytes(500 + rng.IntN(1500))), 0})
+				waiting = append(waiting, request{ask(a, Bytes(500+rng.IntN(1500))), 0})
 			default:
 				a := &Account{Budget: b}
 				a.End = func() { ending = append(ending, a) }
 				crowd = append(crowd, a)
 				small, smallEnded := open(b)
-				waiting = append(waiting, request{small.Take(20), 20})
+				waiting = append(waiting, request{ask(small, 20), 20})
 				if *smallEnded {
 					t.Fatalf("seed %d: a small request ended", seed)
 				}
--- a/citron/peers/accounts.go
+++ b/citron/peers/accounts.go
@@ -89,7 +89,7 @@
 		return n, err
 	}
 	c.accounts.Touch(&c.slot)
-	if data := c.frames.countData(p[:n]); data > 0 && !<-c.account.Take(messageCopies*budget.Bytes(data)) {
+	if data := c.frames.countData(p[:n]); data > 0 && !c.account.Take(messageCopies*budget.Bytes(data)) {
 		c.closeForOthers(budget.ShedMemory)
 		return 0, citron.ErrUnavailable
 	}
@@ -109,7 +109,7 @@
 	c.mu.Lock()
 	c.streams++
 	c.mu.Unlock()
-	if !<-c.account.Take(streamBytes) {
+	if !c.account.Take(streamBytes) {
 		c.closeForOthers(budget.ShedMemory)
 	}
 }
@@ -151,20 +151,28 @@
 // HandleRPC takes the memory of new streams, and gives back that of messages that were received as a whole and of ended
 // streams.
 func (a *accounts) HandleRPC(ctx context.Context, s stats.RPCStats) {
-	c, ok := ctx.Value(connKey{}).(*accountedConn)
-	if !ok {
-		return
-	}
 	switch m := s.(type) {
 	case *stats.InHeader:
-		c.beginStream()
+		if c := connOf(ctx); c != nil {
+			c.beginStream()
+		}
 	case *stats.InPayload:
-		c.account.Release(messageCopies * budget.Bytes(m.WireLength))
+		if c := connOf(ctx); c != nil {
+			c.account.Release(messageCopies * budget.Bytes(m.WireLength))
+		}
 	case *stats.End:
-		c.endStream()
+		if c := connOf(ctx); c != nil {
+			c.endStream()
+		}
 	}
 }
 
+// connOf returns the connection of a stream, nil if it is not accounted.
+func connOf(ctx context.Context) *accountedConn {
+	c, _ := ctx.Value(connKey{}).(*accountedConn)
+	return c
+}
+
 // Lengths in HTTP/2.
 const (
 	prefaceLength     = 24
--- a/citron/serve/connection.go
+++ b/citron/serve/connection.go
@@ -80,7 +80,7 @@
 	if !c.inHeader.Load() {
 		return n, err
 	}
-	if !<-c.account.Take(budget.Bytes(lines)*headerLineBytes + headerByteCopies*budget.Bytes(n)) {
+	if !c.account.Take(budget.Bytes(lines)*headerLineBytes + headerByteCopies*budget.Bytes(n)) {
 		c.guard.Observer.Shed(c.guard.Port, budget.ShedMemory)
 		c.refuse()
 		return 0, ErrNoMemory
@@ -119,7 +119,7 @@
 	c.account.Reset()
 	c.guard.Connections.SetServing(&c.slot, false)
 	c.inHeader.Store(true)
-	if !<-c.account.Take(budget.Bytes(c.bufferedLines.Load()) * headerLineBytes) {
+	if !c.account.Take(budget.Bytes(c.bufferedLines.Load()) * headerLineBytes) {
 		c.shed(budget.ShedMemory)
 	}
 }
--- a/citron/serve/guard.go
+++ b/citron/serve/guard.go
@@ -130,7 +130,7 @@
 	if c == nil {
 		return func() {}, nil
 	}
-	if !<-c.account.Take(budget.Bytes(n)) {
+	if !c.account.Take(budget.Bytes(n)) {
 		c.guard.Observer.Shed(c.guard.Port, budget.ShedMemory)
 		return nil, ErrNoMemory
 	}
