--- a/citronlab/soak/crowd.go
+++ b/citronlab/soak/crowd.go
@@ -16,12 +16,12 @@
 
 const (
 	// crowdClients is the number of clients of one crowd.
-	crowdClients = 150
+	crowdClients = 500
 	// crowdReturn is the pause of a client whose connection was closed.
 	crowdReturn = 50 * time.Millisecond
 	// crowdMemoryMb and crowdFiles are the limits of the daemons in a run with crowds.
 	crowdMemoryMb = 144
-	crowdFiles    = 400
+	crowdFiles    = 1000
 )
 
 // crowd makes many clients send requests to one daemon that stop just short of their end, and return when they are closed.
