--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -51,7 +51,7 @@
 
 const host = "jobs.example"
 
-var cases = map[string]func(*Rig) (broken []string, err error){"flap": playFlap, "large": playLarge, "replace": playReplace}
+var cases = map[string]func(*Rig) (broken []string, err error){"bodies": playBodies, "large": playLarge, "replace": playReplace}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
@@ -116,7 +116,9 @@
 		return err
 	}
 	r.storeAddress = listener.Addr().String()
-	go func() { _ = (&http.Server{Handler: r.store, ReadHeaderTimeout: 5 * time.Second}).Serve(listener) }()
+	go func() {
+		_ = (&http.Server{Handler: pageLimit{r.store}, ReadHeaderTimeout: 5 * time.Second}).Serve(listener)
+	}()
 	for n := range workers {
 		w := &Worker{number: n, store: r.store, record: r.record, cpu: cpu, memMb: memMb}
 		if err := w.Start(0); err != nil {
