A task has an object only from its first start until its end

Cause: the pool made an object of some 300 bytes for each task when a job was accepted, and kept it until the end of the job. Ruled out: the records of the jobs themselves, which take 100 bytes each.

Change: a step holds its tasks in a taskList. Tasks that were never started are told by the counts of the step; those that need no further run and are on no worker by a number. An object exists from the first look of a plan at a task until its end.

One line of TestSettledTaskDoesNotCloseItsWorkerAfterManyCrashes now makes the object of the task that it prepares before its start.

--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -144,11 +144,8 @@
 		if spec.GetFills() {
 			s.need.MilliCores = 0
 		}
-		s.tasks = newTasks(s, int(spec.GetTasks()))
-		for _, t := range s.tasks {
-			t.waitingSince = now
-		}
-		tasks += len(s.tasks)
+		s.tasks = newTaskList(s, int(spec.GetTasks()), now)
+		tasks += s.tasks.size
 		o.steps = append(o.steps, s)
 		p.steps[s.ref] = s
 	}
@@ -183,11 +180,14 @@
 	}
 	o := p.openOccurrence(now, j, recorded.GetNumber(), from)
 	for _, r := range o.restoreLayout(recorded, parts) {
-		if int(r.GetStep()) >= len(o.steps) || int(r.GetIndex()) >= len(o.steps[r.GetStep()].tasks) {
+		if int(r.GetStep()) >= len(o.steps) || int(r.GetIndex()) >= o.steps[r.GetStep()].tasks.size {
 			continue
 		}
 		s := o.steps[r.GetStep()]
-		t := s.tasks[r.GetIndex()]
+		t := s.tasks.at(int(r.GetIndex()))
+		if t == nil {
+			continue // The record names the task twice.
+		}
 		t.restoreRun(r.GetRun())
 		t.failedRuns, t.checkpoint = r.GetFailedRuns(), r.GetCheckpoint()
 		if s.spec.GetGang() {
@@ -202,6 +202,7 @@
 		case work.TaskState_TASK_STATE_DONE:
 			t.setState(taskDone)
 			s.remaining--
+			s.tasks.settle(t)
 		case work.TaskState_TASK_STATE_STARTED:
 			p.adoptRun(now, t, r, taskInDoubt)
 		case work.TaskState_TASK_STATE_LEAVING:
@@ -210,7 +211,7 @@
 		}
 	}
 	for _, s := range o.steps {
-		if s.spec.GetGang() && s.remaining < len(s.tasks) {
+		if s.spec.GetGang() && s.remaining < s.tasks.size {
 			// Only some of the records that show the end of the gang are stored.
 			p.completeGang(now, s)
 		} else if s.spec.GetGang() && s.waitingTasks() > 0 {
@@ -325,9 +326,10 @@
 func (p *Pool) stopAllTasks(now time.Duration, j *job) {
 	for _, o := range j.open {
 		for _, s := range o.steps {
-			for _, t := range s.tasks {
+			for t := range s.tasks.withObject {
 				p.stopTask(now, t)
 			}
+			s.tasks.close()
 		}
 	}
 }
@@ -338,6 +340,7 @@
 	case taskWaiting:
 		t.setState(taskDone)
 		t.dropped = true
+		t.step.tasks.settle(t)
 	case taskOrdered, taskInDoubt, taskRunning:
 		p.stopRun(now, t)
 	}
--- a/citron/pool/advice.go
+++ b/citron/pool/advice.go
@@ -131,7 +131,7 @@
 func (wp *waitingPass) claimRoom(s *step) bool {
 	tasks := 1
 	if s.spec.GetGang() {
-		tasks = len(s.tasks)
+		tasks = s.tasks.size
 	}
 	need, found := s.need.Times(s.waitingTasks()), 0
 	if !wp.unclaimedRoom(s).Fits(s.need.Times(tasks)) {
@@ -188,7 +188,7 @@
 		return wp.selectLikely(s, candidates)
 	}
 	allowed, undecided, slots := splitByAdvice(s, candidates)
-	return append(allowed, undecided...), slots >= len(s.tasks) || len(undecided) == 0
+	return append(allowed, undecided...), slots >= s.tasks.size || len(undecided) == 0
 }
 
 // splitByAdvice returns the candidates that may run the step and those that the policy service has not decided on. Slots is
@@ -232,7 +232,7 @@
 		}
 	}
 	waiting := s.waitingTasks()
-	waitsForRoom := slots >= len(s.tasks) && !s.spec.GetService() || len(workers) >= maxAdviceWorkers
+	waitsForRoom := slots >= s.tasks.size && !s.spec.GetService() || len(workers) >= maxAdviceWorkers
 	if roomNow >= waiting || len(withRoom) == 0 && (waitsForRoom || len(full) == 0) {
 		s.adviceCheckAt = wp.now + adviceCheckInterval
 		return workers[:min(len(workers), maxAdviceWorkers)], true
--- a/citron/pool/attempts_test.go
+++ b/citron/pool/attempts_test.go
@@ -160,7 +160,7 @@
 	if got := r.state("g"); got == work.State_STATE_FAILED {
 		t.Error("the job has failed after one run")
 	}
-	for _, member := range r.p.findTask("g.0.0.0").step.tasks {
+	for member := range r.p.findTask("g.0.0.0").step.tasks.unsettled {
 		if n := len(member.crashes.Runs); n > 1 {
 			t.Errorf("%d crashes are counted under %s, want one at most", n, member.ref)
 		}
--- a/citron/pool/cordon.go
+++ b/citron/pool/cordon.go
@@ -61,9 +61,10 @@
 
 // countMissing counts the tasks of a step that are not fully ready.
 func countMissing(s *step) (n int) {
-	for _, t := range s.tasks {
-		if !fullyReady(t) {
-			n++
+	n = s.tasks.size
+	for t := range s.tasks.withObject {
+		if fullyReady(t) {
+			n--
 		}
 	}
 	return n
--- a/citron/pool/counts.go
+++ b/citron/pool/counts.go
@@ -1,10 +1,6 @@
 package pool
 
-import (
-	"strconv"
-
-	"github.com/citroncross/citroncross/citron"
-)
+import "github.com/citroncross/citroncross/citron"
 
 // This file answers jobs of thousands of tasks in one step. Callers choose how many tasks a step has, and plans hold the lock that all
 // other jobs need. So what a plan asks of a step is counted as its tasks change, and no plan looks at each task for each worker.
@@ -106,15 +102,3 @@
 		}
 	}
 }
-
-// newTasks returns the waiting tasks of a step.
-func newTasks(s *step, count int) []*task {
-	s.counts.waiting = count
-	block, tasks := make([]task, count), make([]*task, count)
-	prefix := append([]byte(s.ref), '.')
-	for i := range block {
-		block[i] = task{ref: citron.TaskRef(strconv.AppendInt(prefix, int64(i), 10)), step: s, index: i}
-		tasks[i] = &block[i]
-	}
-	return tasks
-}
--- a/citron/pool/crash_test.go
+++ b/citron/pool/crash_test.go
@@ -151,7 +151,7 @@
 	r := newRig(t)
 	r.workers(1)
 	r.accept(newJob("old", newStep(1, 1)))
-	old := r.p.findTask("old.0.0.0")
+	old := r.p.steps["old.0.0"].tasks.at(0)
 	for run := range int32(3) {
 		old.crashes.Record(crash.Crash{Run: 100 + run, Begun: true})
 	}
--- a/citron/pool/end.go
+++ b/citron/pool/end.go
@@ -102,17 +102,18 @@
 
 // completeBySupersededRun marks a task, with all members of its gang, as done by an earlier run and stops later runs.
 func (p *Pool) completeBySupersededRun(now time.Duration, t *task) {
-	tasks := []*task{t}
+	tasks := slices.Values([]*task{t})
 	if t.step.spec.GetGang() {
-		tasks = t.step.tasks
+		tasks = t.step.tasks.unsettled
 	}
-	for _, t := range tasks {
+	for t := range tasks {
 		if t.finished() {
 			continue
 		}
 		state := t.state
 		p.markDone(t)
 		if state == taskWaiting {
+			t.step.tasks.settle(t)
 			continue
 		}
 		// The run uses capacity until its worker reports the end.
@@ -125,7 +126,7 @@
 	p.advance(now, t.step)
 }
 
-// findTask returns the task of an open occurrence with a name, or nil.
+// findTask returns the task of an open occurrence with a name if it has an object, or nil.
 func (p *Pool) findTask(ref citron.TaskRef) *task {
 	cut := strings.LastIndexByte(string(ref), '.')
 	if cut < 0 {
@@ -133,10 +134,10 @@
 	}
 	s := p.steps[citron.StepRef(ref[:cut])]
 	index, err := strconv.Atoi(string(ref[cut+1:]))
-	if s == nil || err != nil || index < 0 || index >= len(s.tasks) {
+	if s == nil || err != nil {
 		return nil
 	}
-	return s.tasks[index]
+	return s.tasks.find(index)
 }
 
 // completeTask marks a task, with all members of its gang, as done after a successful run. A service task is requeued.
@@ -149,6 +150,7 @@
 	p.leaveWorker(now, t)
 	p.unassign(t)
 	p.markDone(t)
+	s.tasks.settle(t)
 	if s.spec.GetGang() {
 		p.completeGang(now, s)
 	}
@@ -157,7 +159,7 @@
 
 // completeGang marks all members of a gang as done, since a gang is done as soon as one member is.
 func (p *Pool) completeGang(now time.Duration, s *step) {
-	for _, member := range s.tasks {
+	for member := range s.tasks.unsettled {
 		if !member.done() {
 			p.markMemberDone(now, member)
 		}
@@ -182,6 +184,7 @@
 		t.setState(taskLeaving)
 		t.stateSince = now
 	}
+	t.step.tasks.settle(t)
 }
 
 // advance releases the dependents of a step if it is done, and completes the job if it was the last step.
@@ -190,6 +193,7 @@
 		return
 	}
 	s.countSpent(now)
+	s.permits, s.eligible = nil, nil
 	j, o := s.job, s.occurrence
 	p.releaseSteps(now, o)
 	if !o.done() {
@@ -263,6 +267,7 @@
 	if finished {
 		t.setState(taskDone)
 		t.dropped = !done
+		s.tasks.settle(t)
 		return
 	}
 	p.observe(Decision{Kind: DecidedRequeue, Job: s.job.id, Task: t.ref, Run: t.run, Reason: reason})
@@ -279,7 +284,7 @@
 	if s.counts.active == 0 {
 		return
 	}
-	for _, member := range s.tasks {
+	for member := range s.tasks.withObject {
 		if member.state.active() {
 			p.stopRun(now, member)
 		}
--- a/citron/pool/gang.go
+++ b/citron/pool/gang.go
@@ -20,14 +20,14 @@
 
 // placeGang starts all members of a gang or none. A gang that does not fit reserves capacity.
 func (wp *waitingPass) placeGang(s *step) {
-	if !s.waiting() || wp.mustLeaveHeadroom(s, len(s.tasks)) {
+	if !s.waiting() || wp.mustLeaveHeadroom(s, s.tasks.size) {
 		return
 	}
 	if s.needsTicket() && !s.hasTicket(wp.now) {
 		wp.takeReservation()
 		return
 	}
-	if !wp.freeRoom(s.service()).Fits(s.need.Times(len(s.tasks))) {
+	if !wp.freeRoom(s.service()).Fits(s.need.Times(s.tasks.size)) {
 		wp.reserve(s)
 		return
 	}
@@ -48,7 +48,7 @@
 	next := 0
 	for _, c := range chosen {
 		for range c.count {
-			t := s.tasks[next]
+			t := s.tasks.at(next)
 			t.checkpoint = checkpoint
 			wp.startTask(t, c.worker, s.gangRun)
 			next++
@@ -58,7 +58,7 @@
 
 // gangCheckpoint returns the checkpoint from which all members start: the greatest, since checkpoints sort by progress.
 func gangCheckpoint(s *step) (latest string) {
-	for _, t := range s.tasks {
+	for t := range s.tasks.withObject {
 		latest = max(latest, t.checkpoint)
 	}
 	return latest
@@ -102,7 +102,7 @@
 			return chosen
 		}
 	}
-	return fillSlots(free, len(s.tasks))
+	return fillSlots(free, s.tasks.size)
 }
 
 // chooseRack returns workers for all members in the rack of the data if one is set, or else in the rack where the
@@ -113,11 +113,11 @@
 		racks[f.worker.entry.Rack] = append(racks[f.worker.entry.Rack], f)
 	}
 	if dataRack := citron.Rack(s.spec.GetDataRack()); dataRack != "" {
-		return fillSlots(racks[dataRack], len(s.tasks))
+		return fillSlots(racks[dataRack], s.tasks.size)
 	}
 	var best []workerSlots
 	for _, list := range racks {
-		chosen := fillSlots(list, len(s.tasks))
+		chosen := fillSlots(list, s.tasks.size)
 		if chosen != nil && (best == nil || len(chosen) < len(best) || len(chosen) == len(best) && chosen[0].worker.entry.ID < best[0].worker.entry.ID) {
 			best = chosen
 		}
@@ -189,7 +189,7 @@
 
 // fitsEmpty reports whether all members of a gang fit on the workers of a list once nothing else is on them.
 func fitsEmpty(s *step, list []candidate) bool {
-	members := len(s.tasks)
+	members := s.tasks.size
 	for _, c := range list {
 		if members -= s.copiesOnEmpty(c.worker); members <= 0 {
 			return true
--- a/citron/pool/headroom.go
+++ b/citron/pool/headroom.go
@@ -95,7 +95,7 @@
 		h = &headroom{}
 		p.headrooms[s.service()] = h
 	}
-	h.add(now, s.need.Times(len(s.tasks)), p.expectedOf(s))
+	h.add(now, s.need.Times(s.tasks.size), p.expectedOf(s))
 }
 
 // findHeadroom returns the headroom of each service, nil if there is none.
--- a/citron/pool/hold.go
+++ b/citron/pool/hold.go
@@ -40,7 +40,7 @@
 
 // waiting reports whether all members of a gang wait.
 func (s *step) waiting() bool {
-	return s.waitingTasks() == len(s.tasks)
+	return s.waitingTasks() == s.tasks.size
 }
 
 // keepHold keeps the quota of a gang that has enough of it since a short time, but may lack tickets.
@@ -72,7 +72,7 @@
 	if wp.quotaHolds == nil {
 		wp.quotaHolds = map[citron.Team]quotaHold{}
 	}
-	wp.quotaHolds[team] = quotaHold{gang: s, need: quota.Total(quota.StepNeed(s.spec), len(s.tasks)), until: until}
+	wp.quotaHolds[team] = quotaHold{gang: s, need: quota.Total(quota.StepNeed(s.spec), s.tasks.size), until: until}
 }
 
 // quotaFreeAt returns when enough runs of the team are expected to have ended for the gang to start. Ok is false if that is
@@ -82,7 +82,7 @@
 	for _, r := range wp.runsOf(team) {
 		q.Return(team, r.need)
 		defer q.Take(team, r.need)
-		if q.Fits(team, quota.StepNeed(s.spec), len(s.tasks)) == len(s.tasks) {
+		if q.Fits(team, quota.StepNeed(s.spec), s.tasks.size) == s.tasks.size {
 			return max(r.end, wp.now), true
 		}
 	}
--- a/citron/pool/inspect.go
+++ b/citron/pool/inspect.go
@@ -137,12 +137,9 @@
 	for _, o := range j.open {
 		for _, s := range o.steps {
 			reason := wp.waitReason(s)
-			for _, t := range s.tasks {
-				l := TaskStatus{Task: t.ref, State: taskStateNames[t.state], Run: t.run, Since: now.Boot - max(t.stateSince, t.waitingSince), Failures: len(t.failedRuns)}
-				if t.worker != nil {
-					l.Worker = t.worker.entry.ID
-				}
-				if t.state == taskWaiting {
+			for i := range s.tasks.size {
+				l := s.tasks.status(i, now.Boot)
+				if l.State == taskStateNames[taskWaiting] {
 					l.Reason = reason
 				}
 				list = append(list, l)
@@ -166,5 +163,5 @@
 		}
 	}
 	return fmt.Sprintf("%d of %d tasks wait; workers usable %d, allowed now %d with room for %d; policy answers %d, tickets %d, asking %t%s",
-		s.waitingTasks(), len(s.tasks), usable, allowed, slots, len(s.eligible), len(s.permits), s.advicePending, wp.quotaReason(s))
+		s.waitingTasks(), s.tasks.size, usable, allowed, slots, len(s.eligible), len(s.permits), s.advicePending, wp.quotaReason(s))
 }
--- a/citron/pool/parts.go
+++ b/citron/pool/parts.go
@@ -177,10 +177,10 @@
 // recordTasks returns the records of the started tasks of an occurrence, counted over all its steps, from one number up to another.
 func (o *occurrence) recordTasks(from, to int) (list []*work.Task) {
 	for _, s := range o.steps {
-		first, last := max(from-s.firstTask, 0), min(to-s.firstTask, len(s.tasks))
+		first, last := max(from-s.firstTask, 0), min(to-s.firstTask, s.tasks.size)
 		for i := first; i < last; i++ {
-			if t := s.tasks[i]; t.run > 0 {
-				list = append(list, t.record())
+			if r := s.tasks.record(i); r.GetRun() > 0 {
+				list = append(list, r)
 			}
 		}
 	}
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -279,10 +279,10 @@
 		wp.placeGang(s)
 		return
 	}
-	for i := s.counts.firstWaiting; i < len(s.tasks) && s.counts.waiting > 0; i++ {
-		t := s.tasks[i]
+	for i := s.counts.firstWaiting; i < s.tasks.size && s.counts.waiting > 0; i++ {
+		t := s.tasks.at(i)
 		wp.pool.lastPlan.Looks++
-		if t.state != taskWaiting {
+		if t == nil || t.state != taskWaiting {
 			if i == s.counts.firstWaiting {
 				s.counts.firstWaiting++
 			}
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -318,7 +318,7 @@
 	occurrence *occurrence
 	index      int
 	spec       *work.Step
-	tasks      []*task
+	tasks      taskList
 	counts     taskCounts
 	// firstTask is the number of tasks in the steps before this one.
 	firstTask int
--- a/citron/pool/quota.go
+++ b/citron/pool/quota.go
@@ -48,7 +48,7 @@
 // quotaRoom returns how many waiting tasks of a step its team's maximum lets start now. It is 0 for a gang of which not all
 // tasks may start; the first such gang of a team holds the team's quota.
 func (wp *waitingPass) quotaRoom(s *step) int {
-	tasks, team, p := len(s.tasks), s.team(), wp.pool
+	tasks, team, p := s.tasks.size, s.team(), wp.pool
 	switch {
 	case team == "":
 		return tasks
--- a/citron/pool/shapes_test.go
+++ b/citron/pool/shapes_test.go
@@ -45,7 +45,7 @@
 		open := 0
 		for _, o := range r.p.jobs["often"].open {
 			for _, s := range o.steps {
-				open += len(s.tasks)
+				open += s.tasks.size
 			}
 		}
 		if most = max(most, open); most > maxOpenTasks {
--- a/citron/pool/speed.go
+++ b/citron/pool/speed.go
@@ -264,7 +264,7 @@
 		return
 	}
 	slowest, several := w.speed.value(), false
-	for _, member := range t.step.tasks {
+	for member := range t.step.tasks.withObject {
 		if member.worker != nil {
 			several = several || member.worker != w
 			slowest = min(slowest, member.worker.speed.value())
--- a/citron/pool/teams.go
+++ b/citron/pool/teams.go
@@ -83,7 +83,7 @@
 func (wp *waitingPass) quotaReason(s *step) string {
 	p, team, together := wp.pool, s.team(), 1
 	if s.spec.GetGang() {
-		together = len(s.tasks)
+		together = s.tasks.size
 	}
 	need := quota.StepNeed(s.spec)
 	switch {
