The view keeps the progress of a job as it was recorded, and of an ended job what callers ask for

Cause: the view kept each record of progress decoded, some 20 times its bytes for ended tasks, and each job whole, with its steps, until it was forgotten. trimJobs dropped the payload from the store only.

Change: Entry has the encoded progress and parts and decodes them when a new holder takes the job over; the pool is not passed the records of jobs that it knows (Pool.Knows). An entry whose job has ended keeps what Trimmed returns, and the store gets the same record. A pool that reads such a record without its progress does not start anything; before, it would have started the tasks without their payload.

TestPayloadsOfEndedJobsAreRemovedFromTheStore asked for a stored record with all but the payload; it now asks for exactly the fields that are kept, and that the record starts nothing without its progress either.

--- a/citron/entry/inspect.go
+++ b/citron/entry/inspect.go
@@ -103,7 +103,11 @@
 			return reply, nil
 		}
 	}
-	for _, o := range e.Progress.GetOpen() {
+	progress, err := e.FullProgress()
+	if err != nil {
+		return nil, err
+	}
+	for _, o := range progress.GetOpen() {
 		for _, t := range o.GetTasks() {
 			reply.Tasks = append(reply.Tasks, &link.TaskStatus{
 				Task: string(pool.TaskName(id, o.GetNumber(), t.GetStep(), t.GetIndex())), State: stateName(t.GetState()), Run: t.GetRun(),
--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -168,7 +168,15 @@
 // jobChanged passes an accepted, changed or cancelled job to the pool.
 func (h *Holder) jobChanged(id citron.JobID, e view.Entry) {
 	now := h.Timer.Now()
-	h.Pool.Accept(now, e.Spec, e.Progress, e.Parts()...)
+	if !h.Pool.Knows(id) {
+		progress, err := e.FullProgress()
+		parts, partsErr := e.Parts()
+		if err := errors.Join(err, partsErr); err != nil {
+			h.reportFailure("restore", err)
+			return
+		}
+		h.Pool.Accept(now, e.Spec, progress, parts...)
+	}
 	if e.Cancelled {
 		h.Pool.Cancel(now, id)
 	}
--- a/citron/holder/trim.go
+++ b/citron/holder/trim.go
@@ -10,15 +10,16 @@
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/pool"
 	"github.com/citroncross/citroncross/citron/timer"
+	"github.com/citroncross/citroncross/citron/view"
 )
 
-// The records of ended jobs are kept for callers, who only ask for the state. Without their payloads, which are most of what
-// the store holds, a daemon that starts has read them soon, also over a thin link.
+// The records of ended jobs are kept for callers, who only ask for the state. Without their payloads and steps, which are most of
+// what the store holds, a daemon that starts has read them soon, also over a thin link.
 
 // trimInterval is the time for which ended jobs are collected before their records are replaced.
 const trimInterval = 500 * time.Millisecond
 
-// trims are the ended jobs whose records still hold the payload.
+// trims are the ended jobs whose records are still complete.
 type trims struct {
 	mu      sync.Mutex
 	waiting []citron.JobID
@@ -26,7 +27,7 @@
 	running bool
 }
 
-// trimJobs replaces the records of ended jobs by ones without payload. That is not repeated after a failure, since the
+// trimJobs replaces the records of ended jobs by trimmed ones. That is not repeated after a failure, since the
 // complete records do no harm.
 func (h *Holder) trimJobs(ended []citron.JobID) {
 	if len(ended) == 0 || len(h.JobSources) == 0 {
@@ -60,16 +61,14 @@
 	}
 }
 
-// trimmedRecords returns records without payload for the jobs whose records a partition holds.
+// trimmedRecords returns trimmed records for the jobs whose records a partition holds.
 func (h *Holder) trimmedRecords(partition int, ids []citron.JobID) (records []citron.KeyedRecord) {
 	for _, id := range ids {
 		e, known := h.View.Get(id)
-		if !known || e.Spec.GetPayloadOmitted() || !h.JobSources[partition].HoldsJob(id) {
+		if !known || !h.JobSources[partition].HoldsJob(id) {
 			continue
 		}
-		trimmed := proto.CloneOf(e.Spec)
-		trimmed.Payload, trimmed.PayloadOmitted = "", true
-		value, err := proto.Marshal(trimmed)
+		value, err := proto.Marshal(view.Trimmed(e.Spec))
 		if err != nil {
 			h.reportFailure("trim", err)
 			continue
--- a/citron/holder/trim_test.go
+++ b/citron/holder/trim_test.go
@@ -24,7 +24,9 @@
 	h.JobSources = sources
 	h.JobTails = append(h.JobTails, h.JobTails[0])
 	h.JobTails[1] = &tail.Tail{Store: s, Partition: other, Timer: timer.System{}, Apply: sources[1].Apply}
-	spec, err := proto.Marshal(&work.Job{ID: "k", Queue: "q", Payload: "long", Steps: []*work.Step{{Tasks: 2}}})
+	spec, err := proto.Marshal(&work.Job{
+		ID: "k", Queue: "q", Team: "team", AcceptedMs: 7, AcceptedBy: "front", Payload: "long", Steps: []*work.Step{{Tasks: 2}},
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -40,17 +42,19 @@
 	if len(s.appended[other]) != 1 || proto.Unmarshal(s.appended[other][0].Value, &stored) != nil {
 		t.Fatalf("records %v, want one readable", s.appended[other])
 	}
-	if stored.GetPayload() != "" || !stored.GetPayloadOmitted() || stored.GetQueue() != "q" || len(stored.GetSteps()) != 1 {
-		t.Errorf("stored job %v, want all but the payload", &stored)
+	want := &work.Job{ID: "k", Queue: "q", Team: "team", AcceptedMs: 7, AcceptedBy: "front", PayloadOmitted: true}
+	if !proto.Equal(&stored, want) {
+		t.Errorf("stored job %v, want %v", &stored, want)
 	}
 	// A daemon that starts reads only the new record. It shows the job's state and could never start it.
 	fresh := &view.View{}
 	fresh.Apply(s.appended[other][0])
-	p := pool.New(pool.Options{}, 9, nil)
-	progress := &work.Progress{JobID: "k", State: work.State_STATE_COMPLETED}
 	e, _ := fresh.Get("k")
-	p.Accept(clock.Now(), e.Spec, progress)
-	if plan, err := p.Plan(clock.Now()); err != nil || len(plan.Starts)+len(plan.Records) != 0 {
-		t.Errorf("starts %v, records %v, error %v for an ended job; want none", plan.Starts, plan.Records, err)
+	for _, progress := range []*work.Progress{{JobID: "k", State: work.State_STATE_COMPLETED}, nil} {
+		p := pool.New(pool.Options{}, 9, nil)
+		p.Accept(clock.Now(), e.Spec, progress)
+		if plan, err := p.Plan(clock.Now()); err != nil || len(plan.Starts)+len(plan.Records) != 0 {
+			t.Errorf("starts %v, records %v, error %v for an ended job with progress %v; want none", plan.Starts, plan.Records, err, progress)
+		}
 	}
 }
--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -14,6 +14,15 @@
 	"github.com/citroncross/citroncross/schema/work"
 )
 
+// Knows reports whether a job has been accepted here.
+func (p *Pool) Knows(id citron.JobID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, open := p.jobs[id]
+	_, ended := p.ended[id]
+	return open || ended
+}
+
 // Accept adds a job. Progress and parts are the last records that a former holder wrote of it, if any.
 func (p *Pool) Accept(now citron.Instant, spec *work.Job, progress *work.Progress, parts ...*work.Part) {
 	p.mu.Lock()
@@ -30,6 +39,9 @@
 		p.ended[id] = endedJob{now.Boot, progress.GetState(), progress.GetNextOccurrence(), progress.GetEndedMs(), int(progress.GetParts())}
 		return
 	}
+	if len(spec.GetSteps()) == 0 {
+		return // The job has ended and only its trimmed record has been read.
+	}
 	waited := max(now.Wall.Sub(time.UnixMilli(spec.GetAcceptedMs())), 0)
 	j := &job{id: id, spec: spec, accepted: now.Boot - waited, state: progress.GetState(), recorded: progress.GetState(), nextOccurrence: progress.GetNextOccurrence(), parts: int(progress.GetParts())}
 	p.jobs[id] = j
--- a/citron/view/part.go
+++ b/citron/view/part.go
@@ -6,28 +6,37 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/citroncross/citroncross/citron"
-	"github.com/citroncross/citroncross/citron/pool"
 	"github.com/citroncross/citroncross/schema/work"
 )
 
 // part is a part of the progress of a job and the partitions that hold it.
 type part struct {
-	key     string
-	record  *work.Part
+	key string
+	// record is the encoded part: its tasks take many times their bytes when they are decoded.
+	record  []byte
+	order   partOrder
 	sources sourceSet
 }
 
+// partOrder tells which of two records of a part is newer.
+type partOrder struct{ epoch, number uint64 }
+
+// GetEpoch returns the epoch of the holder that wrote the record.
+func (o partOrder) GetEpoch() uint64 { return o.epoch }
+
+// GetNumber returns the number of the record in its epoch.
+func (o partOrder) GetNumber() uint64 { return o.number }
+
 // Parts returns the parts of the progress. Which of them are valid is told by Progress.
-func (e Entry) Parts() (list []*work.Part) {
+func (e Entry) Parts() (list []*work.Part, err error) {
 	for _, p := range e.parts {
-		list = append(list, p.record)
+		record := &work.Part{}
+		if err := proto.Unmarshal(p.record, record); err != nil {
+			return nil, err
+		}
+		list = append(list, record)
 	}
-	return list
-}
-
-// partsUnused reports whether no part is needed any more, since the job has ended for good.
-func (e *Entry) partsUnused() bool {
-	return pool.IsTerminal(e.Progress.GetState()) && len(e.Progress.GetOpen()) == 0
+	return list, nil
 }
 
 // applyPart applies a record of a part or its removal.
@@ -42,8 +51,8 @@
 		return
 	}
 	v.update(id, func(e *Entry) {
-		if !e.partsUnused() {
-			e.addPart(part{r.Key, record, source})
+		if !e.ended() {
+			e.addPart(part{r.Key, r.Value, partOrder{record.GetEpoch(), record.GetNumber()}, source})
 		}
 	})
 }
@@ -58,8 +67,8 @@
 	e.parts = slices.Clone(e.parts)
 	known := &e.parts[n]
 	known.sources |= added.sources
-	if newer(added.record, known.record) {
-		known.record = added.record
+	if newer(added.order, known.order) {
+		known.record, known.order = added.record, added.order
 	}
 }
 
--- a/citron/view/part_test.go
+++ b/citron/view/part_test.go
@@ -21,7 +21,11 @@
 	if !known {
 		t.Fatal("job a is not known")
 	}
-	for _, p := range e.Parts() {
+	parts, err := e.Parts()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range parts {
 		list = append(list, p.GetTasks()[0].GetRun())
 	}
 	return list
--- a/citron/view/view.go
+++ b/citron/view/view.go
@@ -18,9 +18,13 @@
 
 // Entry is the known state of one job. A field has its zero value if no such record has been read.
 type Entry struct {
-	Spec      *work.Job
+	// Spec is the accepted job; of a job that has ended, only what Trimmed keeps.
+	Spec *work.Job
+	// Progress has no tasks; see FullProgress.
 	Progress  *work.Progress
 	Cancelled bool
+	// progress is the encoded record if it has tasks, which take many times their bytes when they are decoded.
+	progress []byte
 	// announced is the state of a record of the progress that has not been read yet; nil if there is none. Only State uses it.
 	announced *work.Progress
 	// progressRemoved is set if the progress has been removed from the store, which happens only after the job has been.
@@ -37,7 +41,7 @@
 	case jobRecord:
 		e.Spec = nil
 		if e.progressRemoved {
-			e.Progress = nil
+			e.Progress, e.progress = nil, nil
 		}
 	case cancelRecord:
 		e.Cancelled = false
@@ -45,7 +49,7 @@
 		e.announced = nil
 		// A job without progress looks as if it had never started.
 		if e.progressRemoved = e.Spec != nil; !e.progressRemoved {
-			e.Progress = nil
+			e.Progress, e.progress = nil, nil
 		}
 	}
 }
@@ -62,9 +66,11 @@
 	}
 	records = append(records, citron.KeyedRecord{Key: key + string(id), Value: spec})
 	if e.Progress != nil {
-		progress, err := proto.Marshal(e.Progress)
-		if err != nil {
-			return nil, err
+		progress := e.progress
+		if progress == nil {
+			if progress, err = proto.Marshal(e.Progress); err != nil {
+				return nil, err
+			}
 		}
 		records = append(records, citron.KeyedRecord{Key: pool.ProgressKey + string(id), Value: progress})
 	}
@@ -74,6 +80,38 @@
 	return records, nil
 }
 
+// FullProgress returns the progress with its tasks.
+func (e Entry) FullProgress() (full *work.Progress, err error) {
+	if e.progress == nil {
+		return e.Progress, nil
+	}
+	full = &work.Progress{}
+	return full, proto.Unmarshal(e.progress, full)
+}
+
+// setProgress replaces the progress by a record and its decoded form.
+func (e *Entry) setProgress(record []byte, decoded *work.Progress) {
+	e.Progress, e.progress = decoded, nil
+	for _, o := range decoded.GetOpen() {
+		if len(o.GetTasks()) > 0 {
+			o.Tasks, e.progress = nil, record
+		}
+	}
+}
+
+// ended reports whether the job has ended and no run of it is left on any worker.
+func (e *Entry) ended() bool {
+	return pool.IsTerminal(e.Progress.GetState()) && len(e.Progress.GetOpen()) == 0
+}
+
+// Trimmed returns what callers and daemons need of a job that has ended.
+func Trimmed(spec *work.Job) *work.Job {
+	return &work.Job{
+		ID: spec.GetID(), Queue: spec.GetQueue(), Team: spec.GetTeam(), AcceptedMs: spec.GetAcceptedMs(), AcceptedBy: spec.GetAcceptedBy(),
+		PayloadOmitted: true,
+	}
+}
+
 // State returns the job's state as reported to callers. A cancelled job counts as cancelled before its runs have ended.
 func (e Entry) State() work.State {
 	newest := e.Progress
@@ -254,12 +292,12 @@
 		return func(e *Entry, _ bool) bool {
 			// The same record arrives from the holder and later from the store, and may be in several partitions.
 			if e.Progress == nil || newer(progress, e.Progress) {
-				e.Progress = progress
+				e.setProgress(value, progress)
 			}
 			if e.announced != nil && !newer(e.announced, e.Progress) {
 				e.announced = nil
 			}
-			if e.partsUnused() {
+			if e.ended() {
 				e.parts = nil
 			}
 			return false
@@ -302,6 +340,9 @@
 	}
 	before, queue := e.pending(), e.Spec.GetQueue()
 	f(e)
+	if e.ended() && len(e.Spec.GetSteps()) > 0 {
+		e.Spec = Trimmed(e.Spec)
+	}
 	if e.Spec == nil && e.Progress == nil && !e.Cancelled && len(e.parts) == 0 {
 		delete(s.jobs, id)
 	}
