A plan starts no more tasks than the memory of the holder has room for

Cause: a run takes about a kilobyte at the holder beside its job, and only the capacity of the workers bounded the number of runs.

A gang that begins below the bound starts as a whole.

Measured: TestRunsUnderWayAreLimited failed on (100 starts in one plan, want 10), passes now.

--- a/citron/budget/plan.go
+++ b/citron/budget/plan.go
@@ -30,6 +30,8 @@
 	connectionShare = 3
 	requestShare    = 6
 	peerShare       = 16
+	// runShare is for the runs under way on workers.
+	runShare = 12
 	// outsideHeap is memory that the Go runtime does not count: the program's pages and the descriptors' state in the kernel.
 	outsideHeap Bytes = 32 << 20
 	// minHeapShare keeps a heap for processes with less memory than all of this needs.
@@ -45,6 +47,8 @@
 	Callers, Side, Peers int
 	// Requests is what all requests may hold beside their connections, PeerRequests the same for those of other daemons.
 	Requests, PeerRequests Bytes
+	// Runs is what the runs under way may take.
+	Runs Bytes
 	// Heap is the size of the heap above which garbage is collected at once and memory is given back.
 	Heap Bytes
 }
@@ -59,6 +63,8 @@
 		Requests: memory / requestShare,
 
 		PeerRequests: memory / peerShare,
+
+		Runs: memory / runShare,
 	}
 	p.Heap = max(memory-p.Unread()-outsideHeap, memory/minHeapShare)
 	return p
--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -185,10 +185,22 @@
 		since = 0
 	}
 	p.placedAt = now
-	if p.Options.StartsPerPlan == 0 {
-		return math.MaxInt
+	limit := math.MaxInt
+	if p.Options.StartsPerPlan > 0 {
+		limit = max(p.Options.StartsPerPlan, int(startsPerSecond*since.Seconds()))
 	}
-	return max(p.Options.StartsPerPlan, int(startsPerSecond*since.Seconds()))
+	if p.Options.MaxRuns > 0 {
+		limit = min(limit, p.Options.MaxRuns-p.countRuns())
+	}
+	return limit
+}
+
+// countRuns returns the number of tasks that may be on a worker.
+func (p *Pool) countRuns() (runs int) {
+	for _, w := range p.byID {
+		runs += len(w.tasks)
+	}
+	return runs
 }
 
 // The reason why a step waits is reported first after explainAfter and then once per explainEvery.
--- a/citron/pool/pool.go
+++ b/citron/pool/pool.go
@@ -14,6 +14,7 @@
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/advice"
+	"github.com/citroncross/citroncross/citron/budget"
 	"github.com/citroncross/citroncross/citron/crash"
 	"github.com/citroncross/citroncross/citron/quota"
 	"github.com/citroncross/citroncross/citron/share"
@@ -47,6 +48,9 @@
 	// StartsPerPlan is the number of tasks after which a plan starts no others but the rest of a gang, unless plans are rare; 0 means any
 	// number. Each start takes the holder a good part of a millisecond, and urgent jobs that arrive meanwhile wait for the next plan.
 	StartsPerPlan int
+	// MaxRuns is the number of runs from which a plan starts no other tasks but the rest of a gang; 0 means no limit. A task that asks for
+	// next to nothing fits on a worker any number of times.
+	MaxRuns int
 	// TasksPerRecord is the number of tasks whose progress one record of the store may hold; 0 means tasksPerRecord.
 	TasksPerRecord int
 	// RestartStragglers makes the pool restart tasks that may run twice and take much longer than expected. Off by default: on
@@ -54,6 +58,9 @@
 	RestartStragglers bool
 }
 
+// RunBytes is what a run takes of the memory of the holder, beside its job.
+const RunBytes budget.Bytes = 1 << 10
+
 // Pool is the scheduling state of one worker pool during one epoch.
 type Pool struct {
 	Options Options
--- a/citron/pool/tasks_test.go
+++ b/citron/pool/tasks_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"runtime"
 	"testing"
+	"time"
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/schema/work"
@@ -138,3 +139,30 @@
 		t.Errorf("open %t, state %v after the end of all runs; want a removed job", open, r.state("j"))
 	}
 }
+
+// Guards against a holder whose memory is used up by runs that ask for nothing, any number of which fit on a worker.
+func TestRunsUnderWayAreLimited(t *testing.T) {
+	r := newRig(t)
+	r.p.Options.MaxRuns = 10
+	r.workers(2)
+	idle := newStep(100, 0)
+	idle.MemoryMb = 0
+	r.accept(newJob("a", idle))
+	first := r.plan().Starts
+	if more := r.plan().Starts; len(first) != 10 || len(more) != 0 {
+		t.Fatalf("%d and then %d starts, want 10 and none", len(first), len(more))
+	}
+	gang := newGang(15, 0)
+	gang.MemoryMb = 0
+	urgent := newJob("g", gang)
+	r.endAll(first)
+	r.p.Cancel(r.now, "a")
+	r.accept(urgent)
+	r.advance(time.Second)
+	for _, id := range []citron.Worker{"w00", "w01"} {
+		r.report(id, citron.WorkerReport{})
+	}
+	if starts := r.plan().Starts; len(starts) != 15 {
+		t.Errorf("%d members of a gang of 15 start, want all", len(starts))
+	}
+}
