Daemons know what a job costs before they accept it

Nothing bounded or refused accepted work by the memory of a daemon.

Cause: only requests have a budget. What a job becomes was known to nobody, and each daemon accepted whatever it could store.

Change: citron/admit counts what accepted jobs take, whoever has accepted them, and decides on new ones (docs/design/admission.md): a queue may use as much as is left free, and more room is kept the larger a job is, so that small jobs are accepted beside any crowd. A daemon bounds what it accepts before others know of it; a large job beyond that is left to the holder. Refused callers get 503 with the time in which room will probably be free, after a read of the store that refusals share.

--- a/citron/budget/plan.go
+++ b/citron/budget/plan.go
@@ -30,7 +30,8 @@
 	connectionShare = 3
 	requestShare    = 6
 	peerShare       = 16
-	// runShare is for the runs under way on workers.
+	// jobShare is for accepted jobs, runShare for the runs under way on workers.
+	jobShare = 5
 	runShare = 12
 	// outsideHeap is memory that the Go runtime does not count: the program's pages and the descriptors' state in the kernel.
 	outsideHeap Bytes = 32 << 20
@@ -47,8 +48,8 @@
 	Callers, Side, Peers int
 	// Requests is what all requests may hold beside their connections, PeerRequests the same for those of other daemons.
 	Requests, PeerRequests Bytes
-	// Runs is what the runs under way may take.
-	Runs Bytes
+	// Jobs is what accepted jobs may take, Runs the same for the runs under way.
+	Jobs, Runs Bytes
 	// Heap is the size of the heap above which garbage is collected at once and memory is given back.
 	Heap Bytes
 }
@@ -64,6 +65,7 @@
 
 		PeerRequests: memory / peerShare,
 
+		Jobs: memory / jobShare,
 		Runs: memory / runShare,
 	}
 	p.Heap = max(memory-p.Unread()-outsideHeap, memory/minHeapShare)
--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/admit"
 	"github.com/citroncross/citroncross/citron/advice"
 	"github.com/citroncross/citroncross/citron/budget"
 	"github.com/citroncross/citroncross/citron/claim"
@@ -86,6 +87,8 @@
 	// PeerConnections and PeerBytes limit what other daemons take of this one; 0 means the defaults of package peers.
 	PeerConnections int
 	PeerBytes       budget.Bytes
+	// JobBytes is the memory for accepted jobs; 0 means no limit.
+	JobBytes budget.Bytes
 	// MachineLease is the minimum time between the upkeep orders of two holders; UpkeepDuration is how long one upkeep
 	// lasts.
 	MachineLease, UpkeepDuration time.Duration
@@ -183,6 +186,7 @@
 	d.wake = make(chan struct{}, 1)
 	d.exchanges.SetContext(d.run)
 	d.orders = d.orderRelay()
+	d.view.Ledger = &admit.Ledger{Limit: d.Settings.JobBytes}
 	d.registerGauges()
 	d.view.Unreadable = func(key string, err error) {
 		d.Log.Emit(event.RecordUnreadable, event.Fields{"Key": key, "Error": err})
@@ -211,7 +215,13 @@
 	d.Intake = &intake.Service{
 		View: &d.view, Writer: writer, Tails: d.jobs, ProgressTails: d.progressInUse, Timer: d.Timer,
 		MaxRecordBytes: d.Settings.RecordBytes,
-		Stored:         d.forwardToHolder, Lookup: d.lookup, CountElsewhere: d.countElsewhere,
+		Admission: &intake.Admission{
+			Ledger:  d.view.Ledger,
+			Daemons: d.countDeciders,
+			Forward: d.storeAtHolder,
+			Refused: func(reason admit.Reason) { d.Stats.CountMemoryRefusal(string(reason)) },
+		},
+		Stored: d.forwardToHolder, Lookup: d.lookup, CountElsewhere: d.countElsewhere,
 	}
 	d.Log.Emit(event.DaemonStarted, event.Fields{"Incarnation": d.self.Incarnation, "Peer": d.Settings.PeerAddress})
 	d.components = append(d.components, d.peers.Serve(d.run, listener, &server{d: d}))
--- a/citron/entry/relay.go
+++ b/citron/entry/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"sync"
 
@@ -34,6 +35,23 @@
 	return len(d.workerEntries) > most
 }
 
+// countDeciders returns the number of daemons that decide on large jobs by themselves. The holder learns of all accepted jobs at once.
+func (d *Daemon) countDeciders() int {
+	if d.IsHolder() {
+		return 1
+	}
+	return len(d.peers.All())
+}
+
+// storeAtHolder has the holder decide on a job and store it, unless that is this daemon or does not answer.
+func (d *Daemon) storeAtHolder(ctx context.Context, r citron.KeyedRecord) (stored bool, err error) {
+	holder := d.newestClaim().Holder.VM
+	if holder == "" || holder == d.self.VM || !d.peers.IsLive(holder) {
+		return false, nil
+	}
+	return true, d.peers.Append(ctx, holder, []citron.KeyedRecord{r})
+}
+
 // homePartition returns the partition of accepted jobs that this daemon uses while the first one is slow or fails.
 func (d *Daemon) homePartition() int {
 	return 1 + int(xxhash.Sum64String(string(d.self.VM))%(partitionCount-1))
--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -69,10 +69,10 @@
 	return reply, nil
 }
 
-// Append stores intake records for a daemon that cannot reach the store.
+// Append stores intake records for a daemon that cannot reach the store, or that leaves it to the holder to accept a large job.
 func (s *server) Append(ctx context.Context, r *link.AppendRequest) (*link.AppendReply, error) {
 	records := peers.Decode(r.GetRecords())
-	err := s.d.Intake.Writer.AppendDirect(ctx, records)
+	err := s.d.Intake.StoreForwarded(ctx, records)
 	switch {
 	case err == nil:
 		// The other daemon may know an earlier holder only, since it learns of a new one from the store.
@@ -267,6 +267,9 @@
 	d.Stats.RegisterGauge("citron_jobs_age_seconds", func() float64 { return d.Intake.Freshness().Age.Seconds() })
 	d.Stats.RegisterGauge("citron_partitions_not_loaded", func() float64 { return float64(d.Intake.Freshness().NotLoaded) })
 	d.Stats.RegisterGauge("citron_known_jobs", func() float64 { return float64(d.view.Len()) })
+	d.Stats.RegisterGauge("citron_open_job_bytes", func() float64 { return float64(d.view.Ledger.Total().Open) })
+	d.Stats.RegisterGauge("citron_ended_job_bytes", func() float64 { return float64(d.view.Ledger.Total().Ended) })
+	d.Stats.RegisterGauge("citron_job_bytes_limit", func() float64 { return float64(d.view.Ledger.Limit) })
 	d.Stats.RegisterGauge("citron_config_version", func() float64 {
 		if c := d.config.Load(); c != nil {
 			return float64(c.Version)
--- a/citron/intake/intake.go
+++ b/citron/intake/intake.go
@@ -44,6 +44,8 @@
 	Stored func(citron.KeyedRecord)
 	// MaxRecordBytes is the size of the largest record that the store accepts; 0 means that it is not known.
 	MaxRecordBytes int
+	// Admission, if set, decides on new jobs.
+	Admission *Admission
 	// Caller sends the requests; the zero value may use every job.
 	Caller Caller
 }
@@ -65,7 +67,7 @@
 	if size := r.Size() + recordOverhead; s.MaxRecordBytes > 0 && size > s.MaxRecordBytes {
 		return citron.NewNotRunRefusal(citron.RefusalBodyTooLarge, 0, "the job takes %d bytes in the store, which accepts %d", size, s.MaxRecordBytes)
 	}
-	if refused := s.write(ctx, r); refused != nil {
+	if refused := s.store(ctx, job, r); refused != nil {
 		return refused
 	}
 	// The job of another team may have been read meanwhile. The first record counts.
@@ -193,7 +195,11 @@
 
 // write stores a record and calls Stored.
 func (s *Service) write(ctx context.Context, r citron.KeyedRecord) *citron.Refusal {
-	err := s.Writer.Write(ctx, r)
+	return s.stored(r, s.Writer.Write(ctx, r))
+}
+
+// stored calls Stored for a record that has been stored without an error.
+func (s *Service) stored(r citron.KeyedRecord, err error) *citron.Refusal {
 	if err == nil && s.Stored != nil {
 		s.Stored(r)
 	}
--- a/citron/pool/accept.go
+++ b/citron/pool/accept.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/admit"
 	"github.com/citroncross/citroncross/citron/crash"
 	"github.com/citroncross/citroncross/schema/work"
 )
@@ -111,20 +112,14 @@
 	}
 }
 
-// Open occurrences of one job have at most maxOpenSteps steps and maxOpenTasks tasks together, as many as a job without repeats may
-// have; later ones wait for the end of earlier ones. A schedule that begins in the past may have any number of them due at once.
-const (
-	maxOpenSteps = 256
-	maxOpenTasks = 20_000
-)
-
-// mayOpen reports whether a scheduled job may have one more open occurrence. One is always allowed.
+// mayOpen reports whether a scheduled job may have one more open occurrence. Later ones wait for the end of earlier ones, since a
+// schedule that begins in the past may have any number of them due at once.
 func (j *job) mayOpen(p *Pool) bool {
-	open := min(maxOpenSteps/max(len(j.spec.GetSteps()), 1), maxOpenTasks/max(j.countTasks(), 1))
+	open := admit.OpenOccurrences(len(j.spec.GetSteps()), j.countTasks())
 	if len(j.open) >= open {
 		p.closeDoneOccurrences(j)
 	}
-	return len(j.open) < max(open, 1)
+	return len(j.open) < open
 }
 
 // beginOccurrence adds an occurrence that no former holder has begun.
--- a/citron/stats/stats.go
+++ b/citron/stats/stats.go
@@ -143,6 +143,11 @@
 	s.counter(`citron_share_refusals_total{Reason=%q}`, reason).Inc()
 }
 
+// CountMemoryRefusal counts a job that was refused because of the memory that accepted jobs take, by reason.
+func (s *Set) CountMemoryRefusal(reason string) {
+	s.counter(`citron_memory_refusals_total{Reason=%q}`, reason).Inc()
+}
+
 // ObserveStart records how long a task waited for its start since it became ready or its last run ended.
 func (s *Set) ObserveStart(queue citron.QueueName, waited time.Duration) {
 	s.queueHistogram("citron_task_wait_seconds", queue).Update(waited.Seconds())
--- a/citron/view/view.go
+++ b/citron/view/view.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/admit"
 	"github.com/citroncross/citroncross/citron/pool"
 	"github.com/citroncross/citroncross/schema/work"
 )
@@ -29,6 +30,8 @@
 	announced *work.Progress
 	// progressRemoved is set if the progress has been removed from the store, which happens only after the job has been.
 	progressRemoved bool
+	// cost is what the job takes of the ledger.
+	cost admit.Use
 	// sources are the partitions that hold each of the records.
 	sources [recordKinds]sourceSet
 	// parts are those of the progress. The slice is replaced on each change, since copies of the entry share it.
@@ -136,6 +139,8 @@
 type View struct {
 	// Unreadable, if set, is called for each record that cannot be decoded and is therefore ignored.
 	Unreadable func(key string, err error)
+	// Ledger, if set, counts what all jobs take.
+	Ledger *admit.Ledger
 	// Contested, if set, is called after a partition's record of a job that is known with another team.
 	Contested func(id citron.JobID)
 
@@ -338,11 +343,12 @@
 		e = &Entry{}
 		s.jobs[id] = e
 	}
-	before, queue := e.pending(), e.Spec.GetQueue()
+	before, queue, former := e.pending(), e.Spec.GetQueue(), *e
 	f(e)
 	if e.ended() && len(e.Spec.GetSteps()) > 0 {
 		e.Spec = Trimmed(e.Spec)
 	}
+	v.count(&former, e)
 	if e.Spec == nil && e.Progress == nil && !e.Cancelled && len(e.parts) == 0 {
 		delete(s.jobs, id)
 	}
@@ -362,6 +368,23 @@
 	}
 }
 
+// count passes a change of an entry to the ledger.
+func (v *View) count(before, after *Entry) {
+	if v.Ledger == nil || before.Spec == after.Spec {
+		return
+	}
+	switch {
+	case after.Spec == nil:
+		after.cost = admit.Use{}
+	case len(after.Spec.GetSteps()) == 0:
+		after.cost = admit.Use{Ended: admit.CostOf(after.Spec)}
+	default:
+		after.cost = admit.Use{Open: admit.CostOf(after.Spec)}
+	}
+	v.Ledger.Change(admit.AccountOf(before.Spec), before.cost.Negated())
+	v.Ledger.Change(admit.AccountOf(after.Spec), after.cost)
+}
+
 // countPending updates the number of pending jobs of a queue after a change of one job.
 func (v *View) countPending(q citron.QueueName, before, after bool) {
 	if before == after {
