Lost daemons do not delay the next claim

Cause: a presence record was never removed, and a daemon's rank, by which claims wait, counted every record. The holder also pinged all of them every 130 ms, and questions and relayed appends went to them first. Ruled out: the detection of the loss, which takes 450 ms with any number of records.

Change: only the holder hears of all daemons. citron/roster makes it list those that it has heard of in the last 5 s; its answers to pings carry the list when it has changed, and rank, questions and counts go by it. A new holder keeps the list of the former one until it can have heard for itself. A daemon that stops as planned removes its record; that of a lost one is removed by the holder after a minute. A daemon that reads the removal of its own record announces itself again. Silent daemons are pinged less and less often; one that is reachable again is heard of by its own ping.

Tests of peers and entry follow the renamed Present, which was All.

--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -378,7 +378,7 @@
 
 // MayHoldSoon reports whether this daemon holds the pool or is one of those that claim it first.
 func (d *Daemon) MayHoldSoon() bool {
-	return d.newestClaim().Holder == d.self || d.peers.Rank() < claim.PreferredClaimants
+	return d.newestClaim().Holder == d.self || d.claimRank() < claim.PreferredClaimants
 }
 
 // Ready reports whether this daemon should receive new callers.
@@ -396,7 +396,7 @@
 }
 
 // applyCell applies claims, upkeep progress and presence records.
-func (d *Daemon) applyCell(batch citron.KeyedBatch, _ bool) {
+func (d *Daemon) applyCell(batch citron.KeyedBatch, loaded bool) {
 	for _, r := range batch.Records {
 		switch {
 		case r.Key == claimKey:
@@ -404,7 +404,7 @@
 		case strings.HasPrefix(r.Key, waveKeyPrefix):
 			d.applyWave(r)
 		case len(r.Key) > len(peerKeyPrefix) && r.Key[:len(peerKeyPrefix)] == peerKeyPrefix:
-			d.applyPresence(citron.VMName(r.Key[len(peerKeyPrefix):]), r)
+			d.applyPresence(citron.VMName(r.Key[len(peerKeyPrefix):]), r, loaded)
 		}
 	}
 }
@@ -445,9 +445,13 @@
 	d.wakeClaims()
 }
 
-func (d *Daemon) applyPresence(vm citron.VMName, r citron.KeyedRecord) {
+func (d *Daemon) applyPresence(vm citron.VMName, r citron.KeyedRecord, loaded bool) {
 	if len(r.Value) == 0 {
-		d.peers.SetPresence(vm, nil)
+		d.peers.SetPresence(vm, nil, loaded)
+		if vm == d.self.VM && !loaded && !d.stopping.Load() {
+			d.Log.Emit(event.PresenceRestored, nil)
+			d.exchanges.Go(d.announce)
+		}
 		return
 	}
 	var presence work.Presence
@@ -455,7 +459,7 @@
 		d.view.Unreadable(r.Key, err)
 		return
 	}
-	d.peers.SetPresence(vm, &presence)
+	d.peers.SetPresence(vm, &presence, loaded)
 }
 
 // newestClaim returns the newest claim of the pool.
--- a/citron/entry/others.go
+++ b/citron/entry/others.go
@@ -81,7 +81,7 @@
 	if holder != "" && holder != d.self.VM {
 		vms = append(vms, holder)
 	}
-	for _, vm := range d.peers.All() {
+	for _, vm := range d.peers.Present() {
 		if vm != d.self.VM && vm != holder && len(vms) < most {
 			vms = append(vms, vm)
 		}
--- a/citron/entry/others_test.go
+++ b/citron/entry/others_test.go
@@ -15,7 +15,7 @@
 	d := &Daemon{self: citron.Member{VM: "a"}}
 	d.peers.Self = d.self
 	for _, vm := range []citron.VMName{"b", "c", "d", "e", "f", "g", "h"} {
-		d.peers.SetPresence(vm, &work.Presence{VM: string(vm), Incarnation: 1})
+		d.peers.SetPresence(vm, &work.Presence{VM: string(vm), Incarnation: 1}, false)
 	}
 	d.watch.RecordClaim(0, claim.Claim{Holder: citron.Member{VM: "e"}, Epoch: 1})
 	for answering := 1; answering <= maxAsked+1; answering++ {
--- a/citron/entry/relay.go
+++ b/citron/entry/relay.go
@@ -40,7 +40,7 @@
 	if d.IsHolder() {
 		return 1
 	}
-	return len(d.peers.All())
+	return len(d.peers.Present())
 }
 
 // storeAtHolder has the holder decide on a job and store it, unless that is this daemon or does not answer.
--- a/citron/entry/relay_test.go
+++ b/citron/entry/relay_test.go
@@ -24,7 +24,7 @@
 	d.peers.Self, d.peers.Timer = d.self, clock
 	for n := range peerCount {
 		vm := citron.VMName(fmt.Sprintf("d%02d", n))
-		d.peers.SetPresence(vm, &work.Presence{Incarnation: 1, MilliCores: int64(100 * (1 + n%3))})
+		d.peers.SetPresence(vm, &work.Presence{Incarnation: 1, MilliCores: int64(100 * (1 + n%3))}, false)
 		d.peers.RecordHeard(citron.Member{VM: vm, Incarnation: 1}, false)
 	}
 	for n := range workers {
--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -40,6 +40,7 @@
 	}
 	d.mu.Unlock()
 	reply.Shares = d.shareSummary()
+	reply.Roster = d.peers.NewerRoster(r.GetRosterEpoch(), r.GetRosterNumber())
 	return reply, nil
 }
 
@@ -156,6 +157,27 @@
 	d.handOver(bounded)
 }
 
+// Withdraw removes the presence record, so that the other daemons do not count this one any more. It serves nothing afterwards.
+func (d *Daemon) Withdraw(ctx context.Context) {
+	d.stopping.Store(true)
+	if err := d.removePresence(ctx, []citron.VMName{d.self.VM}); err != nil {
+		// The holder removes the record after a time.
+		d.Log.Emit(event.LogAppendFailed, event.Fields{"Topic": cellPartition.Topic, "Error": err})
+	}
+}
+
+// removePresence removes presence records. A daemon that is alive announces itself again when it reads that.
+func (d *Daemon) removePresence(ctx context.Context, vms []citron.VMName) error {
+	records := make([]citron.KeyedRecord, 0, len(vms))
+	for _, vm := range vms {
+		records = append(records, citron.KeyedRecord{Key: peerKeyPrefix + string(vm)})
+	}
+	bounded, cancel := context.WithTimeout(ctx, cellAppendTimeout)
+	defer cancel()
+	_, err := d.Store.Append(bounded, cellPartition, records, citron.Condition{})
+	return err
+}
+
 // Stop stops the daemon and waits for its goroutines.
 func (d *Daemon) Stop() {
 	d.cancel()
--- a/citron/entry/watch.go
+++ b/citron/entry/watch.go
@@ -6,6 +6,7 @@
 
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/claim"
+	"github.com/citroncross/citroncross/citron/event"
 )
 
 const (
@@ -29,7 +30,7 @@
 	now := d.Timer.Now().Boot
 	newest := d.newestClaim()
 	ping := d.peers.LastPing(newest.Holder.VM)
-	rank := d.peers.Rank()
+	rank := d.claimRank()
 	storeOK := !d.cell.Failing()
 	loaded := d.stateLoaded()
 	d.mu.Lock()
@@ -50,6 +51,31 @@
 	}
 }
 
+// claimRank returns how many daemons claim the pool of a lost holder before this one. Before a holder has told which daemons there are,
+// records of lost ones count, so that the rank is bounded. They cannot be there if nobody has held the pool yet.
+func (d *Daemon) claimRank() int {
+	rank, listed := d.peers.Rank()
+	if !listed && !d.newestClaim().Holder.IsZero() {
+		return min(rank, claim.PreferredClaimants)
+	}
+	return rank
+}
+
+// heldEpoch returns the epoch in which this daemon is the newest holder; 0 if it is not.
+func (d *Daemon) heldEpoch() citron.Epoch {
+	newest := d.newestClaim()
+	if newest.Holder != d.self {
+		return 0
+	}
+	return newest.Epoch
+}
+
+// removeLost removes the presence records of daemons that have not been heard of for long.
+func (d *Daemon) removeLost(ctx context.Context, vms []citron.VMName) {
+	err := d.removePresence(ctx, vms)
+	d.Log.Emit(event.LostDaemonsRemoved, event.Fields{"VMs": len(vms), "First": vms[0], "Error": err})
+}
+
 const (
 	// indirectProbes is the number of daemons that are asked whether a holder answers them; those with the most
 	// processor time come first.
@@ -76,7 +102,7 @@
 	}
 	answers := make(chan answer, indirectProbes)
 	asked := 0
-	for _, vm := range d.peers.All() {
+	for _, vm := range d.peers.Present() {
 		if vm == d.self.VM || vm == holder.VM || asked == indirectProbes {
 			continue
 		}
@@ -142,7 +168,8 @@
 			}
 			newest := d.newestClaim().Holder
 			if newest != d.self {
-				if turn%lowRankPingRatio != 0 && d.peers.Rank() >= claim.PreferredClaimants {
+				d.peers.Hold(0, unheardAfter)
+				if turn%lowRankPingRatio != 0 && d.claimRank() >= claim.PreferredClaimants {
 					continue
 				}
 				if newest.VM != "" && newest.VM != d.self.VM {
@@ -150,9 +177,13 @@
 				}
 				continue
 			}
-			for _, vm := range d.peers.Unheard(unheardAfter) {
+			ping, remove := d.peers.Hold(d.heldEpoch(), unheardAfter)
+			for _, vm := range ping {
 				d.exchanges.Go(func(ctx context.Context) { d.peers.Ping(ctx, vm, d.stopping.Load()) })
 			}
+			if len(remove) > 0 {
+				d.exchanges.Go(func(ctx context.Context) { d.removeLost(ctx, remove) })
+			}
 			d.balancer.SetDaemons(append(d.peers.Live(), d.self.VM))
 			d.publishShares()
 			d.logUse()
--- a/citron/event/catalog.go
+++ b/citron/event/catalog.go
@@ -42,6 +42,9 @@
 	PoolRunning    = register(310, logrus.InfoLevel, "pool running")
 	PoolLost       = register(311, logrus.WarnLevel, "pool no longer held by this daemon")
 	HandOverFailed = register(312, logrus.WarnLevel, "pool handover failed")
+	// LostDaemonsRemoved and PresenceRestored concern the records with which daemons announce themselves.
+	LostDaemonsRemoved = register(313, logrus.InfoLevel, "presence records of lost daemons removed")
+	PresenceRestored   = register(314, logrus.WarnLevel, "presence record of this daemon was removed, announcing again")
 )
 
 // Events of configuration.
--- a/citron/peers/peers.go
+++ b/citron/peers/peers.go
@@ -24,6 +24,7 @@
 	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/budget"
 	"github.com/citroncross/citroncross/citron/claim"
+	"github.com/citroncross/citroncross/citron/roster"
 	"github.com/citroncross/citroncross/schema/link"
 	"github.com/citroncross/citroncross/schema/work"
 )
@@ -72,8 +73,9 @@
 	// SharesReceived, if set, is called with each summary of the teams' backlogs that a holder sends.
 	SharesReceived func(*link.ShareSummary)
 
-	mu    sync.Mutex
-	known map[citron.VMName]*peer
+	mu     sync.Mutex
+	known  map[citron.VMName]*peer
+	roster roster.Roster
 }
 
 // peer is another daemon.
@@ -118,8 +120,9 @@
 	return ended
 }
 
-// SetPresence sets the incarnation, address and processor time of a daemon; nil removes a daemon that has left.
-func (p *Peers) SetPresence(vm citron.VMName, presence *work.Presence) {
+// SetPresence sets the incarnation, address and processor time of a daemon; nil removes a daemon that has left. Loaded means that the
+// record may be of any age.
+func (p *Peers) SetPresence(vm citron.VMName, presence *work.Presence, loaded bool) {
 	if vm == p.Self.VM {
 		return
 	}
@@ -138,21 +141,35 @@
 		_ = old.conn.Close()
 	}
 	delete(p.known, vm)
+	p.roster.Removed(vm)
 	if presence != nil {
 		p.known[vm] = &peer{presence: presence}
+		p.roster.Announced(p.now(), vm, loaded)
 	}
 }
 
-// All returns all known daemons including this one, whether or not they answer, in order of preference, see compare.
-func (p *Peers) All() []citron.VMName {
+// now returns the boot time.
+func (p *Peers) now() time.Duration {
+	if p.Timer == nil {
+		return 0
+	}
+	return p.Timer.Now().Boot
+}
+
+// Present returns the daemons that count, this one included, in order of preference, see compare. One that does not answer counts until
+// the holder has noticed that.
+func (p *Peers) Present() []citron.VMName {
+	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	all := []citron.VMName{p.Self.VM}
+	present := []citron.VMName{p.Self.VM}
 	for vm := range p.known {
-		all = append(all, vm)
+		if p.roster.Present(now, vm) {
+			present = append(present, vm)
+		}
 	}
-	p.sort(all)
-	return all
+	p.sort(present)
+	return present
 }
 
 // Addresses returns the peer addresses of the other daemons.
@@ -166,16 +183,18 @@
 	return list
 }
 
-// Rank returns the position of this daemon in All.
-func (p *Peers) Rank() (n int) {
+// Rank returns the position of this daemon in Present. Listed is false if no holder has told yet which daemons count, so that lost ones
+// may.
+func (p *Peers) Rank() (n int, listed bool) {
+	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for vm := range p.known {
-		if p.compare(vm, p.Self.VM) < 0 {
+		if p.compare(vm, p.Self.VM) < 0 && p.roster.Present(now, vm) {
 			n++
 		}
 	}
-	return n
+	return n, p.roster.Listed()
 }
 
 // sort sorts daemons by preference.
@@ -228,6 +247,7 @@
 	defer p.mu.Unlock()
 	if remote := p.known[from.VM]; remote != nil && remote.presence.GetIncarnation() == uint64(from.Incarnation) {
 		remote.heardAt, remote.heardStopping = now, stopping
+		p.roster.Heard(now, from.VM, stopping)
 	}
 }
 
@@ -259,9 +279,11 @@
 func (p *Peers) Ping(ctx context.Context, vm citron.VMName, stopping bool) {
 	bounded, cancel := context.WithTimeout(ctx, PingTimeout)
 	defer cancel()
+	request := &link.PingRequest{VM: string(p.Self.VM), Incarnation: uint64(p.Self.Incarnation), Stopping: stopping}
+	request.RosterEpoch, request.RosterNumber = p.rosterNumber()
 	var reply *link.PingReply
 	err := p.call(vm, func(c link.LinkClient) (err error) {
-		reply, err = c.Ping(bounded, &link.PingRequest{VM: string(p.Self.VM), Incarnation: uint64(p.Self.Incarnation), Stopping: stopping})
+		reply, err = c.Ping(bounded, request)
 		return err
 	})
 	if ctx.Err() != nil {
@@ -273,12 +295,14 @@
 	now := p.Timer.Now().Boot
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.applyRoster(now, reply.GetRoster())
 	remote := p.known[vm]
 	if remote == nil {
 		return
 	}
 	switch {
 	case err == nil:
+		p.roster.Heard(now, vm, reply.GetStopping())
 		remote.ping = claim.PingResult{
 			AnsweredAt:          now,
 			Incarnation:         citron.Incarnation(reply.GetIncarnation()),
@@ -291,6 +315,10 @@
 			remote.ping.RefusedSince = now
 		}
 	}
+	if err != nil && remote.conn != nil && !p.roster.Present(now, vm) {
+		_ = remote.conn.Close() // It would be dialled again and again.
+		remote.conn = nil
+	}
 }
 
 // QueryAnswerAge asks the daemon on vm how long ago target last answered it. Ok is false if target never has or is not
--- a/citron/peers/peers_test.go
+++ b/citron/peers/peers_test.go
@@ -15,22 +15,22 @@
 func TestRankIsThePositionAmongAllDaemons(t *testing.T) {
 	p := &Peers{Self: citron.Member{VM: "a"}, MilliCores: 400}
 	for vm, cores := range map[citron.VMName]int64{"large": 800, "small": 100, "equal1": 400, "equal2": 400, "equal3": 400} {
-		p.SetPresence(vm, &work.Presence{Incarnation: 1, MilliCores: cores})
+		p.SetPresence(vm, &work.Presence{Incarnation: 1, MilliCores: cores}, false)
 	}
-	all := p.All()
+	all := p.Present()
 	if all[0] != "large" || all[len(all)-1] != "small" {
-		t.Errorf("All() = %v, want large first and small last", all)
+		t.Errorf("Present() = %v, want large first and small last", all)
 	}
-	if got, want := p.Rank(), slices.Index(all, "a"); got != want {
-		t.Errorf("Rank() = %d, want %d, the position in %v", got, want, all)
+	if got, _ := p.Rank(); got != slices.Index(all, "a") {
+		t.Errorf("Rank() = %d, want the position in %v", got, all)
 	}
 }
 
 // A daemon that restarts after its clock was set back has a lower incarnation; its new address must still be used.
 func TestNewestPresenceAppliesAfterClockSetBack(t *testing.T) {
 	p := &Peers{Self: citron.Member{VM: "a"}}
-	p.SetPresence("b", &work.Presence{Incarnation: 9, PeerAddress: "10.0.0.1:1"})
-	p.SetPresence("b", &work.Presence{Incarnation: 4, PeerAddress: "10.0.0.2:1"})
+	p.SetPresence("b", &work.Presence{Incarnation: 9, PeerAddress: "10.0.0.1:1"}, true)
+	p.SetPresence("b", &work.Presence{Incarnation: 4, PeerAddress: "10.0.0.2:1"}, false)
 	if got := p.known["b"].presence.GetPeerAddress(); got != "10.0.0.2:1" {
 		t.Errorf("peer address is %s, want that of the newest record, 10.0.0.2:1", got)
 	}
@@ -39,7 +39,7 @@
 // newPeers returns peers that know daemon b at an address.
 func newPeers(address string) *Peers {
 	p := &Peers{Self: citron.Member{VM: "a", Incarnation: 1}, Timer: timer.System{}}
-	p.SetPresence("b", &work.Presence{Incarnation: 2, PeerAddress: address})
+	p.SetPresence("b", &work.Presence{Incarnation: 2, PeerAddress: address}, false)
 	return p
 }
 
