--- a/citronlab/soak/caller.go
+++ b/citronlab/soak/caller.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
+	"github.com/citroncross/citroncross/citron"
 	"github.com/citroncross/citroncross/citron/timer"
 	"github.com/citroncross/citroncross/citronlab/site"
 )
@@ -39,6 +41,8 @@
 	client  site.Client
 	cancel  context.CancelFunc
 	stopped chan error
+	// requests counts the requests, refused those that were refused for lack of memory.
+	requests, refused int
 }
 
 // start submits jobs in the background until stop is called.
@@ -100,18 +104,20 @@
 
 // request sends a request about a job to a random daemon. The status is 0 if there was no complete answer.
 func (c *caller) request(method, id, body string) (status int) {
-	status, _ = c.client.Call(c.randomFront(), method, "/quick/"+id, body)
+	status, answer := c.client.Call(c.soak.randomFront(c.rng), method, "/quick/"+id, body)
+	c.requests++
+	if status == http.StatusServiceUnavailable && strings.Contains(answer, noMemory) {
+		c.refused++
+	}
 	return status
 }
 
-// randomFront returns the address for callers of a random daemon.
-func (c *caller) randomFront() string {
-	return c.soak.daemons[c.rng.IntN(len(c.soak.daemons))].front
-}
+// noMemory is part of a refusal for lack of memory.
+var noMemory = fmt.Sprintf(`"Number":%d`, citron.RefusalNoMemory)
 
 // state requests the state of a job: "none" if the daemon answers that it does not exist, "" if no state was returned.
 func (c *caller) state(id string) string {
-	status, state := c.client.State(c.randomFront(), "/quick/"+id)
+	status, state := c.client.State(c.soak.randomFront(c.rng), "/quick/"+id)
 	if status == http.StatusGone {
 		return "none"
 	}
--- a/citronlab/soak/crowd.go
+++ b/citronlab/soak/crowd.go
@@ -26,7 +26,7 @@
 
 // crowd makes many clients send requests to one daemon that stop just short of their end, and return when they are closed.
 var crowd = fault{"crowd", 4 * time.Second, func(s *soak, rng *rand.Rand) (string, func() error, error) {
-	d := s.daemons[rng.IntN(len(s.daemons))]
+	d := s.daemon(rng.IntN(s.Daemons))
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, crowdClients)
 	for range crowdClients {
--- a/citronlab/soak/faults.go
+++ b/citronlab/soak/faults.go
@@ -44,10 +44,10 @@
 	{"cut holder from the store", 4 * time.Second, func(s *soak, rng *rand.Rand) (string, func() error, error) {
 		n := s.holderIndex()
 		mode := disturbProxy(s.storeProxies[n], rng)
-		return fmt.Sprintf("%s from the store: %s", s.daemons[n].name, mode), s.recordLoss("store "+mode, n), nil
+		return fmt.Sprintf("%s from the store: %s", s.daemon(n).name, mode), s.recordLoss("store "+mode, n), nil
 	}},
 	{"freeze a daemon", 3 * time.Second, func(s *soak, rng *rand.Rand) (string, func() error, error) {
-		return s.signalDaemon("freeze", rng.IntN(len(s.daemons)), syscall.SIGSTOP)
+		return s.signalDaemon("freeze", rng.IntN(s.Daemons), syscall.SIGSTOP)
 	}},
 	{"kill all", time.Second, func(s *soak, _ *rand.Rand) (string, func() error, error) {
 		for n := range s.daemons {
@@ -111,6 +111,12 @@
 	if s.Crowds {
 		kinds = append(kinds, crowd, crowd, crowd)
 	}
+	if s.LargeJobs {
+		kinds = append(kinds, burst, burst, burst)
+	}
+	if s.Replaced {
+		kinds = append(kinds, replacement, replacement, replacement)
+	}
 	return kinds
 }
 
@@ -162,7 +168,7 @@
 // signalDaemon sends a signal to daemon n. If the daemon holds the pool, the loss is recorded so that the time until the
 // next holder starts a task can be measured.
 func (s *soak) signalDaemon(action string, n int, sig syscall.Signal) (description string, end func() error, err error) {
-	d := s.daemons[n]
+	d := s.daemon(n)
 	finish := d.ensureRunning
 	if n == s.holderIndex() {
 		finish = s.recordLoss(action, n)
@@ -185,7 +191,7 @@
 	s.losses = append(s.losses, holderLoss{cause, epoch, clock.Now().Boot})
 	return func() error {
 		s.storeProxies[n].SetMode(Pass, 0)
-		return s.daemons[n].ensureRunning()
+		return s.daemon(n).ensureRunning()
 	}
 }
 
--- a/citronlab/soak/process.go
+++ b/citronlab/soak/process.go
@@ -21,6 +21,8 @@
 	exited chan struct{}
 	// stopping is set once the process has received SIGTERM, restart if a new one is to be started when it has exited.
 	stopping, restart bool
+	// removed is set once the daemon has left for good.
+	removed bool
 	// starts counts the processes so far; it numbers their log files.
 	starts int
 }
@@ -29,6 +31,9 @@
 func (d *daemon) start() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.removed {
+		return nil
+	}
 	if d.cmd != nil {
 		d.restart = d.stopping
 		return nil
--- a/citronlab/soak/soak.go
+++ b/citronlab/soak/soak.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -36,6 +37,10 @@
 	LateOrders bool
 	// Crowds makes clients press on daemons with requests that stop short of their end.
 	Crowds bool
+	// LargeJobs makes callers submit jobs that cost much, and checks the memory of the daemons.
+	LargeJobs bool
+	// Replaced makes daemons leave for good, with SIGTERM or without, and others come at new addresses.
+	Replaced bool
 	// Duration is how long faults are injected.
 	Duration time.Duration
 	// CompletionTimeout is how long all work may take to end after the last fault has ended.
@@ -53,6 +58,8 @@
 	// Accepted and Completed count jobs, Starts counts the runs of tasks, LeaseExpired the runs that ended because their
 	// worker's lease expired.
 	Accepted, Completed, Starts, LeaseExpired int
+	// LargeJobs counts the accepted jobs that cost much.
+	LargeJobs int
 }
 
 // Recovery is one loss of the pool's holder.
@@ -86,11 +93,17 @@
 	// storeProxies are the proxies between each daemon and the store.
 	storeProxies []*Proxy
 	mu           sync.Mutex
-	// workerProxies are the proxies to the workers by worker id. They are guarded by mu.
+	// workerProxies are the proxies to the workers by worker id, daemons the daemons in their places. They are guarded by mu.
 	workerProxies map[string]*Proxy
 	daemons       []*daemon
-	callers       []*caller
-	losses        []holderLoss
+	// removed are the daemons that were replaced, added counts all that were started, formerProxies are those of the removed.
+	removed       []*daemon
+	added         int
+	formerProxies []*Proxy
+	// bursts are the jobs of each burst.
+	bursts  []*largeJobs
+	callers []*caller
+	losses  []holderLoss
 	// stalledJobs are the ids of jobs that were never sent as a whole.
 	stalledJobs []string
 	report      Report
@@ -149,13 +162,18 @@
 	return nil
 }
 
-// addDaemon starts daemon n behind a proxy to the store of its own.
+// addDaemon starts a daemon in place n behind a proxy to the store of its own.
 func (s *soak) addDaemon(n int) error {
 	store, err := NewProxy(s.IP, s.site.StoreAddress())
 	if err != nil {
 		return err
 	}
-	s.storeProxies = append(s.storeProxies, store)
+	if n < len(s.storeProxies) {
+		s.formerProxies = append(s.formerProxies, s.storeProxies[n])
+		s.storeProxies[n] = store
+	} else {
+		s.storeProxies = append(s.storeProxies, store)
+	}
 	ports, err := site.FreeAddresses(s.IP, 4)
 	if err != nil {
 		return err
@@ -169,10 +187,11 @@
 		return err
 	}
 	memoryMb, maxFiles := 0, 0
-	if s.Crowds {
+	if s.Crowds || s.LargeJobs {
 		memoryMb, maxFiles = crowdMemoryMb, crowdFiles
 	}
-	name := fmt.Sprintf("entry-%d", n)
+	name := fmt.Sprintf("entry-%d", s.added)
+	s.added++
 	settings, err := s.site.WriteSettings(s.Folder, site.Node{
 		Name: name, Front: ports[0], Ready: ports[1], Metrics: ports[2], PeerPort: peerPort, Store: store.Address(),
 		DirectWorkers: s.directWorkers(), MemoryMb: memoryMb, MaxFiles: maxFiles,
@@ -181,7 +200,13 @@
 		return err
 	}
 	d := &daemon{name: name, binary: s.Binary, settings: settings, folder: s.Folder, front: ports[0]}
-	s.daemons = append(s.daemons, d)
+	s.mu.Lock()
+	if n < len(s.daemons) {
+		s.daemons[n] = d
+	} else {
+		s.daemons = append(s.daemons, d)
+	}
+	s.mu.Unlock()
 	return d.start()
 }
 
@@ -212,6 +237,8 @@
 		c.stop()
 	}
 	s.endFaults()
+	s.cancelBursts(ctx)
+	s.checkRefusals()
 	started := clock.Now().Boot
 	jobs := map[string]*job{}
 	for _, c := range s.callers {
@@ -269,7 +296,7 @@
 
 // endFaults ends every fault in progress.
 func (s *soak) endFaults() {
-	for _, p := range s.storeProxies {
+	for _, p := range slices.Concat(s.storeProxies, s.formerProxies) {
 		p.SetMode(Pass, 0)
 	}
 	s.mu.Lock()
@@ -297,12 +324,12 @@
 	for _, c := range s.callers {
 		c.stop()
 	}
-	for _, d := range s.daemons {
+	for _, d := range slices.Concat(s.daemons, s.removed) {
 		if err := d.kill(); err != nil {
 			return err
 		}
 	}
-	for _, p := range s.storeProxies {
+	for _, p := range slices.Concat(s.storeProxies, s.formerProxies) {
 		p.Close()
 	}
 	s.mu.Lock()
--- a/citronlab/soak/soak_test.go
+++ b/citronlab/soak/soak_test.go
@@ -17,18 +17,18 @@
 	"github.com/citroncross/citroncross/citronlab/site"
 )
 
-// Runs four seeds of faults against real processes, with orders sent by the holder, with relayed ones, with orders that workers
-// carry out late, and with crowds of clients whose requests stop. The test asserts only that no guarantee is violated and that all work ends within a timeout far longer than any fault.
+// Runs six seeds of faults against real processes, with orders sent by the holder, with relayed ones, with orders that workers
+// carry out late, with crowds of clients whose requests stop, with jobs that cost much, and with daemons that are replaced. The test asserts only that no guarantee is violated and that all work ends within a timeout far longer than any fault.
 func TestNoViolationsUnderFaults(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "citrond")
 	build := exec.Command("go", "build", "-o", binary, "github.com/citroncross/citroncross/citrond")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
-	for _, seed := range []uint64{7, 8, 9, 10} {
+	for _, seed := range []uint64{7, 8, 9, 10, 11, 12} {
 		r, err := Run(context.Background(), Options{
 			Binary: binary, Folder: t.TempDir(), IP: "127.0.0.91", Seed: seed, Daemons: 3, Workers: 4, Duration: 5 * time.Second, CompletionTimeout: 2 * time.Minute,
-			LateOrders: seed == 9, Crowds: seed == 10,
+			LateOrders: seed == 9, Crowds: seed == 10, LargeJobs: seed == 11, Replaced: seed == 12,
 		})
 		if err != nil {
 			t.Fatal(err)
--- a/citronlab/soakcmd.go
+++ b/citronlab/soakcmd.go
@@ -30,6 +30,8 @@
 	shapes := clause.Flag("shapes", "Submit jobs of random shape, some with hundreds of tasks.").Bool()
 	late := clause.Flag("late", "Let workers leave orders unanswered and carry them out up to 12 s later.").Bool()
 	crowds := clause.Flag("crowds", "Let many clients send requests that stop short of their end, and return when they are closed.").Bool()
+	large := clause.Flag("large", "Submit jobs that cost much beside the ordinary ones, and check the memory of the daemons.").Bool()
+	replaced := clause.Flag("replaced", "Let daemons leave for good, with SIGTERM or without, and others come at new addresses.").Bool()
 	duration := clause.Flag("for", "How long faults are injected for each seed.").Default("15s").Duration()
 	timeout := clause.Flag("quiet", "How long all work may take to end after the last fault.").Default("20s").Duration()
 	ip := clause.Flag("net", "Loopback IP address that nothing else uses.").Default("127.0.0.90").String()
@@ -42,7 +44,7 @@
 		for seed := *first; seed < *first+*seeds && ctx.Err() == nil; seed++ {
 			o := soak.Options{
 				Binary: *binary, Folder: filepath.Join(*folder, fmt.Sprint(seed)), IP: *ip, Seed: seed,
-				Daemons: *daemons, Workers: *workers, Shapes: *shapes, LateOrders: *late, Crowds: *crowds, Duration: *duration, CompletionTimeout: *timeout,
+				Daemons: *daemons, Workers: *workers, Shapes: *shapes, LateOrders: *late, Crowds: *crowds, LargeJobs: *large, Replaced: *replaced, Duration: *duration, CompletionTimeout: *timeout,
 			}
 			r, err := runSeed(ctx, o)
 			if err != nil {
@@ -72,8 +74,8 @@
 	if r, err = soak.Run(ctx, o); err != nil {
 		return r, err
 	}
-	fmt.Printf("seed %d: %d faults, %d jobs accepted, %d completed, %d starts, %d runs lapsed, %d promises broken\n",
-		o.Seed, len(r.Faults), r.Accepted, r.Completed, r.Starts, r.LeaseExpired, len(r.Violations))
+	fmt.Printf("seed %d: %d faults, %d jobs accepted, %d completed, %d large, %d starts, %d runs lapsed, %d promises broken\n",
+		o.Seed, len(r.Faults), r.Accepted, r.Completed, r.LargeJobs, r.Starts, r.LeaseExpired, len(r.Violations))
 	if len(r.Violations) == 0 {
 		return r, os.RemoveAll(o.Folder)
 	}
