A daemon whose presence record is gone announces itself again

Change: a daemon checks with each ping whether its record is in the store as it has read it, and whether the holder's list has it; if not, it announces itself again, every 3 s at most. appendCell takes several records.

--- a/citron/entry/claims.go
+++ b/citron/entry/claims.go
@@ -226,7 +226,7 @@
 	if err != nil {
 		return err
 	}
-	return d.appendCell(ctx, citron.KeyedRecord{Key: claimKey, Value: value}, citron.Condition{ExpectedOffset: &at})
+	return d.appendCell(ctx, citron.Condition{ExpectedOffset: &at}, citron.KeyedRecord{Key: claimKey, Value: value})
 }
 
 // addClaimPartition adds a partition to this daemon's claim.
--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -136,6 +136,10 @@
 	run    context.Context
 	cancel context.CancelFunc
 
+	// announcedAt is the boot time at which this daemon last began to announce itself, announced is set while its record is in the store.
+	announcedAt atomic.Int64
+	announced   atomic.Bool
+
 	config   atomic.Pointer[citron.Config]
 	stopping atomic.Bool
 
@@ -311,7 +315,8 @@
 	}
 	record := citron.KeyedRecord{Key: peerKeyPrefix + string(d.self.VM), Value: value}
 	for ctx.Err() == nil {
-		err := d.appendCell(ctx, record, citron.Condition{})
+		d.announcedAt.Store(int64(d.Timer.Now().Boot))
+		err := d.appendCell(ctx, citron.Condition{}, record)
 		if err == nil {
 			return
 		}
@@ -320,18 +325,32 @@
 	}
 }
 
+// announceAgain announces this daemon once more if its record is gone or the holder does not count it: the record was removed after a long
+// silence, or by the late end of a former process.
+func (d *Daemon) announceAgain() {
+	last := time.Duration(d.announcedAt.Load())
+	if d.stopping.Load() || !tail.AllLoaded(d.cell) || d.announced.Load() && !d.peers.Missing() || d.Timer.Now().Boot-last < announceAgainAfter {
+		return
+	}
+	d.announcedAt.Store(int64(d.Timer.Now().Boot))
+	d.Log.Emit(event.PresenceRestored, nil)
+	d.exchanges.Go(d.announce)
+}
+
 const (
+	// announceAgainAfter is how long the record may take to be read, and the holder to count the daemon.
+	announceAgainAfter = 3 * time.Second
 	// announceRetryInterval is the pause between attempts to announce this daemon.
 	announceRetryInterval = 200 * time.Millisecond
 	// cellAppendTimeout bounds one append to cellPartition.
 	cellAppendTimeout = 900 * time.Millisecond
 )
 
-// appendCell appends one record to cellPartition.
-func (d *Daemon) appendCell(ctx context.Context, record citron.KeyedRecord, c citron.Condition) error {
+// appendCell appends records to cellPartition.
+func (d *Daemon) appendCell(ctx context.Context, c citron.Condition, records ...citron.KeyedRecord) error {
 	bounded, cancel := context.WithTimeout(ctx, cellAppendTimeout)
 	defer cancel()
-	_, err := d.Store.Append(bounded, cellPartition, []citron.KeyedRecord{record}, c)
+	_, err := d.Store.Append(bounded, cellPartition, records, c)
 	return err
 }
 
@@ -397,6 +416,9 @@
 
 // applyCell applies claims, upkeep progress and presence records.
 func (d *Daemon) applyCell(batch citron.KeyedBatch, loaded bool) {
+	if loaded {
+		d.announced.Store(false)
+	}
 	for _, r := range batch.Records {
 		switch {
 		case r.Key == claimKey:
@@ -447,11 +469,10 @@
 
 func (d *Daemon) applyPresence(vm citron.VMName, r citron.KeyedRecord, loaded bool) {
 	if len(r.Value) == 0 {
-		d.peers.SetPresence(vm, nil, loaded)
-		if vm == d.self.VM && !loaded && !d.stopping.Load() {
-			d.Log.Emit(event.PresenceRestored, nil)
-			d.exchanges.Go(d.announce)
+		if vm == d.self.VM {
+			d.announced.Store(false)
 		}
+		d.peers.SetPresence(vm, nil, loaded)
 		return
 	}
 	var presence work.Presence
@@ -459,6 +480,9 @@
 		d.view.Unreadable(r.Key, err)
 		return
 	}
+	if vm == d.self.VM {
+		d.announced.Store(presence.GetIncarnation() == uint64(d.self.Incarnation))
+	}
 	d.peers.SetPresence(vm, &presence, loaded)
 }
 
--- a/citron/entry/serve.go
+++ b/citron/entry/serve.go
@@ -166,16 +166,13 @@
 	}
 }
 
-// removePresence removes presence records. A daemon that is alive announces itself again when it reads that.
+// removePresence removes presence records. A daemon that is alive announces itself again, see announceAgain.
 func (d *Daemon) removePresence(ctx context.Context, vms []citron.VMName) error {
 	records := make([]citron.KeyedRecord, 0, len(vms))
 	for _, vm := range vms {
 		records = append(records, citron.KeyedRecord{Key: peerKeyPrefix + string(vm)})
 	}
-	bounded, cancel := context.WithTimeout(ctx, cellAppendTimeout)
-	defer cancel()
-	_, err := d.Store.Append(bounded, cellPartition, records, citron.Condition{})
-	return err
+	return d.appendCell(ctx, citron.Condition{}, records...)
 }
 
 // Stop stops the daemon and waits for its goroutines.
--- a/citron/entry/upkeep.go
+++ b/citron/entry/upkeep.go
@@ -210,7 +210,7 @@
 		return false
 	}
 	key := waveKeyPrefix + fmt.Sprint(w.Spec.Number)
-	if err := u.d.appendCell(ctx, citron.KeyedRecord{Key: key, Value: value}, citron.Condition{ExpectedOffset: &next}); err != nil {
+	if err := u.d.appendCell(ctx, citron.Condition{ExpectedOffset: &next}, citron.KeyedRecord{Key: key, Value: value}); err != nil {
 		u.d.exchangeFailed("record", err)
 		return false
 	}
--- a/citron/entry/watch.go
+++ b/citron/entry/watch.go
@@ -166,6 +166,7 @@
 				return
 			case <-tick:
 			}
+			d.announceAgain()
 			newest := d.newestClaim().Holder
 			if newest != d.self {
 				d.peers.Hold(0, unheardAfter)
--- a/citron/event/catalog.go
+++ b/citron/event/catalog.go
@@ -44,7 +44,7 @@
 	HandOverFailed = register(312, logrus.WarnLevel, "pool handover failed")
 	// LostDaemonsRemoved and PresenceRestored concern the records with which daemons announce themselves.
 	LostDaemonsRemoved = register(313, logrus.InfoLevel, "presence records of lost daemons removed")
-	PresenceRestored   = register(314, logrus.WarnLevel, "presence record of this daemon was removed, announcing again")
+	PresenceRestored   = register(314, logrus.WarnLevel, "this daemon is not counted by the holder, announcing again")
 )
 
 // Events of configuration.
--- a/citron/peers/roster.go
+++ b/citron/peers/roster.go
@@ -23,6 +23,13 @@
 	return p.roster.PingsDue(now, unheardFor), p.roster.RemovalsDue(now)
 }
 
+// Missing reports whether the holder does not count this daemon.
+func (p *Peers) Missing() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.Missing(p.Self.VM)
+}
+
 // NewerRoster returns the list of this daemon as the holder if it is newer than the one that another daemon has, otherwise nil.
 func (p *Peers) NewerRoster(epoch, number uint64) *link.Roster {
 	p.mu.Lock()
--- a/citron/roster/roster.go
+++ b/citron/roster/roster.go
@@ -144,6 +144,11 @@
 	r.list, r.listedAt = l, now
 }
 
+// Missing reports whether the holder does not count this daemon, self: it does not know the presence record, or has removed it.
+func (r *Roster) Missing(self citron.VMName) bool {
+	return r.holding == 0 && r.list.VMs != nil && !isListed(r.list.VMs, self)
+}
+
 // Update renews the list if this daemon, self, is the holder, and returns it.
 func (r *Roster) Update(now time.Duration, self citron.VMName) List {
 	if r.holding == 0 {
--- a/citron/roster/roster_test.go
+++ b/citron/roster/roster_test.go
@@ -191,6 +191,37 @@
 	}
 }
 
+// Guards against a daemon that nobody counts for good, since its record was removed while it was silent.
+func TestDaemonThatWasRemovedAnnouncesItselfAgain(t *testing.T) {
+	c := newCell(3, 0)
+	c.run(time.Second)
+	c.cut["vm01"] = true
+	c.run(RemoveAfter + time.Second)
+	if c.holder.daemons["vm01"] != nil {
+		t.Fatal("the record of a daemon that was silent for longer than RemoveAfter is not removed")
+	}
+	c.cut["vm01"] = false
+	c.run(3 * pingInterval)
+	for vm, r := range c.daemons {
+		if missing := r.Missing(vm); missing != (vm == "vm01") {
+			t.Errorf("%s finds that it is missing: %t", vm, missing)
+		}
+	}
+	for _, r := range c.daemons {
+		r.Announced(c.now, "vm01", false)
+	}
+	c.holder.Announced(c.now, "vm01", false)
+	c.run(3 * pingInterval)
+	for vm, r := range c.daemons {
+		if r.Missing(vm) {
+			t.Errorf("%s finds that it is missing after it has announced itself again", vm)
+		}
+	}
+	if c.holder.Missing("holder") {
+		t.Error("the holder finds that it is missing")
+	}
+}
+
 // Guards against an older list that replaces a newer one, and against a list of a former holder.
 func TestNewestListApplies(t *testing.T) {
 	r := &Roster{}
