Orders to workers are limited by the memory of the holder

Cause: each planned start, and each stop, had a goroutine and an HTTP exchange of its own at once, some 10 KB; a gang starts all its members in one plan.

Change: spawn.Queue runs a number of exchanges at once and the others in turn. A start that has waited for longer than its order is valid is not sent.

--- a/citron/entry/claims.go
+++ b/citron/entry/claims.go
@@ -118,6 +118,7 @@
 		Producer:       producer,
 		Workers:        &fence.Workers{To: d.orders, Tokens: fence.Tokens{Epoch: epoch}},
 		Relayed:        d.relaysOrders,
+		MaxOrders:      d.Settings.MaxOrders,
 		Timer:          d.Timer,
 		View:           &d.view,
 		ProgressTails:  d.progress,
--- a/citron/entry/entry.go
+++ b/citron/entry/entry.go
@@ -89,6 +89,8 @@
 	PeerBytes       budget.Bytes
 	// JobBytes is the memory for accepted jobs; 0 means no limit.
 	JobBytes budget.Bytes
+	// MaxOrders is the number of orders to workers that are under way at once; 0 means any number.
+	MaxOrders int
 	// MachineLease is the minimum time between the upkeep orders of two holders; UpkeepDuration is how long one upkeep
 	// lasts.
 	MachineLease, UpkeepDuration time.Duration
--- a/citron/holder/holder.go
+++ b/citron/holder/holder.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/citroncross/citroncross/citron"
+	"github.com/citroncross/citroncross/citron/budget"
 	"github.com/citroncross/citroncross/citron/pool"
 	"github.com/citroncross/citroncross/citron/spawn"
 	"github.com/citroncross/citroncross/citron/tail"
@@ -53,6 +54,8 @@
 	// JobSources are the sources of the view that JobTails feed.
 	JobSources []*view.Source
 	Pool       *pool.Pool
+	// MaxOrders is the number of start orders, and of stop orders, that are under way at once; 0 means any number.
+	MaxOrders int
 	// Advise sends a request to the policy service through the daemon named in it.
 	Advise func(ctx context.Context, a pool.AdviceRequest) ([]citron.Permit, time.Duration, error)
 	// Relayed, if set, reports whether Workers sends orders through other daemons.
@@ -96,7 +99,9 @@
 	// waited for longer than usual.
 	unavailableSince atomic.Int64
 	exchanges        spawn.Group
-	trims            trims
+	// starts and stops send the orders.
+	starts, stops spawn.Queue
+	trims         trims
 	// mu guards polls.
 	mu    sync.Mutex
 	polls map[citron.Worker]*poll
@@ -249,7 +254,7 @@
 		return citron.ErrFenced
 	}
 	for _, s := range e.Stops {
-		h.exchanges.Go(func(ctx context.Context) { h.stop(ctx, s) })
+		h.limited(&h.stops).Go(func(ctx context.Context) { h.stop(ctx, s) })
 	}
 	for _, a := range e.AdviceRequests {
 		h.exchanges.Go(func(ctx context.Context) { h.requestAdvice(ctx, a) })
@@ -260,11 +265,12 @@
 // stored continues with what required the records of a plan to be stored. The refused ones are not.
 func (h *Holder) stored(e pool.Effects, refused []citron.KeyedRecord) {
 	h.publish(e, refused)
+	now := h.Timer.Now().Boot
 	for _, s := range e.Starts {
 		if h.unstorable[s.Order.Task.Job()] {
 			continue
 		}
-		h.exchanges.Go(func(ctx context.Context) { h.start(ctx, s) })
+		h.limited(&h.starts).Go(func(ctx context.Context) { h.start(ctx, s, now) })
 	}
 }
 
@@ -330,9 +336,18 @@
 	}
 }
 
-// start sends a start order until it is answered or too late. Repeats are safe: a worker starts each run at most once.
-func (h *Holder) start(ctx context.Context, s pool.Start) {
-	began := h.Timer.Now().Boot
+// OrderBytes is what an order under way takes of the memory of the holder, with its connection.
+const OrderBytes budget.Bytes = 16 << 10
+
+// limited returns a queue of orders with its limit set.
+func (h *Holder) limited(q *spawn.Queue) *spawn.Queue {
+	q.Group, q.Max = &h.exchanges, h.MaxOrders
+	return q
+}
+
+// start sends a start order, which began to wait at a boot time, until it is answered or too late. Repeats are safe: a worker starts
+// each run at most once.
+func (h *Holder) start(ctx context.Context, s pool.Start, began time.Duration) {
 	outcome, clock := citron.StartUnknown, time.Duration(0)
 	unanswered := 0
 	timeout := orderTimeout
--- a/citron/holder/start_test.go
+++ b/citron/holder/start_test.go
@@ -44,7 +44,7 @@
 		t.Fatalf("first plan has %d starts, error %v; want 1 start", len(e.Starts), err)
 	}
 	h := &Holder{Workers: &unhealthyAfterUnanswered{}, Timer: clock, Pool: p, replan: make(chan struct{}, 1)}
-	h.start(context.Background(), e.Starts[0])
+	h.start(context.Background(), e.Starts[0], h.Timer.Now().Boot)
 	clock.Advance(2 * time.Second)
 	p.Renewed(clock.Now(), "w", clock.Now().Boot, citron.WorkerReport{Running: []citron.RunningTask{{Task: "j.0.0.0", Run: 1}}}, time.Second)
 	if again, err := p.Plan(clock.Now()); err != nil || len(again.Starts) != 0 || len(again.Stops) != 0 {
@@ -138,7 +138,7 @@
 			}
 		}}
 		h := &Holder{Workers: w, Timer: clock, Pool: p, View: v, replan: make(chan struct{}, 1)}
-		h.start(context.Background(), e.Starts[0])
+		h.start(context.Background(), e.Starts[0], h.Timer.Now().Boot)
 		again, err := p.Plan(clock.Now())
 		if err != nil {
 			t.Fatal(err)
@@ -206,7 +206,7 @@
 	}
 	orders := &restarted{}
 	h := &Holder{Workers: orders, Timer: clock, Pool: p, replan: make(chan struct{}, 1)}
-	h.start(context.Background(), e.Starts[0])
+	h.start(context.Background(), e.Starts[0], h.Timer.Now().Boot)
 	if orders.tries != 1 {
 		t.Errorf("%d tries, want 1", orders.tries)
 	}
