Gangs wait for each other where their runs would not fit into the memory of the holder

A gang that began below MaxRuns started as a whole, so that two of 20,000 members ran together, and their orders were too late.

Change: a gang waits while more than half of MaxRuns are under way and it would exceed it. A gang that is larger than MaxRuns starts once half of them are free.

TestRunsUnderWayAreLimited has a second gang, which started before.

--- a/citron/pool/plan.go
+++ b/citron/pool/plan.go
@@ -155,7 +155,7 @@
 	p.countUnknown(now)
 	p.readSpeeds(now)
 	p.lastPlan = PlanStats{SlowWorkers: p.speeds.slow, FastWorkers: p.speeds.fast}
-	wp := waitingPass{pool: p, now: now, effects: e, advisedSteps: map[string]int{}, headrooms: p.findHeadroom(now), startsLeft: p.startLimit(now)}
+	wp := waitingPass{pool: p, now: now, effects: e, advisedSteps: map[string]int{}, headrooms: p.findHeadroom(now), startsLeft: p.startLimit(now), runs: p.countRuns()}
 	wp.closeWorkers()
 	for _, s := range p.waiting {
 		p.lastPlan.WaitingSteps++
@@ -260,6 +260,8 @@
 	busyAdvisers map[adviceKind]bool
 	// startsLeft is the number of tasks after which this pass starts no others but the rest of a gang.
 	startsLeft int
+	// runs counts the tasks that may be on a worker.
+	runs int
 	// explained counts the reasons for waiting that were reported in this pass.
 	explained int
 	// lastNeed is the result of speedNeed for the step that was last looked at.
@@ -288,7 +290,9 @@
 		return
 	}
 	if s.spec.GetGang() {
-		wp.placeGang(s)
+		if !wp.exceedsRuns(s) {
+			wp.placeGang(s)
+		}
 		return
 	}
 	for i := s.counts.firstWaiting; i < s.tasks.size && s.counts.waiting > 0; i++ {
@@ -318,6 +322,12 @@
 	}
 }
 
+// exceedsRuns reports whether a gang must wait for runs under way. One that is larger than Options.MaxRuns does not wait for all of them.
+func (wp *waitingPass) exceedsRuns(s *step) bool {
+	most := wp.pool.Options.MaxRuns
+	return most > 0 && wp.runs > most/2 && wp.runs+s.tasks.size > most
+}
+
 // allowed reports whether a worker accepts tasks and may run those of a step now, whatever its free capacity.
 func (wp *waitingPass) allowed(s *step, w *worker) bool {
 	if !w.usable(wp.now) || w.entry.Service != citron.Service(s.job.spec.GetTerms().GetService()) || !w.entry.HasLabel(s.spec.GetRequires()) {
@@ -404,6 +414,7 @@
 func (wp *waitingPass) startTask(t *task, w *worker, run int32) {
 	s, p := t.step, wp.pool
 	wp.startsLeft--
+	wp.runs++
 	t.setState(taskOrdered)
 	t.run, t.stateSince, t.startedAt, t.startSeen = run, wp.now, wp.now, false
 	p.joinWorker(wp.now, t, w, true)
--- a/citron/pool/tasks_test.go
+++ b/citron/pool/tasks_test.go
@@ -152,15 +152,15 @@
 	}
 	gang := newGang(15, 0)
 	gang.MemoryMb = 0
-	urgent := newJob("g", gang)
 	r.endAll(first)
 	r.p.Cancel(r.now, "a")
-	r.accept(urgent)
+	r.accept(newJob("g", gang))
+	r.accept(newJob("h", gang))
 	r.advance(time.Second)
 	for _, id := range []citron.Worker{"w00", "w01"} {
 		r.report(id, citron.WorkerReport{})
 	}
 	if starts := r.plan().Starts; len(starts) != 15 {
-		t.Errorf("%d members of a gang of 15 start, want all", len(starts))
+		t.Errorf("%d members of two gangs of 15 start, want all of one", len(starts))
 	}
 }
