A holder that was suspended does not remove the records of the others

Found by reading: boot time goes on while a VM is suspended, so that a holder that was suspended for a minute found all daemons silent for as long, and would have removed all presence records before it learnt that it is not the holder any more.

Change: the time in which a holder could hear of others begins anew if its pings have paused.

Measured: TestOnlyAHolderThatCouldHearRemovesRecords failed before ([a] are removed by a holder that was suspended until less than RemoveAfter ago).

--- a/citron/roster/roster.go
+++ b/citron/roster/roster.go
@@ -52,7 +52,9 @@
 	// holding is the epoch in which this daemon hears of all others, since heldSince; 0 while it is not the holder.
 	holding   citron.Epoch
 	heldSince time.Duration
-	// former are the daemons that were listed when this one became the holder.
+	// calledAt is when Hold was last called.
+	calledAt time.Duration
+	// former are the daemons that were listed at heldSince.
 	former []citron.VMName
 }
 
@@ -87,15 +89,13 @@
 	}
 }
 
-// Hold records that this daemon is the holder in an epoch, 0 if it is not.
+// Hold records that this daemon is the holder in an epoch, 0 if it is not. It is called at the interval of pings; a daemon that was
+// suspended meanwhile could not hear of the others.
 func (r *Roster) Hold(now time.Duration, epoch citron.Epoch) {
-	if epoch == r.holding {
-		return
-	}
-	if r.holding == 0 {
+	if r.holding == 0 || now-r.calledAt > maxPingInterval {
 		r.heldSince, r.former = now, r.list.VMs
 	}
-	r.holding = epoch
+	r.holding, r.calledAt = epoch, now
 }
 
 // Listed reports whether any holder has told which daemons it counts.
--- a/citron/roster/roster_test.go
+++ b/citron/roster/roster_test.go
@@ -52,6 +52,7 @@
 // run lets time pass, in which daemons ping the holder and it pings them.
 func (c *cell) run(d time.Duration) {
 	for until := c.now + d; c.now < until; c.now += pingInterval {
+		c.holder.Hold(c.now, 1)
 		c.holder.Update(c.now, "holder")
 		for _, vm := range c.holder.PingsDue(c.now, 600*time.Millisecond) {
 			c.pings++
@@ -180,13 +181,26 @@
 		t.Errorf("%v are removed by a daemon that is not the holder", due)
 	}
 	r.Hold(2*time.Hour, 1)
-	if due := r.RemovalsDue(2*time.Hour + RemoveAfter - 1); due != nil {
+	hold := func(since, until time.Duration) {
+		for now := since; now < until; now += pingInterval {
+			r.Hold(now, 1)
+		}
+	}
+	held := 2 * time.Hour
+	hold(held, held+RemoveAfter)
+	if due := r.RemovalsDue(held + RemoveAfter - 1); due != nil {
 		t.Errorf("%v are removed by a holder that has held the pool for less than RemoveAfter", due)
 	}
-	if due := r.RemovalsDue(2*time.Hour + RemoveAfter); len(due) != 1 {
+	// The holder is suspended for an hour.
+	held += time.Hour
+	hold(held, held+RemoveAfter)
+	if due := r.RemovalsDue(held + RemoveAfter - 1); due != nil {
+		t.Errorf("%v are removed by a holder that was suspended until less than RemoveAfter ago", due)
+	}
+	if due := r.RemovalsDue(held + RemoveAfter); len(due) != 1 {
 		t.Errorf("%v are removed, want the only one", due)
 	}
-	if due := r.RemovalsDue(2*time.Hour + RemoveAfter + time.Second); due != nil {
+	if due := r.RemovalsDue(held + RemoveAfter + time.Second); due != nil {
 		t.Errorf("%v are removed again at once", due)
 	}
 }
