--- a/citronlab/crowd/crowd_test.go
+++ b/citronlab/crowd/crowd_test.go
@@ -387,6 +387,16 @@
 	}
 }
 
+// Guards against a bound on the cost of jobs that the largest single one does not meet on the smallest VM.
+func TestSingleJobOfManyTasksIsAccepted(t *testing.T) {
+	d := startSiteDaemon(t)
+	const large = `{"spec":"s","steps":[{"count":20000,"cpu":100,"mem_mb":16,"estimate_ms":50}]}`
+	if status, answer := d.client.Call(d.front, http.MethodPost, "/quick/00000000000000aa", large); status != http.StatusOK {
+		t.Errorf("a job of 20,000 tasks in calm is answered with %d %s", status, answer)
+	}
+	d.serveOrdinary(t, "beside a job of 20,000 tasks")
+}
+
 // Guards against accepted jobs of legal size whose state uses up the memory.
 func TestWholeBodiesThatAreAccepted(t *testing.T) {
 	step := `{"count":1,"cpu":100,"mem_mb":16,"estimate_ms":50,"image":"` + strings.Repeat("x", 900) + `"}`
